--- /dev/null
+++ b/crates/adapters/src/caller/head.rs
@@ -0,0 +1,111 @@
+//! The head of a request.
+
+use std::fmt;
+
+/// Headers in one request, at most.
+const MAX_HEADERS: usize = 64;
+
+/// The first line and the headers of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Box<str>,
+    /// Path and query.
+    pub target: Box<str>,
+    /// Names in lower case, with their values.
+    headers: Vec<(Box<str>, Box<str>)>,
+    /// Whether the connection may be used again.
+    pub keep_alive: bool,
+}
+
+/// How the body of a request is delimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BodyKind {
+    Length(usize),
+    Chunked,
+}
+
+/// Why a head is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HeadError {
+    /// It is not HTTP/1.
+    Malformed(Box<str>),
+    /// It has more headers than are accepted.
+    TooManyHeaders,
+    /// The body's length is ambiguous or not a number.
+    BadLength,
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(message) => write!(f, "the request head is not HTTP/1.1: {message}"),
+            Self::TooManyHeaders => write!(f, "more than {MAX_HEADERS} headers"),
+            Self::BadLength => f.write_str(
+                "the body's length is ambiguous; send one Content-Length or Transfer-Encoding: \
+                 chunked",
+            ),
+        }
+    }
+}
+
+impl std::error::Error for HeadError {}
+
+impl RequestHead {
+    /// The first header called `name`, which is given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(it, _)| &**it == name).map(|(_, value)| &**value)
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("/")
+    }
+
+    pub(super) fn body_kind(&self) -> Result<BodyKind, HeadError> {
+        let lengths: Vec<&str> = self.all("content-length");
+        let encodings: Vec<&str> = self.all("transfer-encoding");
+        match (lengths.as_slice(), encodings.as_slice()) {
+            ([], []) => Ok(BodyKind::Length(0)),
+            ([length], []) => {
+                length.parse().map(BodyKind::Length).map_err(|_| HeadError::BadLength)
+            }
+            ([], [encoding]) if encoding.eq_ignore_ascii_case("chunked") => Ok(BodyKind::Chunked),
+            _ => Err(HeadError::BadLength),
+        }
+    }
+
+    fn all(&self, name: &str) -> Vec<&str> {
+        self.headers.iter().filter(|(it, _)| &**it == name).map(|(_, value)| &**value).collect()
+    }
+}
+
+/// Parses a head; none when it is not complete yet.
+///
+/// # Errors
+///
+/// Fails when the bytes cannot become a head that is accepted.
+pub fn parse_head(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let len = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooManyHeaders),
+        Err(error) => return Err(HeadError::Malformed(error.to_string().into())),
+    };
+    let headers = request.headers.iter().map(|header| {
+        let value = String::from_utf8_lossy(header.value);
+        (header.name.to_ascii_lowercase().into(), value.trim().into())
+    });
+    let mut head = RequestHead {
+        method: request.method.unwrap_or_default().into(),
+        target: request.path.unwrap_or_default().into(),
+        headers: headers.collect(),
+        keep_alive: request.version == Some(1),
+    };
+    if head.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close")) {
+        head.keep_alive = false;
+    }
+    Ok(Some((head, len)))
+}
--- /dev/null
+++ b/crates/adapters/src/caller/response.rs
@@ -0,0 +1,126 @@
+//! Answers to callers.
+
+use std::fmt::Write as _;
+use std::io;
+use std::io::Write;
+use std::net::TcpStream;
+
+use chunked_transfer::Encoder;
+
+/// Size at which a chunk is sent without a flush, in bytes.
+const CHUNK_BYTES: usize = 8 * 1024;
+
+/// Writes the answer to one request.
+#[derive(Debug)]
+pub struct Responder<'a> {
+    stream: &'a TcpStream,
+    keep_alive: bool,
+    is_answered: bool,
+}
+
+impl<'a> Responder<'a> {
+    pub(super) const fn new(stream: &'a TcpStream, keep_alive: bool) -> Self {
+        Self { stream, keep_alive, is_answered: false }
+    }
+
+    /// Whether an answer has been started.
+    pub const fn is_answered(&self) -> bool {
+        self.is_answered
+    }
+
+    pub(super) const fn keeps_alive(&self) -> bool {
+        self.keep_alive && self.is_answered
+    }
+
+    /// Sends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller is gone or takes nothing for too long.
+    pub fn respond(
+        &mut self,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        self.is_answered = true;
+        let mut head = self.head(status, headers);
+        write!(head, "content-length: {}\r\n\r\n", body.len()).map_err(io::Error::other)?;
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(body);
+        self.stream.write_all(&bytes).inspect_err(|_| self.keep_alive = false)
+    }
+
+    /// Starts an answer that is sent piece by piece.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller is gone or takes nothing for too long.
+    pub fn stream(&mut self, headers: &[(&str, &str)]) -> io::Result<StreamWriter<'a>> {
+        self.is_answered = true;
+        let mut head = self.head(200, headers);
+        head.push_str("transfer-encoding: chunked\r\n\r\n");
+        self.stream.write_all(head.as_bytes()).inspect_err(|_| self.keep_alive = false)?;
+        Ok(StreamWriter { chunks: Encoder::with_chunks_size(self.stream, CHUNK_BYTES) })
+    }
+
+    /// Closes the connection after this answer.
+    pub const fn close(&mut self) {
+        self.keep_alive = false;
+    }
+
+    fn head(&self, status: u16, headers: &[(&str, &str)]) -> String {
+        let connection = if self.keep_alive { "keep-alive" } else { "close" };
+        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+        for (name, value) in headers.iter().chain(&[("connection", connection)]) {
+            head.push_str(name);
+            head.push_str(": ");
+            head.push_str(value);
+            head.push_str("\r\n");
+        }
+        head
+    }
+}
+
+/// The body of an answer that is sent piece by piece.
+///
+/// Dropping it ends the body properly.
+pub struct StreamWriter<'a> {
+    chunks: Encoder<&'a TcpStream>,
+}
+
+impl StreamWriter<'_> {
+    /// Sends a piece at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller is gone or takes nothing for too long.
+    pub fn send(&mut self, piece: &str) -> io::Result<()> {
+        self.chunks.write_all(piece.as_bytes())?;
+        self.chunks.flush()
+    }
+}
+
+const fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,27 @@
+//! Adapters between the pure parts of cranberryvalve and the world.
+//!
+//! All input and output is here: HTTP towards callers ([`caller`]), upstreams ([`upstream`]) and
+//! the platform ([`platform`]), links between VMs ([`links`]), resume tokens ([`resume`]), and
+//! logs and metrics ([`telemetry`]).
+//!
+//! ```
+//! use cranberryvalve_adapters::resume::ResumeClaims;
+//! use cranberryvalve_adapters::shared_key::SharedKey;
+//!
+//! let key = SharedKey::new(b"a secret that all VMs share");
+//! let claims = ResumeClaims {
+//!     customer: "tasman".into(),
+//!     request: cranberryvalve_core::Digest::of(b"{}"),
+//!     stream: 7,
+//! };
+//! let token = claims.seal(&key);
+//! assert_eq!(ResumeClaims::open(&token, &key), Some(claims));
+//! ```
+
+pub mod caller;
+pub mod links;
+pub mod platform;
+pub mod resume;
+pub mod shared_key;
+pub mod telemetry;
+pub mod upstream;
--- /dev/null
+++ b/crates/adapters/src/telemetry.rs
@@ -0,0 +1,52 @@
+//! Logs and metrics.
+
+use std::io;
+use std::sync::Mutex;
+
+use cranberryvalve_core::VmId;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use slog::Drain;
+use slog::FnValue;
+use slog::Level;
+use slog::LevelFilter;
+use slog::Logger;
+use slog::o;
+
+/// Upper bounds of the histograms of times, in seconds.
+const TIME_BUCKETS_S: [f64; 14] =
+    [0.001, 0.005, 0.01, 0.02, 0.039, 0.08, 0.15, 0.3, 0.6, 1.0, 1.5, 3.0, 10.0, 30.0];
+
+/// Creates a logger that writes JSON lines to standard error.
+pub fn logger(vm: &VmId, level: Level) -> Logger {
+    let json = slog_json::Json::new(io::stderr())
+        .set_newlines(true)
+        .add_key_value(o!(
+            "time_unix_ms" => FnValue(|_| unix_ms()),
+            "level" => FnValue(|record| record.level().as_str()),
+            "message" => FnValue(|record| record.msg().to_string()),
+        ))
+        .build();
+    let drain = LevelFilter::new(Mutex::new(json).fuse(), level).fuse();
+    Logger::root(drain, o!("vm" => vm.to_string()))
+}
+
+/// Installs the metrics recorder of the process.
+///
+/// # Errors
+///
+/// Fails when the process has a recorder already.
+pub fn install_metrics() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &TIME_BUCKETS_S)?
+        .install_recorder()
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/adapters/src/upstream/connection.rs
@@ -0,0 +1,180 @@
+//! A connection for one attempt.
+
+use std::fmt;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ureq::Agent;
+use ureq::Error;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::Buffers;
+use ureq::unversioned::transport::ConnectionDetails;
+use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::LazyBuffers;
+use ureq::unversioned::transport::NextTimeout;
+use ureq::unversioned::transport::Transport;
+
+/// Size of the buffers for input and output, in bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Longest times that an attempt may wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// For the connection to be made.
+    pub connect: Duration,
+    /// For the first byte of the answer.
+    pub first_byte: Duration,
+    /// Between two reads after that.
+    pub silence: Duration,
+}
+
+/// The end of an attempt that other threads hold.
+#[derive(Debug, Clone, Default)]
+pub struct CancelHandle(Arc<Shared>);
+
+#[derive(Debug, Default)]
+struct Shared {
+    stream: Mutex<Option<TcpStream>>,
+    cancelled: AtomicBool,
+    byte_sent: AtomicBool,
+}
+
+impl CancelHandle {
+    /// Creates a handle for an attempt that has not started.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Shuts the connection down, now or as soon as it is made.
+    pub fn cancel(&self) {
+        self.0.cancelled.store(true, Ordering::SeqCst);
+        if let Some(stream) = &*self.lock() {
+            // An error means that the connection is closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Whether the attempt was cancelled.
+    pub fn is_cancelled(&self) -> bool {
+        self.0.cancelled.load(Ordering::SeqCst)
+    }
+
+    /// Whether a byte may have reached the upstream.
+    pub fn byte_sent(&self) -> bool {
+        self.0.byte_sent.load(Ordering::SeqCst)
+    }
+
+    fn attach(&self, stream: &TcpStream) -> io::Result<()> {
+        *self.lock() = Some(stream.try_clone()?);
+        if self.is_cancelled() {
+            stream.shutdown(Shutdown::Both)?;
+        }
+        Ok(())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<TcpStream>> {
+        self.0.stream.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Creates an agent that makes one connection.
+pub(super) fn agent(timeouts: Timeouts, cancel: &CancelHandle) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .max_redirects(0)
+        .proxy(None)
+        .allow_non_standard_methods(true)
+        .build();
+    let connector = AttemptConnector { timeouts, cancel: cancel.clone() };
+    Agent::with_parts(config, connector, DefaultResolver::default())
+}
+
+#[derive(Debug)]
+struct AttemptConnector {
+    timeouts: Timeouts,
+    cancel: CancelHandle,
+}
+
+impl<In: Transport> Connector<In> for AttemptConnector {
+    type Out = AttemptTransport;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails<'_>,
+        _chained: Option<In>,
+    ) -> Result<Option<AttemptTransport>, Error> {
+        let Some(address) = details.addrs.iter().next() else {
+            return Err(Error::HostNotFound);
+        };
+        let stream = TcpStream::connect_timeout(address, self.timeouts.connect)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(self.timeouts.silence))?;
+        stream.set_read_timeout(Some(self.timeouts.first_byte))?;
+        self.cancel.attach(&stream)?;
+        Ok(Some(AttemptTransport {
+            stream,
+            buffers: LazyBuffers::new(BUFFER_BYTES, BUFFER_BYTES),
+            silence: Some(self.timeouts.silence),
+            cancel: self.cancel.clone(),
+        }))
+    }
+}
+
+struct AttemptTransport {
+    stream: TcpStream,
+    buffers: LazyBuffers,
+    /// Time between reads, set on the connection after the first one.
+    silence: Option<Duration>,
+    cancel: CancelHandle,
+}
+
+impl fmt::Debug for AttemptTransport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptTransport").finish_non_exhaustive()
+    }
+}
+
+impl Transport for AttemptTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        &mut self.buffers
+    }
+
+    fn transmit_output(&mut self, amount: usize, _timeout: NextTimeout) -> Result<(), Error> {
+        if self.cancel.is_cancelled() {
+            return Err(Error::Io(io::ErrorKind::ConnectionAborted.into()));
+        }
+        self.cancel.0.byte_sent.store(true, Ordering::SeqCst);
+        let output = &self.buffers.output()[..amount];
+        self.stream.write_all(output)?;
+        Ok(())
+    }
+
+    fn await_input(&mut self, _timeout: NextTimeout) -> Result<bool, Error> {
+        let input = self.buffers.input_append_buf();
+        let amount = loop {
+            match self.stream.read(input) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                other => break other?,
+            }
+        };
+        self.buffers.input_appended(amount);
+        if let Some(silence) = self.silence.take() {
+            self.stream.set_read_timeout(Some(silence))?;
+        }
+        Ok(amount > 0)
+    }
+
+    fn is_open(&mut self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,124 @@
+//! Options and commands.
+
+use std::env;
+
+use gumdrop::Options;
+
+use crate::exit::Exit;
+use crate::exit::Failure;
+
+/// Environment variable for the addresses of the VMs.
+const VMS_VARIABLE: &str = "CRANBERRYVALVE_VMS";
+
+/// Environment variable for the operators' token.
+const TOKEN_VARIABLE: &str = "CRANBERRYVALVE_OPERATOR_TOKEN";
+
+/// Environment variable for the operator's name.
+const OPERATOR_VARIABLE: &str = "CRANBERRYVALVE_OPERATOR";
+
+#[derive(Debug, Options)]
+pub(crate) struct Cli {
+    #[options(no_short, help = "print this help")]
+    pub(crate) help: bool,
+    #[options(no_short, help = "operator addresses of VMs, IP:port, separated by commas")]
+    vms: Option<String>,
+    #[options(no_short, help = "the operators' token (better set in the environment)")]
+    token: Option<String>,
+    #[options(no_short, help = "your name, kept in the history")]
+    operator: Option<String>,
+    #[options(no_short, help = "print JSON")]
+    pub(crate) json: bool,
+    #[options(command)]
+    pub(crate) command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) enum Command {
+    #[options(help = "show what declaring a configuration file would change")]
+    Plan(PlanOptions),
+    #[options(help = "show what taking an upstream out of service would change")]
+    Drain(DrainOptions),
+    #[options(help = "show what putting an upstream back would change")]
+    Undrain(DrainOptions),
+    #[options(help = "apply a plan")]
+    Confirm(ConfirmOptions),
+    #[options(help = "print the configuration in force")]
+    Show(NoOptions),
+    #[options(help = "list the versions of the configuration")]
+    History(NoOptions),
+    #[options(help = "list the VMs and whether they agree")]
+    Status(NoOptions),
+    #[options(help = "print the state of each VM")]
+    Dump(NoOptions),
+    #[options(help = "print the SHA-256 of an API key read from standard input")]
+    HashKey(NoOptions),
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct PlanOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "configuration file in TOML")]
+    pub(crate) file: String,
+    #[options(no_short, required, help = "file to keep the plan in, for `confirm`")]
+    pub(crate) out: String,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct DrainOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "upstream")]
+    pub(crate) upstream: String,
+    #[options(no_short, required, help = "file to keep the plan in, for `confirm`")]
+    pub(crate) out: String,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct ConfirmOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "file with the plan")]
+    pub(crate) plan: String,
+    #[options(no_short, help = "hazard that you accept, by name; may be repeated")]
+    pub(crate) acknowledge: Vec<String>,
+}
+
+#[derive(Debug, Options)]
+pub(crate) struct NoOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+}
+
+impl Cli {
+    /// Addresses of the VMs, in the order in which they are tried.
+    pub(crate) fn vms(&self) -> Result<Vec<String>, Failure> {
+        let text = self.setting("vms", &self.vms, VMS_VARIABLE)?;
+        let addresses: Vec<String> = text.split(',').map(|it| it.trim().to_owned()).collect();
+        for address in &addresses {
+            if address.parse::<std::net::SocketAddr>().is_err() {
+                let message = format!("--vms: `{address}` is no IP address and port");
+                return Err(Failure::new(Exit::Usage, message));
+            }
+        }
+        Ok(addresses)
+    }
+
+    pub(crate) fn token(&self) -> Result<String, Failure> {
+        self.setting("token", &self.token, TOKEN_VARIABLE)
+    }
+
+    pub(crate) fn operator(&self) -> Result<String, Failure> {
+        self.setting("operator", &self.operator, OPERATOR_VARIABLE)
+    }
+
+    fn setting(
+        &self,
+        name: &str,
+        flag: &Option<String>,
+        variable: &str,
+    ) -> Result<String, Failure> {
+        let text = flag.clone().or_else(|| env::var(variable).ok()).filter(|it| !it.is_empty());
+        text.ok_or_else(|| Failure::new(Exit::Usage, format!("--{name} or {variable} is needed")))
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/plan_confirm.rs
@@ -0,0 +1,101 @@
+//! The command line against real daemons.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::vm::OPERATOR_TOKEN;
+
+struct Operator {
+    cluster: Cluster,
+    folder: PathBuf,
+}
+
+impl Operator {
+    fn new(name: &str) -> Self {
+        let settings = ClusterSettings { engines: 6, ..ClusterSettings::default() };
+        let cluster = Cluster::start(&daemon(), settings).expect("the deployment starts");
+        let folder =
+            std::env::temp_dir().join(format!("cranberryvalve-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for plans");
+        Self { cluster, folder }
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let vms: Vec<String> = self.cluster.vms.iter().map(|it| it.operators.to_string()).collect();
+        Command::new(env!("CARGO_BIN_EXE_cranberryvalve"))
+            .current_dir(&self.folder)
+            .env("CRANBERRYVALVE_VMS", vms.join(","))
+            .env("CRANBERRYVALVE_OPERATOR_TOKEN", OPERATOR_TOKEN)
+            .env("CRANBERRYVALVE_OPERATOR", "ana")
+            .args(arguments)
+            .output()
+            .expect("the command line starts")
+    }
+}
+
+impl Drop for Operator {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn daemon() -> PathBuf {
+    let own = Path::new(env!("CARGO_BIN_EXE_cranberryvalve"));
+    own.with_file_name("cranberryvalved")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn drains_after_confirmation() {
+    let operator = Operator::new("drain");
+    let planned = operator.run(&["drain", "engine-1", "--out", "plan.json"]);
+    assert_eq!(planned.status.code(), Some(0), "{}", stderr(&planned));
+    assert!(stdout(&planned).contains("~ upstream engine-1 drained: false -> true"));
+    assert!(stdout(&operator.run(&["status"])).contains("version 1 "));
+    let confirmed = operator.run(&["confirm", "plan.json"]);
+    assert_eq!(stdout(&confirmed), "applied as version 2\n", "{}", stderr(&confirmed));
+    let again = operator.run(&["confirm", "plan.json"]);
+    assert_eq!(stdout(&again), "applied as version 2\n");
+    assert!(stdout(&operator.run(&["history"])).lines().count() == 3);
+}
+
+#[test]
+fn refuses_unacknowledged_hazard() {
+    let operator = Operator::new("hazard");
+    let planned = operator.run(&["drain", "berth-0", "--out", "plan.json"]);
+    assert!(stdout(&planned).contains("class-unserved:booking:berth-api"));
+    let refused = operator.run(&["confirm", "plan.json"]);
+    assert_eq!(refused.status.code(), Some(3));
+    assert!(stderr(&refused).contains("class-unserved:booking:berth-api"));
+}
+
+#[test]
+fn names_the_wrong_field() {
+    let operator = Operator::new("field");
+    std::fs::write(operator.folder.join("bad.toml"), "[[class]]\nid = \"a\"\ntier = 99\n").unwrap();
+    let refused = operator.run(&["plan", "bad.toml", "--out", "plan.json"]);
+    assert_eq!(refused.status.code(), Some(3));
+    assert!(stderr(&refused).contains("class[0].tier: 99 is too large; 0 to 15 are accepted"));
+}
+
+#[test]
+fn stale_plan_exits_with_four() {
+    let operator = Operator::new("stale");
+    operator.run(&["drain", "engine-0", "--out", "first.json"]);
+    operator.run(&["drain", "engine-1", "--out", "second.json"]);
+    assert_eq!(operator.run(&["confirm", "first.json"]).status.code(), Some(0));
+    let stale = operator.run(&["confirm", "second.json"]);
+    assert_eq!(stale.status.code(), Some(4));
+    assert!(stdout(&stale).contains("came first; version 2 is in force"));
+}
--- /dev/null
+++ b/crates/coordination/src/peer.rs
@@ -0,0 +1,78 @@
+//! The messages that VMs exchange.
+
+use std::net::SocketAddr;
+
+use cranberryvalve_core::ConfigVersion;
+use cranberryvalve_core::Digest;
+use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::PressureDigest;
+use cranberryvalve_core::VmId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::membership::MemberUpdate;
+
+/// A message from one VM to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Sent to each neighbour at a fixed interval.
+    Heartbeat(Heartbeat),
+    /// Asks for the document with the given digest.
+    DocumentWanted {
+        /// Sender.
+        from: PeerAddress,
+        /// Digest of the document.
+        digest: Digest,
+    },
+    /// A configuration document in its stored form.
+    Document {
+        /// Sender.
+        from: PeerAddress,
+        /// The document's bytes.
+        body: Vec<u8>,
+    },
+}
+
+/// Name and address of a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PeerAddress {
+    /// Name.
+    pub vm: VmId,
+    /// Address of its peer listener.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: FailureDomainId,
+}
+
+/// A sign of life, with what every neighbour should know.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Sender.
+    pub from: PeerAddress,
+    /// Number that grows with each start of the sender.
+    pub incarnation: u64,
+    /// Number that grows with each heartbeat to this receiver.
+    pub sequence: u64,
+    /// Last sequence number that the sender had from this receiver.
+    pub acknowledged: u64,
+    /// Version of the configuration in force at the sender.
+    pub config_version: ConfigVersion,
+    /// Digest of that document.
+    pub config_digest: Digest,
+    /// Whether the sender has heard the store or a fresh peer itself.
+    pub config_fresh: bool,
+    /// Requests that wait for capacity.
+    pub pressure: PressureDigest,
+    /// News of members.
+    pub members: Vec<MemberUpdate>,
+}
+
+impl PeerMessage {
+    /// The sender.
+    pub const fn from(&self) -> &PeerAddress {
+        match self {
+            Self::Heartbeat(heartbeat) => &heartbeat.from,
+            Self::DocumentWanted { from, .. } | Self::Document { from, .. } => from,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,57 @@
+//! Shared vocabulary of cranberryvalve: ids, configuration and outcomes.
+//!
+//! Everything here is plain data. The other crates exchange these types, so that a decision made
+//! in one process means the same in every other one.
+//!
+//! ```
+//! use cranberryvalve_core::Config;
+//!
+//! let config = Config::from_toml(
+//!     r#"
+//!     [[class]]
+//!     id = "tide-check"
+//!     tier = 0
+//!     "#,
+//! )
+//! .expect("valid document");
+//! assert_eq!(config.classes[0].tier, 0);
+//! assert!(config.check().is_empty());
+//! ```
+
+mod config;
+mod digest;
+mod ids;
+mod outcome;
+mod pressure;
+
+pub use config::Config;
+pub use config::ConfigDocument;
+pub use config::ConfigIssue;
+pub use config::ConfigParseError;
+pub use config::CustomerSpec;
+pub use config::EngineOrder;
+pub use config::ModelAction;
+pub use config::Profile;
+pub use config::RouteSpec;
+pub use config::ServiceClass;
+pub use config::UpstreamKind;
+pub use config::UpstreamSpec;
+pub use digest::Digest;
+pub use ids::Attempt;
+pub use ids::ClassId;
+pub use ids::ConfigVersion;
+pub use ids::CustomerId;
+pub use ids::FailureDomainId;
+pub use ids::FencingToken;
+pub use ids::IdempotencyKey;
+pub use ids::OperatorId;
+pub use ids::PlanId;
+pub use ids::PoolId;
+pub use ids::RequestId;
+pub use ids::Tier;
+pub use ids::UpstreamId;
+pub use ids::VmId;
+pub use outcome::NotRunReason;
+pub use outcome::Outcome;
+pub use pressure::PressureDigest;
+pub use pressure::PressureEntry;
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,51 @@
+//! Threads that keep this VM in step with the platform, the peers and the upstreams.
+
+mod config;
+mod heartbeats;
+mod loads;
+mod platform;
+mod releases;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_policy::Event;
+use eyre::Result;
+use rand::RngExt;
+
+use crate::node::Node;
+
+pub(crate) use config::handle_replica;
+
+/// Pause between two ticks of the router.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Starts all control threads.
+pub(crate) fn start(node: &Arc<Node>) -> Result<()> {
+    spawn("tick", node, tick)?;
+    spawn("config-poll", node, config::poll)?;
+    spawn("heartbeats", node, heartbeats::send)?;
+    spawn("peers", node, heartbeats::receive)?;
+    spawn("loads", node, loads::poll)?;
+    spawn("vm-list", node, platform::poll)?;
+    spawn("releases", node, releases::run)
+}
+
+fn spawn(name: &str, node: &Arc<Node>, run: fn(&Arc<Node>)) -> Result<()> {
+    let node = node.clone();
+    thread::Builder::new().name(name.to_owned()).spawn(move || run(&node))?;
+    Ok(())
+}
+
+fn tick(node: &Arc<Node>) {
+    loop {
+        thread::sleep(TICK);
+        node.dispatcher.handle(Event::Tick);
+    }
+}
+
+/// Sleeps for about `interval`, so that the VMs do not act in step.
+fn sleep_about(interval: Duration) {
+    thread::sleep(interval.mul_f64(rand::rng().random_range(0.9..1.1)));
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,52 @@
+//! The cranberryvalve daemon: the same program on every VM.
+
+mod control;
+mod dispatcher;
+mod lifecycle;
+mod measures;
+mod node;
+mod operator;
+mod service;
+mod settings;
+mod store_gate;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use cranberryvalve_adapters::telemetry;
+use slog::error;
+use slog::info;
+
+use crate::node::Node;
+use crate::settings::Settings;
+
+fn main() -> ExitCode {
+    let settings = match Settings::load() {
+        Ok(Some(settings)) => settings,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(report) => return settings::print_error(&report),
+    };
+    let log = telemetry::logger(&settings.vm, settings.log_level);
+    match run(settings, log.clone()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            error!(log, "stopped by a fault"; "error" => format!("{report:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Settings, log: slog::Logger) -> eyre::Result<()> {
+    let node = Arc::new(Node::new(settings, log)?);
+    let callers = service::start(&node)?;
+    let _operators = operator::start(&node)?;
+    control::start(&node)?;
+    info!(node.log, "started";
+        "caller_address" => callers.address().to_string(),
+        "operator_address" => node.settings.operator_address.to_string(),
+        "peer_address" => node.settings.peer_address.to_string());
+    lifecycle::wait_for_signal()?;
+    lifecycle::stop_gracefully(&node, &callers);
+    info!(node.log, "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/operator/dump.rs
@@ -0,0 +1,62 @@
+//! A dump of the process's state.
+
+use cranberryvalve_coordination::membership::MemberUpdate;
+use cranberryvalve_coordination::replica::Freshness;
+use cranberryvalve_core::Digest;
+use cranberryvalve_policy::RouterSnapshot;
+use serde::Serialize;
+
+use crate::node::Node;
+
+/// State of the process at one moment.
+#[derive(Debug, Serialize)]
+pub(super) struct Dump {
+    vm: String,
+    failure_domain: String,
+    started_unix_ms: u64,
+    ready: bool,
+    draining: bool,
+    config: ConfigState,
+    store_calls_refused: bool,
+    releases_waiting: usize,
+    members: Vec<MemberUpdate>,
+    members_alive: usize,
+    router: RouterSnapshot,
+}
+
+#[derive(Debug, Serialize)]
+struct ConfigState {
+    version: u64,
+    digest: Digest,
+    freshness: &'static str,
+}
+
+/// Takes a dump.
+pub(super) fn take(node: &Node) -> Dump {
+    let freshness = match node.freshness() {
+        Freshness::Missing => "missing",
+        Freshness::Current => "current",
+        Freshness::Stale => "stale",
+    };
+    let config = {
+        let replica = node.replica();
+        ConfigState { version: replica.version(), digest: replica.digest().clone(), freshness }
+    };
+    let (members, members_alive) = {
+        let membership = node.membership();
+        (membership.list(), membership.alive())
+    };
+    Dump {
+        vm: node.settings.vm.to_string(),
+        failure_domain: node.settings.failure_domain.to_string(),
+        started_unix_ms: node.started_unix_ms,
+        ready: node.is_ready(),
+        draining: node.is_draining(),
+        config,
+        store_calls_refused: node.store.is_closed(),
+        releases_waiting: node.releases().len(),
+        members,
+        members_alive,
+        router: node.dispatcher.snapshot(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/service/problem.rs
@@ -0,0 +1,136 @@
+//! Error answers.
+
+use std::io;
+
+use cranberryvalve_adapters::caller::Responder;
+use cranberryvalve_core::NotRunReason;
+use cranberryvalve_core::Outcome;
+use serde::Serialize;
+
+/// An error answer to a caller.
+#[derive(Debug)]
+pub(super) struct Problem {
+    pub(super) status: u16,
+    pub(super) message: String,
+    kind: &'static str,
+    param: Option<&'static str>,
+    outcome: Option<Outcome>,
+}
+
+impl Problem {
+    /// The request cannot be accepted as it is.
+    pub(super) const fn invalid(status: u16, message: String) -> Self {
+        Self { status, message, kind: "invalid_request_error", param: None, outcome: None }
+    }
+
+    /// A field of the request cannot be accepted as it is.
+    pub(super) const fn field(param: &'static str, message: String) -> Self {
+        let kind = "invalid_request_error";
+        Self { status: 400, message, kind, param: Some(param), outcome: None }
+    }
+
+    pub(super) fn method(accepted: &str) -> Self {
+        Self::invalid(405, format!("only {accepted} is accepted here"))
+    }
+
+    pub(super) const fn unauthorized(message: String) -> Self {
+        Self { status: 401, message, kind: "authentication_error", param: None, outcome: None }
+    }
+
+    pub(super) const fn forbidden(param: &'static str, message: String) -> Self {
+        let kind = "permission_error";
+        Self { status: 403, message, kind, param: Some(param), outcome: None }
+    }
+
+    /// The request ended without a whole answer.
+    pub(super) fn outcome(outcome: Outcome) -> Self {
+        let (status, message) = describe(&outcome);
+        let kind = outcome.name();
+        Self { status, message, kind, param: None, outcome: Some(outcome) }
+    }
+
+    pub(super) fn body(&self) -> String {
+        let (reason, retry_after_ms) = match &self.outcome {
+            Some(Outcome::NotRun { reason, retry_after_ms }) => {
+                (Some(reason.name()), Some(*retry_after_ms))
+            }
+            _ => (None, None),
+        };
+        let error = ErrorBody {
+            message: &self.message,
+            kind: self.kind,
+            param: self.param,
+            outcome: self.outcome.as_ref().map_or("not_run", Outcome::name),
+            reason,
+            retry_after_ms,
+        };
+        serde_json::to_string(&ErrorEnvelope { error }).unwrap_or_default()
+    }
+
+    /// Sends the error, unless an answer has been started.
+    pub(super) fn send(&self, responder: &mut Responder<'_>) -> io::Result<()> {
+        if responder.is_answered() {
+            return Ok(());
+        }
+        let outcome = self.outcome.as_ref().map_or("not_run", Outcome::name);
+        let mut headers = vec![("content-type", "application/json"), ("x-outcome", outcome)];
+        let retry_after = match &self.outcome {
+            Some(Outcome::NotRun { retry_after_ms, .. }) => {
+                retry_after_ms.div_ceil(1_000).to_string()
+            }
+            _ => String::new(),
+        };
+        if !retry_after.is_empty() {
+            headers.push(("retry-after", &retry_after));
+        }
+        responder.respond(self.status, &headers, self.body().as_bytes())
+    }
+}
+
+#[derive(Serialize)]
+struct ErrorEnvelope<'a> {
+    error: ErrorBody<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'a str,
+    param: Option<&'a str>,
+    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+fn describe(outcome: &Outcome) -> (u16, String) {
+    match outcome {
+        Outcome::NotRun { reason, .. } => {
+            let (status, why) = describe_not_run(*reason);
+            (status, format!("the request was not run: {why}"))
+        }
+        Outcome::Unknown => {
+            let message = "the request may or may not have been run; no whole answer came back";
+            (502, message.to_owned())
+        }
+        Outcome::Partial => (502, "the answer broke off and could not be continued".to_owned()),
+        Outcome::Completed => (200, String::new()),
+    }
+}
+
+const fn describe_not_run(reason: NotRunReason) -> (u16, &'static str) {
+    match reason {
+        NotRunReason::QueueFull => (429, "too many requests of the same or higher tiers wait"),
+        NotRunReason::QueueTimeout => (429, "it waited as long as its class allows"),
+        NotRunReason::CustomerLimit => (429, "the customer is above its limit"),
+        NotRunReason::NoUpstream => (503, "no upstream serves it at present"),
+        NotRunReason::UpstreamsRefused => (503, "no upstream could be reached"),
+        NotRunReason::StoreUnavailable => {
+            (503, "the store did not confirm that it is the only attempt")
+        }
+        NotRunReason::ConfigStale => (503, "this VM has no configuration that it may trust"),
+        NotRunReason::CallerGone => (499, "the caller left"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,203 @@
+//! Settings of the daemon, from flags and environment variables.
+
+use std::env;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::VmId;
+use eyre::Result;
+use eyre::bail;
+use eyre::eyre;
+use gumdrop::Options;
+use slog::Level;
+
+/// Prefix of the environment variables; `--peer-address` is `CRANBERRYVALVE_PEER_ADDRESS`.
+const ENV_PREFIX: &str = "CRANBERRYVALVE_";
+
+/// Shortest secret that is accepted, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Exit status for wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Flags as they are written.
+#[derive(Debug, Options)]
+struct Flags {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "name of this VM, unique among all VMs")]
+    vm: Option<String>,
+    #[options(no_short, help = "failure domain of this VM")]
+    failure_domain: Option<String>,
+    #[options(no_short, help = "IP address and port for callers")]
+    caller_address: Option<String>,
+    #[options(no_short, help = "IP address and port for operators")]
+    operator_address: Option<String>,
+    #[options(no_short, help = "IP address and port for other VMs")]
+    peer_address: Option<String>,
+    #[options(no_short, help = "IP address and port of the platform")]
+    platform_address: Option<String>,
+    #[options(
+        no_short,
+        help = "token that operators must present (better set in the environment)"
+    )]
+    operator_token: Option<String>,
+    #[options(no_short, help = "secret that all VMs share (better set in the environment)")]
+    shared_secret: Option<String>,
+    #[options(no_short, help = "time between not ready and stop, in ms (default 5000)")]
+    drain_ms: Option<String>,
+    #[options(no_short, help = "connections of callers, at most (default 4096)")]
+    max_connections: Option<String>,
+    #[options(no_short, help = "body of a request in bytes, at most (default 4194304)")]
+    max_body_bytes: Option<String>,
+    #[options(no_short, help = "upstreams of a pool to consider, at most (default 24)")]
+    subset_size: Option<String>,
+    #[options(no_short, help = "seed of random choices (default: from the system)")]
+    seed: Option<String>,
+    #[options(no_short, help = "debug, info, warning or error (default info)")]
+    log_level: Option<String>,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub(crate) struct Settings {
+    pub(crate) vm: VmId,
+    pub(crate) failure_domain: FailureDomainId,
+    pub(crate) caller_address: SocketAddr,
+    pub(crate) operator_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) platform_address: SocketAddr,
+    pub(crate) operator_token: Arc<str>,
+    pub(crate) shared_secret: Arc<str>,
+    pub(crate) drain: Duration,
+    pub(crate) max_connections: usize,
+    pub(crate) max_body_bytes: usize,
+    pub(crate) subset_size: usize,
+    pub(crate) seed: u64,
+    pub(crate) log_level: Level,
+}
+
+impl Settings {
+    /// Reads and checks the settings of this process; none when help was asked for.
+    pub(crate) fn load() -> Result<Option<Self>> {
+        let arguments: Vec<String> = env::args().skip(1).collect();
+        let flags = Flags::parse_args_default(&arguments).map_err(|error| eyre!("{error}"))?;
+        if flags.help {
+            print_help();
+            return Ok(None);
+        }
+        Self::check(&flags).map(Some)
+    }
+
+    fn check(flags: &Flags) -> Result<Self> {
+        let mut reader = Reader { faults: Vec::new() };
+        let settings = Self {
+            vm: reader.name("vm", &flags.vm),
+            failure_domain: reader.name("failure-domain", &flags.failure_domain),
+            caller_address: reader.address("caller-address", &flags.caller_address),
+            operator_address: reader.address("operator-address", &flags.operator_address),
+            peer_address: reader.address("peer-address", &flags.peer_address),
+            platform_address: reader.address("platform-address", &flags.platform_address),
+            operator_token: reader.secret("operator-token", &flags.operator_token),
+            shared_secret: reader.secret("shared-secret", &flags.shared_secret),
+            drain: Duration::from_millis(reader.number("drain-ms", &flags.drain_ms, 5_000)),
+            max_connections: reader.size("max-connections", &flags.max_connections, 4_096),
+            max_body_bytes: reader.size("max-body-bytes", &flags.max_body_bytes, 4 * 1024 * 1024),
+            subset_size: reader.size("subset-size", &flags.subset_size, 24),
+            seed: reader.number("seed", &flags.seed, rand::random()),
+            log_level: reader.log_level(&flags.log_level),
+        };
+        if reader.faults.is_empty() {
+            return Ok(settings);
+        }
+        bail!("{}", reader.faults.join("\n"))
+    }
+}
+
+/// Prints wrong settings, one line each.
+#[expect(clippy::print_stderr, reason = "there is no logger before the settings are known")]
+pub(crate) fn print_error(report: &eyre::Report) -> ExitCode {
+    for line in report.to_string().lines() {
+        eprintln!("cranberryvalved: {line}");
+    }
+    eprintln!("cranberryvalved: see --help");
+    ExitCode::from(EXIT_USAGE)
+}
+
+#[expect(clippy::print_stdout, reason = "help goes to standard output")]
+fn print_help() {
+    println!("cranberryvalved: router for language-model traffic\n");
+    println!("{}", Flags::usage());
+    println!("\nEach flag may be set in the environment: {ENV_PREFIX}PEER_ADDRESS for");
+    println!("--peer-address and so on. A flag goes before the environment.");
+}
+
+/// Reads settings and collects what is wrong with them.
+struct Reader {
+    faults: Vec<String>,
+}
+
+impl Reader {
+    fn text(name: &str, flag: &Option<String>) -> Option<String> {
+        let variable = format!("{ENV_PREFIX}{}", name.replace('-', "_").to_uppercase());
+        flag.clone().or_else(|| env::var(variable).ok())
+    }
+
+    fn fault(&mut self, name: &str, message: &str) {
+        self.faults.push(format!("--{name}: {message}"));
+    }
+
+    fn name(&mut self, name: &str, flag: &Option<String>) -> Arc<str> {
+        let text = Self::text(name, flag).unwrap_or_default();
+        let is_accepted = !text.is_empty()
+            && text.chars().all(|it| it.is_ascii_alphanumeric() || "-_.".contains(it));
+        if !is_accepted {
+            self.fault(name, "a name of letters, digits, `-`, `_` and `.` is needed");
+        }
+        text.into()
+    }
+
+    fn address(&mut self, name: &str, flag: &Option<String>) -> SocketAddr {
+        let text = Self::text(name, flag).unwrap_or_default();
+        text.parse().unwrap_or_else(|_| {
+            let message = format!("`{text}` is no IP address and port, such as 10.0.0.1:8080");
+            self.fault(name, &message);
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        })
+    }
+
+    fn secret(&mut self, name: &str, flag: &Option<String>) -> Arc<str> {
+        let text = Self::text(name, flag).unwrap_or_default();
+        if text.len() < MIN_SECRET_BYTES {
+            self.fault(name, &format!("at least {MIN_SECRET_BYTES} bytes are needed"));
+        }
+        text.into()
+    }
+
+    fn number(&mut self, name: &str, flag: &Option<String>, default: u64) -> u64 {
+        let Some(text) = Self::text(name, flag) else { return default };
+        text.parse().unwrap_or_else(|_| {
+            self.fault(name, &format!("`{text}` is no whole number"));
+            default
+        })
+    }
+
+    fn size(&mut self, name: &str, flag: &Option<String>, default: usize) -> usize {
+        let Some(text) = Self::text(name, flag) else { return default };
+        text.parse().ok().filter(|it| *it > 0).unwrap_or_else(|| {
+            self.fault(name, &format!("`{text}` is no whole number above 0"));
+            default
+        })
+    }
+
+    fn log_level(&mut self, flag: &Option<String>) -> Level {
+        let text = Self::text("log-level", flag).unwrap_or_else(|| "info".to_owned());
+        text.parse().unwrap_or_else(|()| {
+            self.fault("log-level", "debug, info, warning and error are accepted");
+            Level::Info
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,43 @@
+//! A request from a caller to an upstream and back.
+
+use std::path::Path;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+
+fn start(settings: ClusterSettings) -> Cluster {
+    Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
+        .expect("the deployment starts")
+}
+
+#[test]
+fn streams_the_whole_answer() {
+    let cluster = start(ClusterSettings::default());
+    for vm in &cluster.vms {
+        let chat =
+            Chat::new(&config::api_key(0), config::TIDE_CHECK, config::MODEL, "bar at 06:00?");
+        let reply = client::chat(vm.callers, &chat);
+        assert_eq!((reply.status, reply.complete), (200, true));
+        assert_eq!(reply.tokens, chat.expected());
+        let whole = client::chat(vm.callers, &chat.clone().whole());
+        assert_eq!(whole.tokens, chat.expected());
+    }
+}
+
+#[test]
+fn runs_booking_once() {
+    let cluster = start(ClusterSettings::default());
+    let key = config::api_key(1);
+    let book = |vm: usize| {
+        client::plain(cluster.vms[vm].callers, &key, "POST", "/berths/4", "booking-1", "{}")
+    };
+    let first = book(0);
+    assert_eq!((first.status, &*first.outcome, first.replayed), (200, "completed", false));
+    let second = book(1);
+    assert_eq!((second.status, &*second.outcome, second.replayed), (200, "completed", true));
+    assert_eq!(second.body, first.body);
+    assert_eq!(cluster.services[0].effects_of("booking-1"), 1);
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Demonstration, benchmarks and experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/router/lifecycle.rs
@@ -0,0 +1,249 @@
+//! From a request's arrival to its end.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::Attempt;
+use cranberryvalve_core::Config;
+use cranberryvalve_core::NotRunReason;
+use cranberryvalve_core::Outcome;
+use cranberryvalve_core::RequestId;
+
+use super::RETRY_AFTER_FAULT;
+use super::RETRY_AFTER_OVERLOAD;
+use super::Router;
+use super::Stage;
+use super::Tracked;
+use crate::Action;
+use crate::AttemptEnd;
+use crate::GiveUp;
+use crate::LoadReport;
+use crate::Request;
+use crate::queue::Placed;
+use crate::queue::PoolQueue;
+use crate::queue::Waiting;
+use crate::retry::MAX_ATTEMPTS;
+
+impl Router {
+    pub(super) fn on_arrived(&mut self, now: Instant, request: Request, actions: &mut Vec<Action>) {
+        let Some(class) = self.config.class(&request.class) else {
+            let outcome = Outcome::not_run(NotRunReason::NoUpstream, RETRY_AFTER_FAULT);
+            actions.push(Action::GiveUp(GiveUp { id: request.id, outcome }));
+            return;
+        };
+        let waiting = Waiting {
+            id: request.id,
+            tier: class.tier,
+            arrived_at: now,
+            promote_at: now + Duration::from_millis(class.promote_after_ms),
+            give_up_at: now + Duration::from_millis(class.queue_limit_ms),
+        };
+        self.budgets.credit(&request.class);
+        let pool = request.pool.clone();
+        let weight = self.weight_of(&request);
+        let queue = self.queues.entry(pool.clone()).or_insert_with(|| PoolQueue::new(now));
+        let placed = queue.push(&request.customer, weight, waiting);
+        let tracked = Tracked {
+            avoid: Vec::new(),
+            request,
+            waiting,
+            attempts: 0,
+            tokens_delivered: 0,
+            stage: Stage::Queued,
+        };
+        self.requests.insert(waiting.id, tracked);
+        let shed = match placed {
+            Placed::Queued => None,
+            Placed::Evicted(victim) => Some(victim),
+            Placed::Full => Some(waiting.id),
+        };
+        if let Some(id) = shed {
+            self.give_up_queued(id, NotRunReason::QueueFull, RETRY_AFTER_OVERLOAD, actions);
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    pub(super) fn on_first_token(&mut self, id: RequestId, attempt: Attempt) {
+        let Some(tracked) = self.requests.get(&id).filter(|it| it.attempts == attempt) else {
+            return;
+        };
+        let Stage::InFlight { upstream, .. } = &tracked.stage else { return };
+        if let Some(upstream) = self.upstreams.entry(upstream) {
+            upstream.circuit.succeeded();
+        }
+    }
+
+    pub(super) fn on_ended(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        attempt: Attempt,
+        end: AttemptEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = self.requests.get(&id).filter(|it| it.attempts == attempt) else {
+            return;
+        };
+        let Stage::InFlight { upstream, .. } = tracked.stage.clone() else { return };
+        let pool = tracked.request.pool.clone();
+        self.release_slot(id);
+        self.record_health(now, &upstream, end);
+        match end {
+            AttemptEnd::Complete { .. } => {
+                self.requests.remove(&id);
+            }
+            AttemptEnd::Abandoned => {
+                self.requests.remove(&id);
+            }
+            AttemptEnd::NotSent | AttemptEnd::Refused { .. } => {
+                self.requeue_unsent(now, id, actions);
+            }
+            AttemptEnd::Broken { tokens } => self.requeue_broken(now, id, tokens, actions),
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    pub(super) fn on_caller_left(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = self.requests.get(&id) else { return };
+        let pool = tracked.request.pool.clone();
+        match tracked.stage.clone() {
+            Stage::Queued => {
+                self.give_up_queued(id, NotRunReason::CallerGone, Duration::ZERO, actions);
+            }
+            Stage::InFlight { upstream, .. } => {
+                self.release_slot(id);
+                self.record_health(now, &upstream, AttemptEnd::Abandoned);
+                self.requests.remove(&id);
+            }
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    pub(super) fn on_load_reported(
+        &mut self,
+        now: Instant,
+        id: &str,
+        report: LoadReport,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(upstream) = self.upstreams.entry(id) else { return };
+        upstream.load.report(now, report);
+        self.dispatch_pools_of(now, id, actions);
+    }
+
+    pub(super) fn on_load_missing(&mut self, now: Instant, id: &str) {
+        if let Some(upstream) = self.upstreams.entry(id) {
+            upstream.circuit.failed(now);
+        }
+    }
+
+    pub(super) fn on_leaving_changed(
+        &mut self,
+        now: Instant,
+        id: &str,
+        leaving: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(upstream) = self.upstreams.entry(id) else { return };
+        upstream.leaving = leaving;
+        self.dispatch_pools_of(now, id, actions);
+    }
+
+    pub(super) fn on_config_changed(
+        &mut self,
+        now: Instant,
+        config: Arc<Config>,
+        actions: &mut Vec<Action>,
+    ) {
+        self.upstreams.reconcile(&config);
+        self.config = config;
+        for pool in self.upstreams.pools() {
+            self.dispatch(now, &pool, actions);
+        }
+    }
+
+    pub(super) fn weight_of(&self, request: &Request) -> u32 {
+        self.config.customer(&request.customer).map_or(1, |it| it.weight)
+    }
+
+    fn dispatch_pools_of(&mut self, now: Instant, id: &str, actions: &mut Vec<Action>) {
+        for pool in self.upstreams.pools_of(id) {
+            self.dispatch(now, &pool, actions);
+        }
+    }
+
+    fn release_slot(&mut self, id: RequestId) {
+        let Some(tracked) = self.requests.get_mut(&id) else { return };
+        let Stage::InFlight { upstream, slot_tier } = &tracked.stage else { return };
+        if let Some(upstream) = self.upstreams.entry(upstream) {
+            upstream.load.remove(*slot_tier);
+        }
+        tracked.stage = Stage::Queued;
+    }
+
+    fn record_health(&mut self, now: Instant, id: &str, end: AttemptEnd) {
+        let Some(upstream) = self.upstreams.entry(id) else { return };
+        match end {
+            AttemptEnd::Complete { token_interval } => {
+                upstream.circuit.succeeded();
+                if let Some(interval) = token_interval {
+                    self.upstreams.record_pace(now, id, interval);
+                }
+            }
+            AttemptEnd::NotSent | AttemptEnd::Broken { .. } => upstream.circuit.failed(now),
+            AttemptEnd::Refused { leaving } => {
+                upstream.circuit.inconclusive();
+                upstream.leaving |= leaving;
+            }
+            AttemptEnd::Abandoned => upstream.circuit.inconclusive(),
+        }
+    }
+
+    /// Queues a request again of which no upstream has run anything.
+    fn requeue_unsent(&mut self, now: Instant, id: RequestId, actions: &mut Vec<Action>) {
+        if self.requests.get(&id).is_some_and(|it| it.attempts >= MAX_ATTEMPTS) {
+            let reason = NotRunReason::UpstreamsRefused;
+            self.give_up_queued(id, reason, RETRY_AFTER_FAULT, actions);
+            return;
+        }
+        self.requeue(now, id);
+    }
+
+    /// Queues a request again that an upstream may have run, when it may be repeated.
+    fn requeue_broken(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        tokens: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(tracked) = self.requests.get_mut(&id) else { return };
+        tracked.tokens_delivered += tokens;
+        let attempts_left = tokens > 0 || tracked.attempts < MAX_ATTEMPTS;
+        let may_retry = tracked.request.repeatable && attempts_left;
+        if may_retry && self.budgets.take(&tracked.request.class) {
+            self.requeue(now, id);
+            return;
+        }
+        let outcome =
+            if tracked.tokens_delivered > 0 { Outcome::Partial } else { Outcome::Unknown };
+        self.requests.remove(&id);
+        actions.push(Action::GiveUp(GiveUp { id, outcome }));
+    }
+
+    fn requeue(&mut self, now: Instant, id: RequestId) {
+        let Some(tracked) = self.requests.get(&id) else { return };
+        let weight = self.weight_of(&tracked.request);
+        let customer = tracked.request.customer.clone();
+        let waiting = tracked.waiting;
+        let pool = tracked.request.pool.clone();
+        let queue = self.queues.entry(pool).or_insert_with(|| PoolQueue::new(now));
+        queue.push_front(&customer, weight, waiting);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/upstream.rs
@@ -0,0 +1,11 @@
+//! What this VM knows of each upstream.
+
+mod circuit;
+mod load;
+mod pace;
+mod table;
+
+pub use circuit::CircuitState;
+pub use load::LoadReport;
+pub(crate) use table::Upstream;
+pub(crate) use table::UpstreamTable;
--- /dev/null
+++ b/crates/standins/src/client.rs
@@ -0,0 +1,292 @@
+//! Callers and operators.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+
+use crate::vm::OPERATOR_TOKEN;
+
+/// Time for a whole call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time for a look at a process's health.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A model request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Chat {
+    /// API key.
+    pub key: String,
+    /// Service class.
+    pub class: String,
+    /// Body.
+    pub body: Value,
+    /// Resume token and number of tokens that the caller has.
+    pub resume: Option<(String, u64)>,
+}
+
+impl Chat {
+    /// Creates a streamed request.
+    pub fn new(key: &str, class: &str, model: &str, prompt: &str) -> Self {
+        let body = json!({
+            "model": model, "stream": true,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        Self { key: key.to_owned(), class: class.to_owned(), body, resume: None }
+    }
+
+    /// Sets the length of the answer in tokens, which only the stand-in knows.
+    #[must_use]
+    pub fn tokens(mut self, tokens: u64) -> Self {
+        self.body["max_tokens"] = tokens.into();
+        self
+    }
+
+    /// Asks for the whole answer at once.
+    #[must_use]
+    pub fn whole(mut self) -> Self {
+        self.body["stream"] = false.into();
+        self
+    }
+
+    /// Continues a stream of which the caller has `position` tokens.
+    #[must_use]
+    pub fn resume(mut self, token: &str, position: u64) -> Self {
+        self.resume = Some((token.to_owned(), position));
+        self
+    }
+
+    /// The whole answer that is expected.
+    pub fn expected(&self) -> Vec<String> {
+        crate::engine::expected_tokens(&self.body)
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, Default)]
+pub struct ChatReply {
+    /// HTTP status; 0 when the connection broke before it.
+    pub status: u16,
+    /// Outcome that was told.
+    pub outcome: String,
+    /// Reason that was told.
+    pub reason: String,
+    /// Resume token.
+    pub resume_token: String,
+    /// Tokens, or the words of a whole answer.
+    pub tokens: Vec<String>,
+    /// Whether the end was marked as complete.
+    pub complete: bool,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Time to the end.
+    pub elapsed: Duration,
+    /// Body of an error.
+    pub error: Value,
+}
+
+impl ChatReply {
+    /// Mean time between tokens.
+    pub fn token_interval(&self) -> Option<Duration> {
+        let gaps = u32::try_from(self.tokens.len().checked_sub(1)?).ok().filter(|it| *it > 0)?;
+        Some(self.elapsed.saturating_sub(self.first_token?) / gaps)
+    }
+}
+
+/// Sends a model request and reads the answer to its end.
+pub fn chat(vm: SocketAddr, chat: &Chat) -> ChatReply {
+    chat_until(vm, chat, |_| false)
+}
+
+/// Sends a model request and leaves as soon as `leave` holds of what was received.
+pub fn chat_until(
+    vm: SocketAddr,
+    chat: &Chat,
+    mut leave: impl FnMut(&ChatReply) -> bool,
+) -> ChatReply {
+    let started = Instant::now();
+    let mut reply = ChatReply::default();
+    let request = agent(CALL_TIMEOUT)
+        .post(format!("http://{vm}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {}", chat.key))
+        .header("x-service-class", &chat.class)
+        .header("content-type", "application/json");
+    let request = match &chat.resume {
+        Some((token, position)) => {
+            request.header("x-resume-token", token).header("last-event-id", position.to_string())
+        }
+        None => request,
+    };
+    let Ok(response) = request.send(chat.body.to_string()) else {
+        reply.elapsed = started.elapsed();
+        return reply;
+    };
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
+    };
+    reply.status = response.status().as_u16();
+    reply.outcome = header("x-outcome");
+    reply.resume_token = header("x-resume-token");
+    let is_stream = header("content-type") == "text/event-stream";
+    let mut lines = BufReader::new(response.into_body().into_reader());
+    if is_stream {
+        read_events(&mut lines, started, &mut reply, &mut leave);
+    } else {
+        read_whole(&mut lines, started, &mut reply);
+    }
+    reply.elapsed = started.elapsed();
+    reply
+}
+
+fn read_events(
+    lines: &mut impl BufRead,
+    started: Instant,
+    reply: &mut ChatReply,
+    leave: &mut impl FnMut(&ChatReply) -> bool,
+) {
+    let mut is_error = false;
+    for line in lines.lines() {
+        let Ok(line) = line else { return };
+        if line == "event: error" {
+            is_error = true;
+        }
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        if data == "[DONE]" {
+            reply.complete = true;
+            reply.outcome = "completed".to_owned();
+            return;
+        }
+        let Ok(data) = serde_json::from_str::<Value>(data) else { continue };
+        if is_error {
+            set_error(reply, data);
+            return;
+        }
+        if let Some(text) = data["choices"][0]["delta"]["content"].as_str() {
+            reply.first_token.get_or_insert_with(|| started.elapsed());
+            reply.tokens.push(text.to_owned());
+        }
+        if leave(reply) {
+            return;
+        }
+    }
+}
+
+fn read_whole(lines: &mut impl BufRead, started: Instant, reply: &mut ChatReply) {
+    let Ok(body) = serde_json::from_reader::<_, Value>(lines) else { return };
+    if reply.status != 200 {
+        set_error(reply, body);
+        return;
+    }
+    let text = body["choices"][0]["message"]["content"].as_str().unwrap_or_default();
+    reply.first_token = Some(started.elapsed());
+    reply.tokens = text.split_inclusive(' ').map(str::to_owned).collect();
+    reply.complete = true;
+}
+
+fn set_error(reply: &mut ChatReply, body: Value) {
+    let error = &body["error"];
+    reply.outcome = error["outcome"].as_str().unwrap_or_default().to_owned();
+    reply.reason = error["reason"].as_str().unwrap_or_default().to_owned();
+    reply.error = body;
+}
+
+/// The answer to a call of a plain service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PlainReply {
+    /// HTTP status; 0 when the connection broke before it.
+    pub status: u16,
+    /// Outcome that was told.
+    pub outcome: String,
+    /// Whether the answer came from the record.
+    pub replayed: bool,
+    /// Body.
+    pub body: Value,
+}
+
+/// Calls a plain service; an empty `idempotency_key` is not sent.
+pub fn plain(
+    vm: SocketAddr,
+    key: &str,
+    method: &str,
+    path: &str,
+    idempotency_key: &str,
+    body: &str,
+) -> PlainReply {
+    let mut builder = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{vm}{path}"))
+        .header("authorization", format!("Bearer {key}"));
+    if !idempotency_key.is_empty() {
+        builder = builder.header("idempotency-key", idempotency_key);
+    }
+    let Ok(request) = builder.body(body.to_owned()) else { return PlainReply::default() };
+    let result = if method == "GET" {
+        agent(CALL_TIMEOUT).run(request.map(|_| ()))
+    } else {
+        agent(CALL_TIMEOUT).run(request)
+    };
+    let Ok(mut response) = result else { return PlainReply::default() };
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned()
+    };
+    PlainReply {
+        status: response.status().as_u16(),
+        outcome: header("x-outcome"),
+        replayed: header("x-replayed") == "true",
+        body: response.body_mut().read_json().unwrap_or_default(),
+    }
+}
+
+/// The answer to an operator.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OperatorReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Value,
+}
+
+/// Sends an operator's request; none when there is no answer.
+pub fn operator(
+    vm: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<&Value>,
+) -> Option<OperatorReply> {
+    let builder = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{vm}{path}"))
+        .header("authorization", format!("Bearer {OPERATOR_TOKEN}"));
+    let timeout = if body.is_some() { CALL_TIMEOUT } else { STATUS_TIMEOUT };
+    let result = match body {
+        Some(body) => agent(timeout).run(builder.body(body.to_string()).ok()?),
+        None => agent(timeout).run(builder.body(()).ok()?),
+    };
+    let mut response = result.ok()?;
+    let status = response.status().as_u16();
+    let text = response.body_mut().read_to_string().ok()?;
+    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+    Some(OperatorReply { status, body })
+}
+
+/// Status of a GET without authorization; none when there is no answer.
+pub fn get_status(vm: SocketAddr, path: &str) -> Option<u16> {
+    let response = agent(STATUS_TIMEOUT).get(format!("http://{vm}{path}")).call().ok()?;
+    Some(response.status().as_u16())
+}
+
+fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .proxy(None)
+        .timeout_global(Some(timeout))
+        .build();
+    config.into()
+}
--- /dev/null
+++ b/crates/standins/src/config.rs
@@ -0,0 +1,107 @@
+//! Configurations of test deployments.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cranberryvalve_core::Config;
+use cranberryvalve_core::CustomerSpec;
+use cranberryvalve_core::Digest;
+use cranberryvalve_core::RouteSpec;
+use cranberryvalve_core::ServiceClass;
+use cranberryvalve_core::UpstreamKind;
+use cranberryvalve_core::UpstreamSpec;
+
+/// Class of the highest tier.
+pub const TIDE_CHECK: &str = "tide-check";
+
+/// Class of the middle tier.
+pub const COMMENTARY: &str = "commentary";
+
+/// Class of the lowest tier.
+pub const REPLAN: &str = "replan";
+
+/// Class of the calls to the plain service.
+pub const BOOKING: &str = "booking";
+
+/// Model that all engines serve.
+pub const MODEL: &str = "harbour-7b";
+
+/// Plain service.
+pub const BERTH_API: &str = "berth-api";
+
+/// API key of customer `number`.
+pub fn api_key(number: usize) -> String {
+    format!("key-of-customer-{number}")
+}
+
+/// Classes, routes and `customers` customers, without upstreams.
+pub fn base(customers: usize) -> Config {
+    let classes = vec![
+        class(TIDE_CHECK, 0, 10_000, 2_000),
+        class(BOOKING, 0, 10_000, 2_000),
+        class(COMMENTARY, 1, 15_000, 4_000),
+        class(REPLAN, 3, 60_000, 6_000),
+    ];
+    let names: Vec<Arc<str>> = classes.iter().map(|it| it.id.clone()).collect();
+    let customers = (0..customers).map(|number| CustomerSpec {
+        id: format!("customer-{number}").into(),
+        key_sha256: Digest::of(api_key(number).as_bytes()),
+        classes: names.clone(),
+        weight: 1,
+        requests_per_s: None,
+        max_in_flight: None,
+    });
+    Config {
+        customers: customers.collect(),
+        classes,
+        routes: vec![route("/berths", false), route("/tides", true)],
+        ..Config::default()
+    }
+}
+
+fn route(path_prefix: &str, idempotent: bool) -> RouteSpec {
+    RouteSpec {
+        path_prefix: path_prefix.into(),
+        pool: BERTH_API.into(),
+        class: BOOKING.into(),
+        idempotent,
+    }
+}
+
+fn class(id: &str, tier: u8, queue_limit_ms: u64, promote_after_ms: u64) -> ServiceClass {
+    ServiceClass {
+        id: id.into(),
+        tier,
+        first_token_target_ms: 1_500,
+        token_interval_target_ms: 39,
+        queue_limit_ms,
+        promote_after_ms,
+        silence_limit_ms: 1_000,
+        deadline_ms: 60_000,
+    }
+}
+
+/// An upstream.
+pub fn upstream(
+    id: &str,
+    address: SocketAddr,
+    kind: UpstreamKind,
+    failure_domain: &str,
+    slots: u32,
+) -> UpstreamSpec {
+    let pool = match kind {
+        UpstreamKind::Engine => MODEL,
+        UpstreamKind::Service => BERTH_API,
+    };
+    UpstreamSpec {
+        id: id.into(),
+        address,
+        kind,
+        pools: vec![pool.into()],
+        failure_domain: failure_domain.into(),
+        slots,
+        checks_fencing: true,
+        drained: false,
+        orders: Vec::new(),
+    }
+}
--- /dev/null
+++ b/xtask/src/checks.rs
@@ -0,0 +1,79 @@
+//! Tests, lints and experiments.
+
+use std::fs;
+use std::path::Path;
+
+use eyre::Result;
+use eyre::bail;
+
+use crate::command::run;
+use crate::command::run_with;
+
+/// Prints a line for the developer.
+#[expect(clippy::print_stderr, reason = "a developer command reports to the terminal")]
+pub(crate) fn say(text: &str) {
+    eprintln!("{text}");
+}
+
+/// Runs all tests, or those that `passed` selects.
+pub(crate) fn test(passed: &[String]) -> Result<()> {
+    build_programs("dev")?;
+    let mut arguments = vec!["test", "--quiet", "--workspace"];
+    arguments.extend(passed.iter().map(String::as_str));
+    run("cargo", &arguments)
+}
+
+/// Checks format, house rules, lints and documentation.
+pub(crate) fn lint() -> Result<()> {
+    run("cargo", &["fmt", "--all", "--check"])?;
+    check_imports(Path::new("."))?;
+    let clippy = ["clippy", "--quiet", "--workspace", "--all-targets", "--", "-D", "warnings"];
+    run("cargo", &clippy)?;
+    let doc = ["doc", "--quiet", "--workspace", "--no-deps", "--document-private-items"];
+    run_with("cargo", &doc, &[("RUSTDOCFLAGS", "-D warnings")])
+}
+
+/// Runs an experiment of the `lab` program.
+pub(crate) fn lab(name: &str, passed: &[String]) -> Result<()> {
+    build_programs("release")?;
+    let mut arguments =
+        vec!["run", "--quiet", "--release", "--package", "cranberryvalve-lab", "--", name];
+    arguments.extend(passed.iter().map(String::as_str));
+    run("cargo", &arguments)
+}
+
+/// Builds the daemon and the command line, which tests and experiments start.
+fn build_programs(profile: &str) -> Result<()> {
+    let packages = ["--package", "cranberryvalved", "--package", "cranberryvalve-cli"];
+    let mut arguments = vec!["build", "--quiet", "--profile", profile];
+    arguments.extend(packages);
+    run("cargo", &arguments)
+}
+
+/// Checks that each import has a line of its own.
+fn check_imports(folder: &Path) -> Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if path.is_dir() && name != "target" && !name.starts_with('.') {
+            check_imports(&path)?;
+        } else if name.ends_with(".rs") {
+            check_file(&path)?;
+        }
+    }
+    Ok(())
+}
+
+fn check_file(path: &Path) -> Result<()> {
+    if path.file_name().is_some_and(|it| it == "mod.rs") {
+        bail!("{}: a module is a file beside its folder", path.display());
+    }
+    let text = fs::read_to_string(path)?;
+    for (index, line) in text.lines().enumerate() {
+        let is_import = line.starts_with("use ") || line.starts_with("pub use ");
+        if is_import && line.contains('{') {
+            bail!("{}:{}: one import a line", path.display(), index + 1);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,85 @@
+//! Developer commands.
+
+mod checks;
+mod command;
+mod prepare;
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+struct Cli {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Task>,
+}
+
+#[derive(Debug, Options)]
+enum Task {
+    #[options(help = "run the main job with stand-ins (--keep leaves it running)")]
+    Demo(Passed),
+    #[options(help = "run all tests")]
+    Test(Passed),
+    #[options(help = "check format, lints and documentation")]
+    Lint(Passed),
+    #[options(help = "run the benchmarks: all, or those named")]
+    Bench(Passed),
+    #[options(help = "compare the decisions with a naive router, in virtual time")]
+    Measure(Passed),
+    #[options(help = "run the fault campaign: --seed N --rounds N")]
+    Campaign(Passed),
+}
+
+/// Arguments that are passed on.
+#[derive(Debug, Options)]
+struct Passed {
+    #[options(free)]
+    arguments: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    // Arguments after the task's name are the task's own.
+    let mut arguments: Vec<String> = std::env::args().skip(1).collect();
+    let passed = arguments.split_off(arguments.len().min(1));
+    let cli = Cli::parse_args_default_or_exit_from(&arguments);
+    let Some(task) = cli.command else {
+        checks::say(&format!("{}\n\n{}", Cli::usage(), Cli::command_list().unwrap_or_default()));
+        return ExitCode::from(2);
+    };
+    match run(&task, &passed) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            checks::say(&format!("xtask: {report:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(task: &Task, passed: &[String]) -> Result<()> {
+    prepare::install_cmake()?;
+    match task {
+        Task::Test(_) => checks::test(passed),
+        Task::Lint(_) => checks::lint(),
+        Task::Demo(_) => checks::lab("demo", passed),
+        Task::Bench(_) => checks::lab("bench", passed),
+        Task::Measure(_) => checks::lab("measure", passed),
+        Task::Campaign(_) => checks::lab("campaign", passed),
+    }
+}
+
+trait ParseFrom: Options + Sized {
+    /// Parses `arguments` and ends the process with usage status when they are wrong.
+    fn parse_args_default_or_exit_from(arguments: &[String]) -> Self;
+}
+
+impl ParseFrom for Cli {
+    fn parse_args_default_or_exit_from(arguments: &[String]) -> Self {
+        Self::parse_args_default(arguments).unwrap_or_else(|error| {
+            checks::say(&format!("xtask: {error}"));
+            std::process::exit(2)
+        })
+    }
+}
