fix: hand out ports without binding them

Cause: a probe socket that is open while another thread forks is held by the child until it execs, so the port stays in use for a moment. Seen 2 times in 8 runs of all tests as AddrInUse. Ruled out: ports used twice (the counter is shared), listening sockets in TIME_WAIT (SO_REUSEADDR is set). Change: servers of this process let the system pick; ports for daemons are probed by connecting.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -28,7 +28,7 @@
 use serde_json::json;
 
 use self::scheduler::Scheduler;
-use crate::ports::free_address;
+use crate::ports::ANY;
 
 /// How an engine behaves when nothing is wrong.
 #[derive(Debug, Clone)]
@@ -138,7 +138,7 @@
             orders: Mutex::default(),
         });
         let handler = Arc::new(Handler { shared: shared.clone() });
-        let server = CallerServer::start(free_address(), Limits::default(), handler)?;
+        let server = CallerServer::start(ANY, Limits::default(), handler)?;
         Ok(Self { name: name.to_owned(), shared, server })
     }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -20,7 +20,7 @@
 use cranberryvalve_coordination::peer::PeerAddress;
 
 use crate::engine::lock;
-use crate::ports::free_address;
+use crate::ports::ANY;
 
 /// Faults of the platform.
 #[derive(Debug, Clone, Default)]
@@ -84,7 +84,7 @@
     pub fn start() -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
         let handler = Arc::new(Handler { shared: shared.clone() });
-        let server = CallerServer::start(free_address(), Limits::default(), handler)?;
+        let server = CallerServer::start(ANY, Limits::default(), handler)?;
         Ok(Self { shared, server })
     }
 
--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -1,7 +1,9 @@
 //! Loopback ports for servers under test.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
@@ -14,7 +16,10 @@
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
-/// A loopback address whose port is free at present and is not handed out again soon.
+/// The loopback address at which the system picks a port.
+pub const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// A loopback address for another process, whose port is free at present and is not handed out again soon.
 ///
 /// # Panics
 ///
@@ -25,7 +30,9 @@
         let offset = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + (start.wrapping_add(offset)) % COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        // Binding would tell more, but a process that is being started from another thread may
+        // hold the bound socket for a moment and keep the port from its owner.
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use crate::engine::lock;
-use crate::ports::free_address;
+use crate::ports::ANY;
 
 /// Pause between two looks at whether a connection is silenced.
 const LOOK: Duration = Duration::from_millis(10);
@@ -48,8 +48,8 @@
     ///
     /// Fails when it cannot listen.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let address = free_address();
-        let listener = TcpListener::bind(address)?;
+        let listener = TcpListener::bind(ANY)?;
+        let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             target,
             silent_below: AtomicU64::new(0),
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 use crate::engine::lock;
-use crate::ports::free_address;
+use crate::ports::ANY;
 
 /// Faults of a plain service.
 #[derive(Debug, Clone, Default)]
@@ -64,7 +64,7 @@
     pub fn start(name: &str) -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
         let handler = Arc::new(Handler { shared: shared.clone() });
-        let server = CallerServer::start(free_address(), Limits::default(), handler)?;
+        let server = CallerServer::start(ANY, Limits::default(), handler)?;
         Ok(Self { name: name.to_owned(), shared, server })
     }
 
