--- a/crates/coordination/src/plan/confirm.rs
+++ b/crates/coordination/src/plan/confirm.rs
@@ -20,8 +20,8 @@
 /// Key of the row that names the configuration in force.
 pub const HEAD_KEY: &str = "config/head";
 
-/// Failed operations after which a confirmation ends without a verdict.
-const MAX_FAILURES: u32 = 4;
+/// Failed operations after which a confirmation ends by default.
+const DEFAULT_MAX_FAILURES: u32 = 4;
 
 /// Key of the object that holds the document with `digest`.
 pub fn body_key(digest: &Digest) -> RowKey {
@@ -116,6 +116,7 @@
     write_in_doubt: bool,
     own_document_in_force: bool,
     failures: u32,
+    max_failures: u32,
     current: Option<Head>,
 }
 
@@ -151,11 +152,19 @@
             write_in_doubt: false,
             own_document_in_force: false,
             failures: 0,
+            max_failures: DEFAULT_MAX_FAILURES,
             current: None,
         };
         (confirmation, read_head())
     }
 
+    /// Sets the number of failed operations after which it ends.
+    #[must_use]
+    pub const fn max_failures(mut self, max_failures: u32) -> Self {
+        self.max_failures = max_failures;
+        self
+    }
+
     /// The document that this confirmation writes.
     pub const fn document(&self) -> &ConfigDocument {
         &self.document
@@ -256,7 +265,7 @@
 
     fn on_failure(&mut self, error: StoreError) -> ConfirmStep {
         self.failures += 1;
-        if self.failures < MAX_FAILURES {
+        if self.failures < self.max_failures {
             return self.read_head();
         }
         ConfirmStep::Done(if self.write_in_doubt {
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -1,5 +1,10 @@
 //! The platform's table service and object store, as the coordination parts see them.
 
+mod memory;
+
+pub use memory::Fate;
+pub use memory::MemoryStore;
+
 use std::fmt;
 use std::sync::Arc;
 
--- a/crates/coordination/tests/ledger_interleavings.rs
+++ b/crates/coordination/tests/ledger_interleavings.rs
@@ -1,6 +1,5 @@
 //! Every interleaving of two claimants, the store, its faults and crashes.
 
-use std::collections::BTreeMap;
 use std::collections::HashSet;
 
 use cranberryvalve_coordination::ledger::Claim;
@@ -9,10 +8,10 @@
 use cranberryvalve_coordination::ledger::RecordedAnswer;
 use cranberryvalve_coordination::ledger::Release;
 use cranberryvalve_coordination::ledger::SendPermit;
-use cranberryvalve_coordination::store::Expected;
+use cranberryvalve_coordination::store::Fate;
+use cranberryvalve_coordination::store::MemoryStore;
 use cranberryvalve_coordination::store::Row;
 use cranberryvalve_coordination::store::StoreCommand;
-use cranberryvalve_coordination::store::StoreError;
 use cranberryvalve_coordination::store::StoreReply;
 use cranberryvalve_coordination::store::WriteResult;
 use cranberryvalve_core::Digest;
@@ -20,21 +19,6 @@
 /// Faults in one run, at most.
 const MAX_FAULTS: u32 = 3;
 
-/// What the store does with a command.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fate {
-    /// It is carried out, and the reply arrives.
-    Answered,
-    /// It is carried out, and the reply is lost.
-    ReplyLost,
-    /// It is lost.
-    Lost,
-    /// The caller loses the connection; the command is carried out at some later time.
-    Late,
-    /// It is refused.
-    Refused,
-}
-
 /// One step of the whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
@@ -62,39 +46,6 @@
     Crashed,
 }
 
-#[derive(Debug, Default)]
-struct StoreModel {
-    rows: BTreeMap<String, (u64, Vec<u8>)>,
-    late: Vec<StoreCommand>,
-}
-
-impl StoreModel {
-    fn execute(&mut self, command: &StoreCommand) -> StoreReply {
-        match command {
-            StoreCommand::Read { key } => {
-                let row = self.rows.get(&**key);
-                StoreReply::Read(row.map(|it| Row { version: it.0, value: it.1.clone() }))
-            }
-            StoreCommand::Write { key, expected, value } => {
-                let present = self.rows.get(&**key).map(|it| it.0);
-                let holds = match expected {
-                    Expected::Absent => present.is_none(),
-                    Expected::Version(version) => present == Some(*version),
-                };
-                if !holds {
-                    return StoreReply::Write(WriteResult::Conflict);
-                }
-                let version = present.unwrap_or(0) + 1;
-                self.rows.insert(key.to_string(), (version, value.clone()));
-                StoreReply::Write(WriteResult::Written(version))
-            }
-            StoreCommand::PutObject { .. } | StoreCommand::FetchObject { .. } => {
-                unreachable!("the ledger uses rows only")
-            }
-        }
-    }
-}
-
 /// What callers and upstreams see of one claimant.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 struct Seen {
@@ -105,7 +56,7 @@
 
 #[derive(Debug)]
 struct World {
-    store: StoreModel,
+    store: MemoryStore,
     stages: Vec<Stage>,
     seen: Vec<Seen>,
     faults: u32,
@@ -120,7 +71,7 @@
             Stage::Claiming(claim, command)
         });
         Self {
-            store: StoreModel::default(),
+            store: MemoryStore::default(),
             stages: claimants.into_iter().collect(),
             seen: vec![Seen::default(); 2],
             faults: 0,
@@ -134,9 +85,8 @@
             match stage {
                 Stage::Claiming(..) | Stage::Releasing(..) | Stage::Recording(_) => {
                     steps.push(Step::Store(claimant, Fate::Answered));
-                    let faults = [Fate::ReplyLost, Fate::Lost, Fate::Late, Fate::Refused];
                     if may_fail {
-                        steps.extend(faults.map(|fate| Step::Store(claimant, fate)));
+                        steps.extend(Fate::FAULTS.map(|fate| Step::Store(claimant, fate)));
                         steps.push(Step::Crash(claimant));
                     }
                 }
@@ -149,7 +99,7 @@
                 Stage::Ended | Stage::Crashed => {}
             }
         }
-        if !self.store.late.is_empty() {
+        if self.store.has_late() {
             steps.push(Step::LateArrives);
         }
         steps
@@ -162,8 +112,7 @@
         | Step::GiveUp(claimant)
         | Step::Crash(claimant)) = step
         else {
-            let command = self.store.late.remove(0);
-            self.store.execute(&command);
+            self.store.deliver_late();
             return;
         };
         let stage = std::mem::replace(&mut self.stages[claimant], Stage::Ended);
@@ -228,19 +177,7 @@
         if fate != Fate::Answered {
             self.faults += 1;
         }
-        match fate {
-            Fate::Answered => self.store.execute(command),
-            Fate::ReplyLost => {
-                self.store.execute(command);
-                StoreReply::Failed(StoreError::InDoubt)
-            }
-            Fate::Lost => StoreReply::Failed(StoreError::InDoubt),
-            Fate::Late => {
-                self.store.late.push(command.clone());
-                StoreReply::Failed(StoreError::InDoubt)
-            }
-            Fate::Refused => StoreReply::Failed(StoreError::Rejected),
-        }
+        self.store.execute(command, fate)
     }
 
     fn runs(&self) -> u32 {
@@ -264,7 +201,7 @@
         let (mut claim, mut command) =
             Claim::new(KEY.into(), "token-c".into(), Digest::of(b"request"));
         loop {
-            let reply = self.store.execute(&command);
+            let reply = self.store.execute(&command, Fate::Answered);
             match claim.on_reply(reply) {
                 ClaimStep::Command(next) => command = next,
                 ClaimStep::Granted(_) => return,
