--- /dev/null
+++ b/crates/daemon/tests/at_most_once.rs
@@ -0,0 +1,175 @@
+//! Calls that may not be repeated run at most once, and `not_run` is true.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::PlainReply;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::vm::wait_until;
+
+const SOON: Duration = Duration::from_secs(20);
+
+fn start(vms: usize) -> Cluster {
+    let settings = ClusterSettings { vms, engines: 1, services: 2, ..ClusterSettings::default() };
+    Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
+        .expect("the deployment starts")
+}
+
+fn book(cluster: &Cluster, vm: usize, key: &str) -> PlainReply {
+    let callers = cluster.vms[vm].callers;
+    client::plain(callers, &config::api_key(0), "POST", "/berths/4", key, "{\"barge\":7}")
+}
+
+fn effects(cluster: &Cluster, key: &str) -> usize {
+    cluster.services.iter().map(|it| it.effects_of(key)).sum()
+}
+
+#[test]
+fn duplicates_at_all_vms_run_once() {
+    let cluster = start(4);
+    for service in &cluster.services {
+        service.set_faults(|it| it.delay = Duration::from_millis(50));
+    }
+    for round in 0..5 {
+        let key = format!("booking-{round}");
+        let replies: Vec<PlainReply> = thread::scope(|scope| {
+            let (cluster, key) = (&cluster, &key);
+            let threads: Vec<_> =
+                (0..8).map(|it| scope.spawn(move || book(cluster, it % 4, key))).collect();
+            threads.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
+        });
+        assert_eq!(effects(&cluster, &key), 1);
+        let told: Vec<&str> = replies.iter().map(|it| &*it.outcome).collect();
+        assert!(told.contains(&"completed"), "{told:?}");
+        assert!(told.iter().all(|it| ["completed", "unknown"].contains(it)), "{told:?}");
+    }
+}
+
+#[test]
+fn lost_reply_of_the_claim() {
+    let cluster = start(1);
+    cluster.platform.set_faults(|it| it.lose_write_replies = 1);
+    let reply = book(&cluster, 0, "booking");
+    assert_eq!(reply.outcome, "completed");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn late_claim_does_not_block_the_key() {
+    let cluster = start(1);
+    cluster.platform.set_faults(|it| {
+        it.late_writes = 3;
+        it.late_by = Duration::from_millis(400);
+    });
+    let first = book(&cluster, 0, "booking");
+    assert_eq!(first.outcome, "not_run");
+    assert_eq!(effects(&cluster, "booking"), 0);
+    let freed = wait_until(SOON, || cluster.vms[0].dump()["releases_waiting"] == 0);
+    assert!(freed, "the row is not freed");
+    thread::sleep(Duration::from_millis(500));
+    let second = book(&cluster, 0, "booking");
+    assert_eq!(second.outcome, "completed");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn store_outage_is_not_run() {
+    let cluster = start(1);
+    cluster.platform.set_faults(|it| it.down = true);
+    let refused = book(&cluster, 0, "booking");
+    assert_eq!((refused.status, &*refused.outcome), (503, "not_run"));
+    assert_eq!(refused.body["error"]["reason"], "store_unavailable");
+    assert_eq!(effects(&cluster, "booking"), 0);
+    cluster.platform.set_faults(|it| it.down = false);
+    let served = wait_until(SOON, || book(&cluster, 0, "booking").outcome == "completed");
+    assert!(served, "the key is blocked after the outage");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn broken_call_is_unknown_for_good() {
+    let cluster = start(2);
+    for service in &cluster.services {
+        service.set_faults(|it| it.cut_after_effect = true);
+    }
+    assert_eq!(book(&cluster, 0, "booking").outcome, "unknown");
+    for service in &cluster.services {
+        service.set_faults(|it| it.cut_after_effect = false);
+    }
+    assert_eq!(book(&cluster, 1, "booking").outcome, "unknown");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn refusals_move_on_and_are_not_run() {
+    let cluster = start(1);
+    cluster.services[0].set_faults(|it| it.refusing = true);
+    for round in 0..4 {
+        assert_eq!(book(&cluster, 0, &format!("booking-{round}")).outcome, "completed");
+    }
+    cluster.services[1].set_faults(|it| it.refusing = true);
+    let refused = book(&cluster, 0, "refused");
+    assert_eq!(refused.outcome, "not_run");
+    assert_eq!(effects(&cluster, "refused"), 0);
+    cluster.services[1].set_faults(|it| it.refusing = false);
+    let served = wait_until(SOON, || book(&cluster, 0, "refused").outcome == "completed");
+    assert!(served, "a refused key cannot be used again");
+    assert_eq!(effects(&cluster, "refused"), 1);
+}
+
+#[test]
+fn paused_holder_stays_the_only_one() {
+    let cluster = start(2);
+    for service in &cluster.services {
+        service.set_faults(|it| it.delay = Duration::from_millis(300));
+    }
+    thread::scope(|scope| {
+        let first = scope.spawn(|| book(&cluster, 0, "booking"));
+        wait_until(SOON, || !cluster.platform.keys("ledger/").is_empty());
+        cluster.vms[0].pause();
+        let second = book(&cluster, 1, "booking");
+        assert!(["unknown", "completed"].contains(&&*second.outcome), "{second:?}");
+        cluster.vms[0].resume();
+        let first = first.join().expect("a caller does not panic");
+        assert_eq!(first.outcome, "completed");
+    });
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn killed_holder_leaves_unknown() {
+    let mut cluster = start(2);
+    for service in &cluster.services {
+        service.set_faults(|it| it.delay = Duration::from_secs(2));
+    }
+    let killed = {
+        let callers = cluster.vms[0].callers;
+        let key = config::api_key(0);
+        let thread = thread::spawn(move || {
+            client::plain(callers, &key, "POST", "/berths/4", "booking", "{\"barge\":7}")
+        });
+        wait_until(SOON, || effects(&cluster, "booking") == 1);
+        cluster.vms[0].kill();
+        thread.join().expect("a caller does not panic")
+    };
+    assert_eq!(killed.status, 0);
+    assert_eq!(book(&cluster, 1, "booking").outcome, "unknown");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn key_is_needed_and_bound_to_its_request() {
+    let cluster = start(1);
+    assert_eq!(book(&cluster, 0, "").status, 400);
+    assert_eq!(book(&cluster, 0, "booking").status, 200);
+    let callers = cluster.vms[0].callers;
+    let other = client::plain(callers, &config::api_key(0), "POST", "/berths/5", "booking", "{}");
+    assert_eq!(other.status, 422);
+    let stranger =
+        client::plain(callers, &config::api_key(1), "POST", "/berths/4", "booking", "{}");
+    assert_eq!((stranger.status, stranger.replayed), (200, false));
+}
--- /dev/null
+++ b/crates/daemon/tests/tier_order.rs
@@ -0,0 +1,97 @@
+//! No higher tier gives way to a lower one, and every tier is served in the end.
+
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::client::ChatReply;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::vm::wait_until;
+
+const SOON: Duration = Duration::from_secs(30);
+
+fn start() -> Cluster {
+    let settings = ClusterSettings { vms: 3, engines: 2, ..ClusterSettings::default() };
+    Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
+        .expect("the deployment starts")
+}
+
+fn chat(class: &str, number: usize, tokens: u64) -> Chat {
+    let prompt = format!("{class} {number}");
+    Chat::new(&config::api_key(number % 4), class, config::MODEL, &prompt).tokens(tokens)
+}
+
+#[test]
+fn tide_checks_pass_a_flood_of_replans() {
+    let cluster = start();
+    let replies: Vec<ChatReply> = thread::scope(|scope| {
+        let cluster = &cluster;
+        // Two VMs take replans far above capacity, the third takes the tide checks.
+        for number in 0..80 {
+            let callers = cluster.vms[number % 2].callers;
+            scope.spawn(move || client::chat(callers, &chat(config::REPLAN, number, 120)));
+        }
+        let is_full = || cluster.engines.iter().all(|it| it.running() == 8);
+        assert!(wait_until(SOON, is_full), "the engines are not full");
+        let checks: Vec<_> = (0..30)
+            .map(|number| {
+                let callers = cluster.vms[2].callers;
+                scope.spawn(move || client::chat(callers, &chat(config::TIDE_CHECK, number, 10)))
+            })
+            .collect();
+        checks.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
+    });
+    for reply in &replies {
+        assert!(reply.complete, "a tide check was shed: {reply:?}");
+    }
+}
+
+#[test]
+fn replan_is_served_under_endless_tide_checks() {
+    let cluster = start();
+    let stop = AtomicBool::new(false);
+    let reply = thread::scope(|scope| {
+        let (cluster, stop) = (&cluster, &stop);
+        for number in 0..60 {
+            let callers = cluster.vms[number % 3].callers;
+            scope.spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    client::chat(callers, &chat(config::TIDE_CHECK, number, 40));
+                }
+            });
+        }
+        let is_full = || cluster.engines.iter().all(|it| it.running() == 8);
+        assert!(wait_until(SOON, is_full), "the engines are not full");
+        let reply = client::chat(cluster.vms[0].callers, &chat(config::REPLAN, 0, 20));
+        stop.store(true, Ordering::SeqCst);
+        reply
+    });
+    assert!(reply.complete, "the lowest tier starves: {reply:?}");
+}
+
+#[test]
+fn burst_of_one_customer_leaves_room() {
+    let cluster = start();
+    let reply = thread::scope(|scope| {
+        let cluster = &cluster;
+        for number in 0..60 {
+            let burst = chat(config::COMMENTARY, number * 4, 100);
+            let callers = cluster.vms[0].callers;
+            scope.spawn(move || client::chat(callers, &burst));
+        }
+        let is_full = || cluster.engines.iter().all(|it| it.running() == 8);
+        assert!(wait_until(SOON, is_full), "the engines are not full");
+        let own = chat(config::COMMENTARY, 1, 10);
+        let reply = client::chat(cluster.vms[0].callers, &own);
+        let still_waiting = cluster.vms[0].dump()["router"]["pools"][0]["waiting_by_tier"].clone();
+        (reply, still_waiting)
+    });
+    assert!(reply.0.complete);
+    assert_ne!(reply.1["1"], 0, "the burst was served before the other customer: {:?}", reply.1);
+}
--- /dev/null
+++ b/crates/daemon/tests/whole_answers.rs
@@ -0,0 +1,158 @@
+//! Every caller gets the whole answer to its own request, under faults.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::client::ChatReply;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::engine::EngineSettings;
+use cranberryvalve_standins::proxy::Proxy;
+use cranberryvalve_standins::vm::wait_until;
+
+const SOON: Duration = Duration::from_secs(20);
+
+fn start(settings: ClusterSettings) -> Cluster {
+    Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
+        .expect("the deployment starts")
+}
+
+fn chat(number: usize) -> Chat {
+    let prompt = format!("commentary {number}");
+    Chat::new(&config::api_key(number % 4), config::COMMENTARY, config::MODEL, &prompt).tokens(60)
+}
+
+/// Sends many requests at once, spread over the VMs.
+fn chat_all(cluster: &Cluster, chats: &[Chat]) -> Vec<ChatReply> {
+    thread::scope(|scope| {
+        let threads: Vec<_> = chats
+            .iter()
+            .enumerate()
+            .map(|(number, chat)| {
+                let vm = cluster.vms[number % cluster.vms.len()].callers;
+                scope.spawn(move || client::chat(vm, chat))
+            })
+            .collect();
+        threads.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
+    })
+}
+
+fn assert_whole(chats: &[Chat], replies: &[ChatReply]) {
+    for (chat, reply) in chats.iter().zip(replies) {
+        assert_eq!((reply.status, reply.complete), (200, true), "{reply:?}");
+        assert_eq!(reply.tokens, chat.expected());
+    }
+}
+
+#[test]
+fn crash_resumes_elsewhere() {
+    let cluster = start(ClusterSettings { engines: 3, ..ClusterSettings::default() });
+    cluster.engines[0].set_faults(|it| it.cut_after = Some(7));
+    cluster.engines[1].set_faults(|it| it.cut_after = Some(20));
+    let chats: Vec<Chat> = (0..12).map(chat).collect();
+    let replies = chat_all(&cluster, &chats);
+    assert_whole(&chats, &replies);
+    let broken = cluster.engines[0].runs().len() + cluster.engines[1].runs().len();
+    assert!(broken > 0, "no stream met a crash");
+}
+
+#[test]
+fn silent_stream_resumes_elsewhere() {
+    let cluster = start(ClusterSettings { engines: 3, ..ClusterSettings::default() });
+    cluster.engines[0].set_faults(|it| it.silent_after = Some(5));
+    let chats: Vec<Chat> = (0..9).map(chat).collect();
+    let replies = chat_all(&cluster, &chats);
+    assert_whole(&chats, &replies);
+    let silenced = cluster.engines[0].runs().iter().any(|it| it.tokens == 5);
+    assert!(silenced, "no stream went silent");
+}
+
+#[test]
+fn scrambled_chunks_are_put_in_order() {
+    let cluster = start(ClusterSettings::default());
+    for engine in &cluster.engines {
+        engine.set_faults(|it| it.scrambled = true);
+    }
+    let chats: Vec<Chat> = (0..8).map(chat).collect();
+    let replies = chat_all(&cluster, &chats);
+    assert_whole(&chats, &replies);
+}
+
+#[test]
+fn silent_connection_is_left() {
+    let engine = EngineSettings::default();
+    let settings = ClusterSettings { engines: 2, engine, ..ClusterSettings::default() };
+    let mut proxy = None;
+    let program = Path::new(env!("CARGO_BIN_EXE_cranberryvalved"));
+    let cluster = Cluster::start_with(program, settings, |config| {
+        let started = Proxy::start(config.upstreams[0].address).expect("a proxy");
+        config.upstreams[0].address = started.address();
+        proxy = Some(started);
+    })
+    .expect("the deployment starts");
+    let proxy = proxy.expect("a proxy");
+    let chats: Vec<Chat> = (0..8).map(|it| chat(it).tokens(200)).collect();
+    let replies = thread::scope(|scope| {
+        let replies = scope.spawn(|| chat_all(&cluster, &chats));
+        wait_until(SOON, || cluster.engines[0].running() > 0);
+        proxy.silence_present();
+        replies.join().expect("the callers do not panic")
+    });
+    assert_whole(&chats, &replies);
+}
+
+#[test]
+fn caller_continues_at_another_vm() {
+    let cluster = start(ClusterSettings::default());
+    let whole = chat(1);
+    let first = client::chat_until(cluster.vms[0].callers, &whole, |it| it.tokens.len() == 25);
+    assert!(!first.resume_token.is_empty());
+    let resumed = whole.clone().resume(&first.resume_token, 25);
+    let second = client::chat(cluster.vms[1].callers, &resumed);
+    assert!(second.complete);
+    let tokens: Vec<String> = first.tokens.into_iter().chain(second.tokens).collect();
+    assert_eq!(tokens, whole.expected());
+}
+
+#[test]
+fn resume_token_serves_its_customer_only() {
+    let cluster = start(ClusterSettings::default());
+    let own = chat(1);
+    let reply = client::chat(cluster.vms[0].callers, &own);
+    let mut stranger = own.clone().resume(&reply.resume_token, 3);
+    stranger.key = config::api_key(2);
+    assert_eq!(client::chat(cluster.vms[1].callers, &stranger).status, 403);
+    let mut other_body = chat(2).resume(&reply.resume_token, 3);
+    other_body.key = own.key;
+    assert_eq!(client::chat(cluster.vms[1].callers, &other_body).status, 403);
+}
+
+#[test]
+fn leaving_caller_frees_the_engine() {
+    let cluster = start(ClusterSettings { engines: 1, ..ClusterSettings::default() });
+    let long = chat(1).tokens(100_000);
+    client::chat_until(cluster.vms[0].callers, &long, |it| it.tokens.len() == 3);
+    let freed = wait_until(SOON, || cluster.engines[0].running() == 0);
+    assert!(freed, "the engine goes on for a caller that left");
+    let router = cluster.vms[0].dump()["router"].clone();
+    assert_eq!(router["live_requests"], 0);
+}
+
+#[test]
+fn hopeless_stream_ends_visibly() {
+    let cluster = start(ClusterSettings { engines: 1, ..ClusterSettings::default() });
+    let long = chat(1).tokens(400);
+    let reply = client::chat_until(cluster.vms[0].callers, &long, |it| {
+        if it.tokens.len() == 10 {
+            cluster.engines[0].set_faults(|it| it.down = true);
+        }
+        false
+    });
+    assert!(!reply.complete);
+    assert_eq!(reply.outcome, "partial");
+    assert_eq!(reply.tokens[..], long.expected()[..reply.tokens.len()]);
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -27,6 +27,8 @@
 pub struct PlatformFaults {
     /// Whether it closes every connection at once.
     pub down: bool,
+    /// Whether tables and objects are down, but not the list.
+    pub tables_down: bool,
     /// Time that each call takes.
     pub delay: Duration,
     /// Writes that take effect and whose reply is lost.
@@ -144,7 +146,8 @@
 impl CallerHandler for Handler {
     fn handle(&self, request: CallerRequest, _stream: &TcpStream, responder: &mut Responder<'_>) {
         let faults = lock(&self.shared.faults).clone();
-        if faults.down {
+        let is_list = request.head.path().starts_with("/vms");
+        if faults.down || (faults.tables_down && !is_list) {
             responder.close();
             return;
         }
