--- /dev/null
+++ b/crates/policy/tests/bench.rs
@@ -0,0 +1,202 @@
+//! A router with what it did so far, for the tests of this folder.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::Attempt;
+use cranberryvalve_core::Config;
+use cranberryvalve_core::CustomerSpec;
+use cranberryvalve_core::Digest;
+use cranberryvalve_core::Outcome;
+use cranberryvalve_core::RequestId;
+use cranberryvalve_core::ServiceClass;
+use cranberryvalve_core::Tier;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamKind;
+use cranberryvalve_core::UpstreamSpec;
+use cranberryvalve_policy::Action;
+use cranberryvalve_policy::AttemptEnd;
+use cranberryvalve_policy::Event;
+use cranberryvalve_policy::Request;
+use cranberryvalve_policy::Router;
+use cranberryvalve_policy::RouterSettings;
+use cranberryvalve_policy::SendOrder;
+
+/// Pause between two ticks while time passes.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Pool that all upstreams serve.
+pub const POOL: &str = "harbour-7b";
+
+pub struct Bench {
+    pub now: Instant,
+    router: Router,
+    config: Arc<Config>,
+    orders: Vec<SendOrder>,
+    in_flight: BTreeMap<RequestId, SendOrder>,
+    given_up: BTreeMap<RequestId, Outcome>,
+}
+
+/// Classes of three tiers, customers of equal weight, and `engines` with `slots` each.
+pub fn config(engines: usize, slots: u32) -> Config {
+    let classes = [("tide-check", 0), ("commentary", 1), ("replan", 3)];
+    let upstreams = (0..engines).map(|number| UpstreamSpec {
+        id: format!("engine-{number}").into(),
+        address: ([127, 0, 0, 1], 9_000 + number as u16).into(),
+        kind: UpstreamKind::Engine,
+        pools: vec![POOL.into()],
+        failure_domain: "lyttelton".into(),
+        slots,
+        checks_fencing: true,
+        drained: false,
+        orders: Vec::new(),
+    });
+    let customers = [("tasman", 1), ("agency", 1), ("heavy", 3)].map(|(id, weight)| CustomerSpec {
+        id: id.into(),
+        key_sha256: Digest::of(id.as_bytes()),
+        classes: classes.iter().map(|it| it.0.into()).collect(),
+        weight,
+        requests_per_s: None,
+        max_in_flight: None,
+    });
+    Config {
+        classes: classes.iter().map(|(id, tier)| class(id, *tier)).collect(),
+        upstreams: upstreams.collect(),
+        customers: customers.to_vec(),
+        ..Config::default()
+    }
+}
+
+fn class(id: &str, tier: Tier) -> ServiceClass {
+    ServiceClass {
+        id: id.into(),
+        tier,
+        first_token_target_ms: 1_500,
+        token_interval_target_ms: 39,
+        queue_limit_ms: 30_000,
+        promote_after_ms: 10_000,
+        silence_limit_ms: 3_000,
+        answer_limit_ms: 300_000,
+    }
+}
+
+impl Bench {
+    pub fn new(engines: usize, slots: u32) -> Self {
+        Self::seeded(engines, slots, 1)
+    }
+
+    pub fn seeded(engines: usize, slots: u32, seed: u64) -> Self {
+        Self::with_config(config(engines, slots), seed)
+    }
+
+    pub fn with_config(config: Config, seed: u64) -> Self {
+        let now = Instant::now() + Duration::from_secs(1_000);
+        let config = Arc::new(config);
+        let router = Router::new(RouterSettings::new("vm-1".into(), seed), config.clone(), now);
+        Self {
+            now,
+            router,
+            config,
+            orders: Vec::new(),
+            in_flight: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+        }
+    }
+
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    pub fn arrive(&mut self, id: RequestId, class: &str) {
+        self.arrive_from(id, class, "tasman");
+    }
+
+    pub fn arrive_from(&mut self, id: RequestId, class: &str, customer: &str) {
+        let request = Request::new(id, class.into(), customer.into(), POOL.into());
+        self.handle(Event::Arrived(request));
+    }
+
+    pub fn arrive_unrepeatable(&mut self, id: RequestId, class: &str) {
+        let request = Request::new(id, class.into(), "tasman".into(), POOL.into());
+        self.handle(Event::Arrived(request.repeatable(false)));
+    }
+
+    /// Ends the attempt of `id` that is in flight, if there is one.
+    pub fn end(&mut self, id: RequestId, end: AttemptEnd) {
+        if let Some(order) = self.in_flight.remove(&id) {
+            self.handle(Event::Ended { id, attempt: order.attempt, end });
+        }
+    }
+
+    pub fn end_attempt(&mut self, id: RequestId, attempt: Attempt, end: AttemptEnd) {
+        self.handle(Event::Ended { id, attempt, end });
+    }
+
+    pub fn complete(&mut self, id: RequestId) {
+        self.end(id, AttemptEnd::Complete { token_interval: None });
+    }
+
+    /// Lets time pass, with ticks.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TICK.max(time / 1_000);
+            self.handle(Event::Tick);
+        }
+    }
+
+    /// Closes all circuits, by putting the upstreams at other addresses and back.
+    pub fn heal(&mut self) {
+        let mut moved = (*self.config).clone();
+        for upstream in &mut moved.upstreams {
+            upstream.address.set_port(upstream.address.port() ^ 0x4000);
+        }
+        self.config = Arc::new(moved);
+        self.handle(Event::ConfigChanged(self.config.clone()));
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        for action in self.router.handle(self.now, event) {
+            match action {
+                Action::Send(order) => {
+                    self.in_flight.insert(order.id, order.clone());
+                    self.orders.push(order);
+                }
+                Action::GiveUp(give_up) => {
+                    let earlier = self.given_up.insert(give_up.id, give_up.outcome);
+                    assert_eq!(earlier, None, "given up twice");
+                }
+            }
+        }
+    }
+
+    pub fn is_in_flight(&self, id: RequestId) -> bool {
+        self.in_flight.contains_key(&id)
+    }
+
+    pub fn in_flight(&self) -> Vec<SendOrder> {
+        self.in_flight.values().cloned().collect()
+    }
+
+    /// All attempts, in the order in which they were sent.
+    pub fn orders(&self) -> &[SendOrder] {
+        &self.orders
+    }
+
+    pub fn sent_to(&self, id: RequestId) -> Vec<UpstreamId> {
+        let own = self.orders.iter().filter(|it| it.id == id);
+        own.map(|it| it.upstream.clone()).collect()
+    }
+
+    pub fn given_up(&self, id: RequestId) -> Option<Outcome> {
+        self.given_up.get(&id).cloned()
+    }
+
+    pub fn all_given_up(&self) -> &BTreeMap<RequestId, Outcome> {
+        &self.given_up
+    }
+}
