feat: demonstration over 8 VMs, and measurements in virtual time

Cause: no figure told whether the decisions serve the classes better than a naive router. The top class waits up to 8 s in bursts, since long answers of the lowest tier hold every slot.

--- /dev/null
+++ b/crates/lab/src/demo.rs
@@ -0,0 +1,89 @@
+//! The main job with stand-ins: a shift change above capacity.
+
+mod load;
+mod verdict;
+
+use std::time::Duration;
+
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::engine::Engine;
+use cranberryvalve_standins::engine::EngineSettings;
+use cranberryvalve_standins::vm::OPERATOR_TOKEN;
+use eyre::Result;
+use gumdrop::Options;
+
+use self::load::Entry;
+use self::load::RoundRobin;
+use self::load::run_burst;
+use crate::Held;
+use crate::programs;
+use crate::report;
+
+#[derive(Debug, Options)]
+pub(crate) struct DemoOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "leave it running, with the addresses printed, until Enter")]
+    keep: bool,
+}
+
+/// Runs the burst through cranberryvalve and through a naive baseline.
+pub(crate) fn run(options: &DemoOptions) -> Result<Held> {
+    let settings = ClusterSettings {
+        vms: 8,
+        engines: 18,
+        services: 3,
+        customers: 10,
+        engine: EngineSettings {
+            slots: 4,
+            token_interval: Duration::from_millis(15),
+            prefill: Duration::from_millis(60),
+            ..EngineSettings::default()
+        },
+        ..ClusterSettings::default()
+    };
+    let program = programs::daemon()?;
+    report::line("starting 8 VMs in 3 failure domains, 18 engines, 3 plain services");
+    let cluster = Cluster::start_with(&program, settings, |config| {
+        for upstream in &mut config.upstreams {
+            upstream.slots = if upstream.id.starts_with("engine") { 4 } else { 16 };
+        }
+    })?;
+    // Uneven engines, as they are in life: one straggles, one breaks its streams.
+    cluster.engines[3].set_faults(|it| it.slowdown = 4);
+    cluster.engines[7].set_faults(|it| it.cut_after = Some(40));
+    if options.keep {
+        return keep(&cluster);
+    }
+    let vms = cluster.vms.iter().map(|it| it.callers).collect();
+    let routed = run_burst(&Entry::Vms(vms));
+    let held = verdict::check(&cluster, &routed);
+    verdict::print("cranberryvalve", &routed);
+    let engines = cluster.engines.iter().map(Engine::address).collect();
+    let naive = run_burst(&Entry::Naive(RoundRobin::new(engines)));
+    verdict::print("naive baseline: round robin over the engines, no tiers, no retries", &naive);
+    Ok(held)
+}
+
+fn keep(cluster: &Cluster) -> Result<Held> {
+    let vm = &cluster.vms[0];
+    for vm in &cluster.vms {
+        let name = &vm.settings.name;
+        report::line(&format!("{name}: callers {}, operators {}", vm.callers, vm.operators));
+    }
+    report::line(&format!(
+        "try: curl -N http://{}/v1/chat/completions -H 'authorization: Bearer {}' \
+         -H 'x-service-class: {}' -d '{{\"model\":\"{}\",\"stream\":true,\"messages\":\
+         [{{\"role\":\"user\",\"content\":\"bar at 06:00?\"}}]}}'",
+        vm.callers,
+        config::api_key(0),
+        config::TIDE_CHECK,
+        config::MODEL,
+    ));
+    report::line(&format!("operators' token: {OPERATOR_TOKEN}"));
+    report::line("press Enter to stop");
+    std::io::stdin().read_line(&mut String::new())?;
+    Ok(Held::Yes)
+}
--- /dev/null
+++ b/crates/lab/src/demo/load.rs
@@ -0,0 +1,121 @@
+//! The callers of a shift change.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::client::ChatReply;
+use cranberryvalve_standins::client::PlainReply;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::config::BOOKING;
+use cranberryvalve_standins::config::COMMENTARY;
+use cranberryvalve_standins::config::REPLAN;
+use cranberryvalve_standins::config::TIDE_CHECK;
+
+/// Length of the burst.
+const BURST_MS: u64 = 6_000;
+
+/// Requests of each class, and the tokens of their answers.
+const MIX: [(&str, u64, u64); 3] =
+    [(REPLAN, 140, 160), (COMMENTARY, 120, 50), (TIDE_CHECK, 160, 12)];
+
+/// Bookings, each of which is asked for twice.
+const BOOKINGS: u64 = 20;
+
+/// Where requests are sent.
+pub(super) enum Entry {
+    /// To the VMs, as a balancer would.
+    Vms(Vec<SocketAddr>),
+    /// To the engines in turn.
+    Naive(RoundRobin),
+}
+
+/// Gives out engines in turn.
+pub(super) struct RoundRobin {
+    engines: Vec<SocketAddr>,
+    next: AtomicUsize,
+}
+
+impl RoundRobin {
+    pub(super) const fn new(engines: Vec<SocketAddr>) -> Self {
+        Self { engines, next: AtomicUsize::new(0) }
+    }
+
+    fn next(&self) -> SocketAddr {
+        self.engines[self.next.fetch_add(1, Ordering::Relaxed) % self.engines.len()]
+    }
+}
+
+/// One model request and what came of it.
+pub(super) struct Sample {
+    pub(super) class: &'static str,
+    pub(super) chat: Chat,
+    pub(super) reply: ChatReply,
+}
+
+/// What came of the burst.
+#[derive(Default)]
+pub(super) struct Samples {
+    pub(super) chats: Vec<Sample>,
+    pub(super) bookings: Vec<(String, PlainReply)>,
+}
+
+/// Sends the burst and waits for all answers.
+pub(super) fn run_burst(entry: &Entry) -> Samples {
+    thread::scope(|scope| {
+        let mut chats = Vec::new();
+        for (class, count, tokens) in MIX {
+            for number in 0..count {
+                let delay_ms = start_ms(class, number, count);
+                chats.push(scope.spawn(move || {
+                    thread::sleep(Duration::from_millis(delay_ms));
+                    send(entry, class, number, tokens)
+                }));
+            }
+        }
+        let bookings: Vec<_> = match entry {
+            Entry::Vms(vms) => {
+                (0..BOOKINGS * 2).map(|number| scope.spawn(move || book(vms, number))).collect()
+            }
+            Entry::Naive(_) => Vec::new(),
+        };
+        Samples {
+            chats: chats.into_iter().filter_map(|it| it.join().ok()).collect(),
+            bookings: bookings.into_iter().filter_map(|it| it.join().ok()).collect(),
+        }
+    })
+}
+
+/// Replans come at once, the rest over the length of the burst.
+fn start_ms(class: &str, number: u64, count: u64) -> u64 {
+    match class {
+        REPLAN => number * 5,
+        _ => 500 + number * BURST_MS / count,
+    }
+}
+
+fn send(entry: &Entry, class: &'static str, number: u64, tokens: u64) -> Sample {
+    let prompt = format!("{class} {}", number % 40);
+    let customer = number as usize % 10;
+    // Nobody knows an answer's length in advance: it varies by half around the class's mean.
+    let tokens = tokens / 2 + (number * 7_919) % tokens;
+    let chat = Chat::new(&config::api_key(customer), class, config::MODEL, &prompt).tokens(tokens);
+    let target = match entry {
+        Entry::Vms(vms) => vms[number as usize % vms.len()],
+        Entry::Naive(engines) => engines.next(),
+    };
+    let reply = client::chat(target, &chat);
+    Sample { class, chat, reply }
+}
+
+fn book(vms: &[SocketAddr], number: u64) -> (String, PlainReply) {
+    thread::sleep(Duration::from_millis(number * 100));
+    let key = format!("{BOOKING}-{}", number / 2);
+    let vm = vms[(number * 3) as usize % vms.len()];
+    let reply = client::plain(vm, &config::api_key(0), "POST", "/berths/4", &key, "{}");
+    (key, reply)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,3 +1,63 @@
 //! Demonstration, benchmarks and experiments.
 
-fn main() {}
+mod bench;
+mod campaign;
+mod demo;
+mod measure;
+mod programs;
+mod report;
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use gumdrop::Options;
+
+#[derive(Debug, Options)]
+struct Cli {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run the main job with stand-ins")]
+    Demo(demo::DemoOptions),
+    #[options(help = "run the benchmarks: overhead, streams, decisions, spread; all by default")]
+    Bench(bench::BenchOptions),
+    #[options(help = "compare the decisions with a naive router, in virtual time")]
+    Measure(measure::MeasureOptions),
+    #[options(help = "run seeded pairs of faults and check what must always hold")]
+    Campaign(campaign::CampaignOptions),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse_args_default_or_exit();
+    let result = match &cli.command {
+        Some(Command::Demo(options)) => demo::run(options),
+        Some(Command::Bench(options)) => bench::run(options),
+        Some(Command::Measure(options)) => measure::run(options),
+        Some(Command::Campaign(options)) => campaign::run(options),
+        None => Ok(Held::Yes),
+    };
+    exit(result)
+}
+
+/// Whether everything held that must hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Held {
+    Yes,
+    No,
+}
+
+fn exit(result: Result<Held>) -> ExitCode {
+    match result {
+        Ok(Held::Yes) => ExitCode::SUCCESS,
+        Ok(Held::No) => ExitCode::FAILURE,
+        Err(report) => {
+            report::line(&format!("lab: {report:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/measure/naive.rs
@@ -0,0 +1,42 @@
+//! The naive router: round robin, first come first served, no retries.
+
+use cranberryvalve_policy::Action;
+use cranberryvalve_policy::AttemptEnd;
+use cranberryvalve_policy::Event;
+use cranberryvalve_policy::GiveUp;
+use cranberryvalve_policy::SendOrder;
+
+use super::deployment::engine_id;
+
+/// Sends each request to the next engine at once.
+#[derive(Debug)]
+pub(super) struct NaiveRouter {
+    engines: usize,
+    next: usize,
+}
+
+impl NaiveRouter {
+    pub(super) const fn new(engines: usize, first: usize) -> Self {
+        Self { engines, next: first }
+    }
+
+    pub(super) fn handle(&mut self, event: Event) -> Vec<Action> {
+        match event {
+            Event::Arrived(request) => {
+                let upstream = engine_id(self.next % self.engines).into();
+                self.next += 1;
+                let order = SendOrder { id: request.id, attempt: 1, upstream, priority: 0 };
+                vec![Action::Send(order)]
+            }
+            Event::Ended { id, end: AttemptEnd::Complete { .. }, .. } => {
+                let _ = id;
+                Vec::new()
+            }
+            Event::Ended { id, .. } => {
+                let outcome = cranberryvalve_core::Outcome::Unknown;
+                vec![Action::GiveUp(GiveUp { id, outcome })]
+            }
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/programs.rs
@@ -0,0 +1,15 @@
+//! Programs that experiments start.
+
+use std::path::PathBuf;
+
+use eyre::Result;
+use eyre::bail;
+
+/// The daemon that was built beside this program.
+pub(crate) fn daemon() -> Result<PathBuf> {
+    let program = std::env::current_exe()?.with_file_name("cranberryvalved");
+    if !program.exists() {
+        bail!("{} is missing; run this through `cargo xtask`", program.display());
+    }
+    Ok(program)
+}
--- a/crates/policy/tests/retry_rules.rs
+++ b/crates/policy/tests/retry_rules.rs
@@ -1,5 +1,6 @@
 //! When a request is sent again, and what a caller is told when it is not.
 
+#[path = "support/bench.rs"]
 mod bench;
 
 use std::time::Duration;
--- a/crates/policy/tests/served_order.rs
+++ b/crates/policy/tests/served_order.rs
@@ -1,5 +1,6 @@
 //! The order of service against a naive version that is obviously right.
 
+#[path = "support/bench.rs"]
 mod bench;
 
 use std::collections::BTreeMap;
--- a/crates/policy/tests/bench.rs
+++ b/crates/policy/tests/support/bench.rs
@@ -1,6 +1,6 @@
 //! A router with what it did so far, for the tests of this folder.
 
-#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of it")]
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -30,10 +30,10 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// Pool that all upstreams serve.
-pub const POOL: &str = "harbour-7b";
+pub(crate) const POOL: &str = "harbour-7b";
 
-pub struct Bench {
-    pub now: Instant,
+pub(crate) struct Bench {
+    pub(crate) now: Instant,
     router: Router,
     config: Arc<Config>,
     orders: Vec<SendOrder>,
@@ -42,7 +42,7 @@
 }
 
 /// Classes of three tiers, customers of equal weight, and `engines` with `slots` each.
-pub fn config(engines: usize, slots: u32) -> Config {
+pub(crate) fn config(engines: usize, slots: u32) -> Config {
     let classes = [("tide-check", 0), ("commentary", 1), ("replan", 3)];
     let upstreams = (0..engines).map(|number| UpstreamSpec {
         id: format!("engine-{number}").into(),
@@ -85,15 +85,15 @@
 }
 
 impl Bench {
-    pub fn new(engines: usize, slots: u32) -> Self {
+    pub(crate) fn new(engines: usize, slots: u32) -> Self {
         Self::seeded(engines, slots, 1)
     }
 
-    pub fn seeded(engines: usize, slots: u32, seed: u64) -> Self {
+    pub(crate) fn seeded(engines: usize, slots: u32, seed: u64) -> Self {
         Self::with_config(config(engines, slots), seed)
     }
 
-    pub fn with_config(config: Config, seed: u64) -> Self {
+    pub(crate) fn with_config(config: Config, seed: u64) -> Self {
         let now = Instant::now() + Duration::from_secs(1_000);
         let config = Arc::new(config);
         let router = Router::new(RouterSettings::new("vm-1".into(), seed), config.clone(), now);
@@ -107,41 +107,41 @@
         }
     }
 
-    pub fn router(&self) -> &Router {
+    pub(crate) fn router(&self) -> &Router {
         &self.router
     }
 
-    pub fn arrive(&mut self, id: RequestId, class: &str) {
+    pub(crate) fn arrive(&mut self, id: RequestId, class: &str) {
         self.arrive_from(id, class, "tasman");
     }
 
-    pub fn arrive_from(&mut self, id: RequestId, class: &str, customer: &str) {
+    pub(crate) fn arrive_from(&mut self, id: RequestId, class: &str, customer: &str) {
         let request = Request::new(id, class.into(), customer.into(), POOL.into());
         self.handle(Event::Arrived(request));
     }
 
-    pub fn arrive_unrepeatable(&mut self, id: RequestId, class: &str) {
+    pub(crate) fn arrive_unrepeatable(&mut self, id: RequestId, class: &str) {
         let request = Request::new(id, class.into(), "tasman".into(), POOL.into());
         self.handle(Event::Arrived(request.repeatable(false)));
     }
 
     /// Ends the attempt of `id` that is in flight, if there is one.
-    pub fn end(&mut self, id: RequestId, end: AttemptEnd) {
+    pub(crate) fn end(&mut self, id: RequestId, end: AttemptEnd) {
         if let Some(order) = self.in_flight.remove(&id) {
             self.handle(Event::Ended { id, attempt: order.attempt, end });
         }
     }
 
-    pub fn end_attempt(&mut self, id: RequestId, attempt: Attempt, end: AttemptEnd) {
+    pub(crate) fn end_attempt(&mut self, id: RequestId, attempt: Attempt, end: AttemptEnd) {
         self.handle(Event::Ended { id, attempt, end });
     }
 
-    pub fn complete(&mut self, id: RequestId) {
+    pub(crate) fn complete(&mut self, id: RequestId) {
         self.end(id, AttemptEnd::Complete { token_interval: None });
     }
 
     /// Lets time pass, with ticks.
-    pub fn pass(&mut self, time: Duration) {
+    pub(crate) fn pass(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             self.now += TICK.max(time / 1_000);
@@ -150,7 +150,7 @@
     }
 
     /// Closes all circuits, by putting the upstreams at other addresses and back.
-    pub fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         let mut moved = (*self.config).clone();
         for upstream in &mut moved.upstreams {
             upstream.address.set_port(upstream.address.port() ^ 0x4000);
@@ -159,7 +159,7 @@
         self.handle(Event::ConfigChanged(self.config.clone()));
     }
 
-    pub fn handle(&mut self, event: Event) {
+    pub(crate) fn handle(&mut self, event: Event) {
         for action in self.router.handle(self.now, event) {
             match action {
                 Action::Send(order) => {
@@ -174,29 +174,29 @@
         }
     }
 
-    pub fn is_in_flight(&self, id: RequestId) -> bool {
+    pub(crate) fn is_in_flight(&self, id: RequestId) -> bool {
         self.in_flight.contains_key(&id)
     }
 
-    pub fn in_flight(&self) -> Vec<SendOrder> {
+    pub(crate) fn in_flight(&self) -> Vec<SendOrder> {
         self.in_flight.values().cloned().collect()
     }
 
     /// All attempts, in the order in which they were sent.
-    pub fn orders(&self) -> &[SendOrder] {
+    pub(crate) fn orders(&self) -> &[SendOrder] {
         &self.orders
     }
 
-    pub fn sent_to(&self, id: RequestId) -> Vec<UpstreamId> {
+    pub(crate) fn sent_to(&self, id: RequestId) -> Vec<UpstreamId> {
         let own = self.orders.iter().filter(|it| it.id == id);
         own.map(|it| it.upstream.clone()).collect()
     }
 
-    pub fn given_up(&self, id: RequestId) -> Option<Outcome> {
+    pub(crate) fn given_up(&self, id: RequestId) -> Option<Outcome> {
         self.given_up.get(&id).cloned()
     }
 
-    pub fn all_given_up(&self) -> &BTreeMap<RequestId, Outcome> {
+    pub(crate) fn all_given_up(&self) -> &BTreeMap<RequestId, Outcome> {
         &self.given_up
     }
 }
--- a/crates/policy/tests/tier_rules.rs
+++ b/crates/policy/tests/tier_rules.rs
@@ -1,5 +1,6 @@
 //! Rules between tiers, for any sequence of events.
 
+#[path = "support/bench.rs"]
 mod bench;
 
 use std::collections::BTreeMap;
--- a/crates/policy/tests/upstream_health.rs
+++ b/crates/policy/tests/upstream_health.rs
@@ -1,5 +1,6 @@
 //! Which upstreams get work: load, circuits, stragglers, affinity, subsets.
 
+#[path = "support/bench.rs"]
 mod bench;
 
 use std::collections::BTreeMap;
