perf: lower tiers leave slots free for the tiers above

Cause: an engine takes no slot from a request that runs, so a burst of a high tier waits for long answers of the lowest tier to end. Ruled out: the queue (the high tier's requests were at the engines already) and stale reports (the estimate was right within one request). Change: for each tier above, slots/4 (attainment profile) or slots/8 (goodput) stay free.

--- a/crates/policy/src/router/placement.rs
+++ b/crates/policy/src/router/placement.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use cranberryvalve_core::PoolId;
+use cranberryvalve_core::Profile;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
@@ -20,6 +21,10 @@
 /// Times the pool's mean load up to which prefix affinity is followed.
 const AFFINITY_LOAD_BOUND: f64 = 1.25;
 
+/// Slots of which one is left free for each tier above, by what the deployment weighs most.
+const HEADROOM_ATTAINMENT: u32 = 4;
+const HEADROOM_GOODPUT: u32 = 8;
+
 /// Cost of leaving the VM's own failure domain, as a share of an upstream's load.
 const REMOTE_PENALTY: f64 = 0.05;
 
@@ -85,6 +90,10 @@
             return None;
         }
         let total = upstream.load.at_or_above(now, Tier::MAX);
+        let headroom = self.headroom(slot_tier, upstream.spec.slots);
+        if headroom > 0 && total >= upstream.spec.slots - headroom {
+            return None;
+        }
         let ratio = f64::from(total + 1) / f64::from(upstream.spec.slots);
         let pace = match (upstream.pace.mean_ms(), median_ms) {
             (Some(own_ms), Some(median_ms)) if median_ms > 0.0 => own_ms / median_ms,
@@ -95,6 +104,23 @@
         Some(Candidate { upstream, cost: ratio * pace + distance })
     }
 
+    /// Slots of an upstream that requests of `tier` leave free for the tiers above.
+    ///
+    /// An engine gives a free slot to the highest priority, but takes none away from a request
+    /// that runs. Without free slots a burst of a high tier waits for long answers to end.
+    fn headroom(&self, tier: Tier, slots: u32) -> u32 {
+        let mut above: Vec<Tier> =
+            self.config.classes.iter().map(|it| it.tier).filter(|it| *it < tier).collect();
+        above.sort_unstable();
+        above.dedup();
+        let tiers_above = u32::try_from(above.len()).unwrap_or(u32::MAX);
+        let per_tier = match self.config.profile {
+            Profile::Attainment => slots / HEADROOM_ATTAINMENT,
+            Profile::Goodput => slots / HEADROOM_GOODPUT,
+        };
+        (per_tier * tiers_above).min(slots / 2)
+    }
+
     /// Upstreams that this VM considers, in all pools, whether or not they take work.
     ///
     /// Those that are leaving are among them, since their own word may bring them back.
--- a/crates/policy/tests/tier_rules.rs
+++ b/crates/policy/tests/tier_rules.rs
@@ -147,6 +147,23 @@
     assert!(bench.is_in_flight(6), "a tide check waits behind replans");
 }
 
+#[test]
+fn lower_tiers_leave_slots_free() {
+    let mut bench = Bench::new(1, 8);
+    for id in 1..=8 {
+        bench.arrive(id, "replan");
+    }
+    assert_eq!(bench.in_flight().len(), 4, "two slots for each of the two tiers above");
+    for id in 9..=16 {
+        bench.arrive(id, "commentary");
+    }
+    assert_eq!(bench.in_flight().len(), 6, "two slots for the tier above");
+    for id in 17..=24 {
+        bench.arrive(id, "tide-check");
+    }
+    assert_eq!(bench.in_flight().len(), 14, "the highest tier is not held back");
+}
+
 #[test]
 fn shedding_starts_at_the_lowest_tier() {
     let mut bench = Bench::new(1, 1);
