perf: tell stragglers by their pace at the 16th token, and keep them out while probes are slow

Cause: a straggler was known only after five whole answers, 60 s and more for a replan, and one answered probe closed its circuit and forgot its pace. Change: the pace is told at the 16th token; three samples count; a circuit opened for slowness closes only on an answer in good time, and a slow probe doubles the pause.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::Sender;
 use std::sync::mpsc::channel;
+use std::time::Duration;
 use std::time::Instant;
 
 use cranberryvalve_adapters::upstream::CancelHandle;
@@ -201,6 +202,11 @@
         self.dispatcher.handle(Event::FirstToken { id: self.id, attempt });
     }
 
+    /// Tells the router the pace of an attempt.
+    pub(crate) fn paced(&self, attempt: Attempt, token_interval: Duration) {
+        self.dispatcher.handle(Event::Paced { id: self.id, attempt, token_interval });
+    }
+
     /// Tells the router how an attempt ended.
     pub(crate) fn ended(&self, attempt: Attempt, end: AttemptEnd) {
         self.dispatcher.handle(Event::Ended { id: self.id, attempt, end });
--- a/crates/daemon/src/measures.rs
+++ b/crates/daemon/src/measures.rs
@@ -64,7 +64,7 @@
     }
 
     /// Mean time between tokens so far; none before the second one.
-    pub(crate) fn token_interval(&self) -> Option<Duration> {
+    fn token_interval(&self) -> Option<Duration> {
         let gaps = u32::try_from(self.tokens.checked_sub(1)?).ok().filter(|it| *it > 0)?;
         Some(self.first_token_at?.elapsed() / gaps)
     }
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_adapters::caller::CallerRequest;
 use cranberryvalve_adapters::caller::Responder;
@@ -19,6 +20,7 @@
 use cranberryvalve_adapters::upstream::EngineStream;
 use cranberryvalve_adapters::upstream::Timeouts;
 use cranberryvalve_adapters::upstream::UpstreamAnswer;
+use cranberryvalve_core::Attempt;
 use cranberryvalve_core::Config;
 use cranberryvalve_core::CustomerSpec;
 use cranberryvalve_core::Digest;
@@ -127,6 +129,41 @@
     assembler: TokenAssembler,
 }
 
+/// Tokens after which the router is told an attempt's pace.
+const PACE_TOKENS: u32 = 16;
+
+/// Pace of one attempt.
+#[derive(Default)]
+struct AttemptPace {
+    first_at: Option<Instant>,
+    tokens: u32,
+}
+
+impl AttemptPace {
+    /// Counts tokens, and tells the router of the first one and of the pace.
+    fn tell(&mut self, tokens: usize, ticket: &Ticket, attempt: Attempt) {
+        if tokens == 0 {
+            return;
+        }
+        if self.first_at.is_none() {
+            self.first_at = Some(Instant::now());
+            ticket.first_token(attempt);
+        }
+        let before = self.tokens;
+        self.tokens = before.saturating_add(u32::try_from(tokens).unwrap_or(u32::MAX));
+        let is_due = before < PACE_TOKENS && self.tokens >= PACE_TOKENS;
+        if let Some(token_interval) = self.token_interval().filter(|_| is_due) {
+            ticket.paced(attempt, token_interval);
+        }
+    }
+
+    /// Mean time between the tokens so far; none before the second one.
+    fn token_interval(&self) -> Option<Duration> {
+        let gaps = self.tokens.checked_sub(1).filter(|it| *it > 0)?;
+        Some(self.first_at?.elapsed() / gaps)
+    }
+}
+
 /// How reading an attempt's stream ended.
 enum Reading {
     Complete,
@@ -207,6 +244,7 @@
         responder: &mut Responder<'s>,
         before: u64,
     ) -> (Attempted, AttemptEnd) {
+        let mut pace = AttemptPace::default();
         let reading = loop {
             let Ok(event) = engine.next_event() else { break Reading::Broken };
             let chunk = match event {
@@ -224,9 +262,7 @@
                 }
                 ChunkVerdict::Lost => break Reading::Broken,
             };
-            if !tokens.is_empty() && self.assembler.position() == before + tokens.len() as u64 {
-                ticket.first_token(order.attempt);
-            }
+            pace.tell(tokens.len(), ticket, order.attempt);
             if self.deliver(&tokens, is_complete, responder).is_err() {
                 break Reading::CallerGone;
             }
@@ -237,7 +273,7 @@
         let tokens = self.assembler.position() - before;
         match reading {
             Reading::Complete => {
-                let token_interval = self.measure.token_interval();
+                let token_interval = pace.token_interval();
                 (Attempted::Finished, AttemptEnd::Complete { token_interval })
             }
             Reading::CallerGone => (Attempted::CallerGone, AttemptEnd::Abandoned),
--- a/crates/lab/src/measure/run.rs
+++ b/crates/lab/src/measure/run.rs
@@ -49,6 +49,9 @@
 /// Time after which an attempt without a token is stalled: the first-token target and the silence.
 const STALL: Duration = Duration::from_millis(3_500);
 
+/// Tokens after which an attempt's pace is told.
+const PACE_TOKENS: u32 = 16;
+
 /// Times at which engines crash, and how long they stay away.
 const CRASHES_S: [(u64, usize); 3] = [(15, 5), (57, 2), (90, 9)];
 const CRASH: Duration = Duration::from_secs(8);
@@ -93,6 +96,7 @@
 enum Happening {
     Arrival(usize),
     FirstToken(AttemptKey),
+    Paced(AttemptKey, Duration),
     End(AttemptKey),
     Stall(AttemptKey),
     Report,
@@ -203,6 +207,7 @@
         match happening {
             Happening::Arrival(class) => self.arrive(class),
             Happening::FirstToken(key) => self.first_token(key),
+            Happening::Paced(key, token_interval) => self.paced(key, token_interval),
             Happening::End(key) => self.end(key),
             Happening::Stall(key) => self.stall(key),
             Happening::Report => self.report(),
@@ -286,6 +291,9 @@
         for running in self.engines[engine].start_waiting(self.now) {
             let key = running.job.key;
             self.schedule(running.first_token_at, Happening::FirstToken(key));
+            let interval = running.token_interval;
+            let paced_at = running.first_token_at + interval * PACE_TOKENS;
+            self.schedule(paced_at, Happening::Paced(key, interval));
             self.schedule(running.ends_at(), Happening::End(key));
         }
     }
@@ -304,6 +312,14 @@
         self.tell(vm, Event::FirstToken { id, attempt });
     }
 
+    fn paced(&mut self, key: AttemptKey, token_interval: Duration) {
+        let Some(engine) = self.attempts.get(&key).copied() else { return };
+        if self.engines[engine].runs(key) {
+            let (vm, id, attempt) = key;
+            self.tell(vm, Event::Paced { id, attempt, token_interval });
+        }
+    }
+
     fn end(&mut self, key: AttemptKey) {
         let Some(engine) = self.attempts.get(&key).copied() else { return };
         let Some(running) = self.engines[engine].remove(key) else { return };
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -26,6 +26,15 @@
         /// Attempt.
         attempt: Attempt,
     },
+    /// An attempt has delivered enough tokens to tell its pace.
+    Paced {
+        /// Request.
+        id: RequestId,
+        /// Attempt.
+        attempt: Attempt,
+        /// Mean time between its tokens so far.
+        token_interval: Duration,
+    },
     /// An attempt ended.
     Ended {
         /// Request.
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -119,6 +119,9 @@
         match event {
             Event::Arrived(request) => self.on_arrived(now, request, &mut actions),
             Event::FirstToken { id, attempt } => self.on_first_token(id, attempt),
+            Event::Paced { id, attempt, token_interval } => {
+                self.on_paced(now, id, attempt, token_interval);
+            }
             Event::Ended { id, attempt, end } => self.on_ended(now, id, attempt, end, &mut actions),
             Event::CallerLeft { id } => self.on_caller_left(now, id, &mut actions),
             Event::LoadReported { upstream, report } => {
--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -72,10 +72,24 @@
         };
         let Stage::InFlight { upstream, .. } = &tracked.stage else { return };
         if let Some(upstream) = self.upstreams.entry(upstream) {
-            upstream.circuit.succeeded();
+            upstream.circuit.answered();
         }
     }
 
+    pub(super) fn on_paced(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        attempt: Attempt,
+        token_interval: Duration,
+    ) {
+        let Some(tracked) = self.requests.get(&id).filter(|it| it.attempts == attempt) else {
+            return;
+        };
+        let Stage::InFlight { upstream, .. } = &tracked.stage else { return };
+        self.upstreams.record_pace(now, upstream, token_interval);
+    }
+
     pub(super) fn on_ended(
         &mut self,
         now: Instant,
@@ -198,11 +212,10 @@
     fn record_health(&mut self, now: Instant, id: &str, end: AttemptEnd) {
         let Some(upstream) = self.upstreams.entry(id) else { return };
         match end {
-            AttemptEnd::Complete { token_interval } => {
-                upstream.circuit.succeeded();
-                if let Some(interval) = token_interval {
-                    self.upstreams.record_pace(now, id, interval);
-                }
+            AttemptEnd::Complete { token_interval: None } => upstream.circuit.succeeded(),
+            AttemptEnd::Complete { token_interval: Some(token_interval) } => {
+                upstream.circuit.answered();
+                self.upstreams.record_pace(now, id, token_interval);
             }
             AttemptEnd::NotSent | AttemptEnd::Broken { .. } => upstream.circuit.failed(now),
             AttemptEnd::Refused { leaving } => {
--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -34,11 +34,21 @@
     openings: u32,
     open_until: Option<Instant>,
     probing: bool,
+    cause: Cause,
+}
+
+/// Why a circuit was opened last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// Requests failed.
+    Failures,
+    /// It answered much more slowly than its peers.
+    Slowness,
 }
 
 impl Circuit {
     pub(crate) const fn new() -> Self {
-        Self { failures: 0, openings: 0, open_until: None, probing: false }
+        Self { failures: 0, openings: 0, open_until: None, probing: false, cause: Cause::Failures }
     }
 
     /// The state at `now`.
@@ -66,11 +76,28 @@
         }
     }
 
-    /// Notes a whole answer.
+    /// Notes that an answer began, which tells that the upstream is alive but not its pace.
+    pub(crate) fn answered(&mut self) {
+        match self.cause {
+            Cause::Failures => *self = Self::new(),
+            Cause::Slowness => self.failures = 0,
+        }
+    }
+
+    /// Notes an answer in good time.
     pub(crate) fn succeeded(&mut self) {
         *self = Self::new();
     }
 
+    /// Opens the circuit of a straggler.
+    pub(crate) fn open_for_slowness(&mut self, now: Instant) {
+        if self.state(now) == CircuitState::Open {
+            return;
+        }
+        self.open(now);
+        self.cause = Cause::Slowness;
+    }
+
     /// Notes an end that says nothing of the upstream's health.
     pub(crate) fn inconclusive(&mut self) {
         self.probing = false;
@@ -84,12 +111,12 @@
         }
     }
 
-    /// Opens the circuit.
-    pub(crate) fn open(&mut self, now: Instant) {
+    fn open(&mut self, now: Instant) {
         let backoff = MIN_OPEN * 2_u32.saturating_pow(self.openings.min(8));
         self.open_until = Some(now + backoff.min(MAX_OPEN));
         self.openings += 1;
         self.failures = 0;
         self.probing = false;
+        self.cause = Cause::Failures;
     }
 }
--- a/crates/policy/src/upstream/pace.rs
+++ b/crates/policy/src/upstream/pace.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 /// Weight of a new sample in the moving average.
-const SAMPLE_WEIGHT: f64 = 0.2;
+const SAMPLE_WEIGHT: f64 = 0.3;
 
 /// Samples that are needed before the average counts.
-const MIN_SAMPLES: u32 = 5;
+const MIN_SAMPLES: u32 = 3;
 
 /// Exponentially weighted moving average of the time between tokens.
 #[derive(Debug, Default)]
@@ -31,9 +31,4 @@
     pub(crate) fn mean_ms(&self) -> Option<f64> {
         (self.samples >= MIN_SAMPLES).then_some(self.mean_ms)
     }
-
-    /// Forgets all samples.
-    pub(crate) fn reset(&mut self) {
-        *self = Self::default();
-    }
 }
--- a/crates/policy/src/upstream/table.rs
+++ b/crates/policy/src/upstream/table.rs
@@ -122,15 +122,21 @@
     pub(crate) fn record_pace(&mut self, now: Instant, id: &str, interval: Duration) {
         let Some(upstream) = self.upstreams.get_mut(id) else { return };
         upstream.pace.record(interval);
-        let Some(own_ms) = upstream.pace.mean_ms() else { return };
         let Some(pool) = upstream.spec.pools.first().cloned() else { return };
-        let Some(median_ms) = self.median_pace_ms(&pool) else { return };
-        if own_ms < median_ms * STRAGGLER_RATIO || self.too_many_out(now, &pool) {
-            return;
+        let is_straggler = self.is_straggler(id, &pool) && !self.too_many_out(now, id, &pool);
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        if is_straggler {
+            upstream.circuit.open_for_slowness(now);
+        } else {
+            upstream.circuit.succeeded();
         }
-        if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.circuit.open(now);
-            upstream.pace.reset();
+    }
+
+    fn is_straggler(&self, id: &str, pool: &str) -> bool {
+        let own_ms = self.upstreams.get(id).and_then(|it| it.pace.mean_ms());
+        match (own_ms, self.median_pace_ms(pool)) {
+            (Some(own_ms), Some(median_ms)) => own_ms >= median_ms * STRAGGLER_RATIO,
+            _ => false,
         }
     }
 
@@ -142,9 +148,11 @@
         paces_ms.get(middle).copied()
     }
 
-    fn too_many_out(&self, now: Instant, pool: &str) -> bool {
+    /// Whether taking out `id` too would leave too few upstreams in `pool`.
+    fn too_many_out(&self, now: Instant, id: &str, pool: &str) -> bool {
         let all = self.pool(pool).count();
-        let out = self.pool(pool).filter(|it| !it.takes_work(now)).count();
+        let others = self.pool(pool).filter(|it| &*it.spec.id != id);
+        let out = others.filter(|it| !it.takes_work(now)).count();
         (out + 1) * POOL_PER_STRAGGLER > all
     }
 }
