feat: customers' limits over all VMs, without a store write for each request

Cause: rate and concurrency limits were declared and not enforced. Change: a customer's home VM (rendezvous hash) shares the limit out by max-min fairness; VMs report demand, at most 20 reports a second to a home; even shares without one.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`ledger`]: at-most-once execution of calls that may not be repeated.
 //! - [`plan`]: changes that are planned first, and confirmed by one conditional write.
 //! - [`replica`]: an accepted configuration in force on every VM, never reverting.
+//! - [`limits`]: a customer's rate and concurrency over all VMs.
 //! - [`membership`]: which VMs are alive, and which of them talk to each other.
 //! - [`leaving`]: which upstreams leave, from sources that lag and disagree.
 //! - [`peer`]: the messages that VMs exchange.
@@ -26,6 +27,7 @@
 
 pub mod leaving;
 pub mod ledger;
+pub mod limits;
 pub mod membership;
 pub mod peer;
 pub mod plan;
--- /dev/null
+++ b/crates/coordination/src/limits/client.rs
@@ -0,0 +1,220 @@
+//! The limits as one VM applies them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::CustomerId;
+use cranberryvalve_core::CustomerSpec;
+
+use super::LimitDemand;
+use super::LimitShare;
+use super::REPORT_EVERY;
+use super::SHARE_INTERVALS;
+
+/// Seconds of a share that may be used at once.
+const BURST_S: f64 = 1.0;
+
+/// Shortest and longest time after which a refused caller may try again.
+const MIN_RETRY: Duration = Duration::from_millis(100);
+const MAX_RETRY: Duration = Duration::from_secs(30);
+
+/// What this VM may admit for each customer, and what it was asked for.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use cranberryvalve_coordination::limits::LimitClient;
+/// use cranberryvalve_core::CustomerSpec;
+/// use cranberryvalve_core::Digest;
+///
+/// let customer = CustomerSpec {
+///     id: "tasman".into(),
+///     key_sha256: Digest::of(b"key"),
+///     classes: vec![],
+///     weight: 1,
+///     requests_per_s: None,
+///     max_in_flight: Some(2),
+/// };
+/// let now = Instant::now();
+/// let mut limits = LimitClient::default();
+/// assert!(limits.admit(now, &customer, 1).is_ok());
+/// assert!(limits.admit(now, &customer, 1).is_err(), "one request until the home has answered");
+/// limits.ended("tasman");
+/// assert!(limits.admit(now, &customer, 1).is_ok());
+/// ```
+#[derive(Debug, Default)]
+pub struct LimitClient {
+    customers: BTreeMap<CustomerId, Account>,
+}
+
+#[derive(Debug)]
+struct Account {
+    tokens: f64,
+    refilled_at: Instant,
+    in_flight: u32,
+    asked: u32,
+    refused: u32,
+    reported_at: Instant,
+    report_every: Duration,
+    share: Option<ValidShare>,
+    created_at: Instant,
+}
+
+#[derive(Debug)]
+struct ValidShare {
+    requests_per_s: Option<f64>,
+    in_flight: Option<u32>,
+    until: Instant,
+}
+
+/// The customer is above its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitReached {
+    /// When it may try again.
+    pub retry_after: Duration,
+}
+
+impl LimitClient {
+    /// Admits a request, when the customer is within its limits on this VM.
+    ///
+    /// Call [`LimitClient::ended`] once for each admitted request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the customer is above its limit.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        customer: &CustomerSpec,
+        vms_alive: usize,
+    ) -> Result<(), LimitReached> {
+        if customer.requests_per_s.is_none() && customer.max_in_flight.is_none() {
+            return Ok(());
+        }
+        let account =
+            self.customers.entry(customer.id.clone()).or_insert_with(|| Account::new(now));
+        account.asked += 1;
+        let admitted = account.admit(now, customer, vms_alive.max(1));
+        match admitted {
+            Ok(()) => account.in_flight += 1,
+            Err(_) => account.refused += 1,
+        }
+        admitted
+    }
+
+    /// Notes the end of an admitted request.
+    pub fn ended(&mut self, customer: &str) {
+        if let Some(account) = self.customers.get_mut(customer) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Reports that are due; customers that were idle are forgotten.
+    pub fn reports(&mut self, now: Instant) -> Vec<LimitDemand> {
+        self.customers.retain(|_, it| !it.is_idle(now));
+        let due = self.customers.iter_mut().filter(|(_, it)| it.is_report_due(now));
+        due.map(|(customer, account)| account.report(now, customer)).collect()
+    }
+
+    /// Takes a share from a customer's home.
+    pub fn on_share(&mut self, now: Instant, share: &LimitShare) {
+        let Some(account) = self.customers.get_mut(&share.customer) else { return };
+        account.report_every = Duration::from_millis(share.report_every_ms.into());
+        account.share = Some(ValidShare {
+            requests_per_s: share.requests_per_s,
+            in_flight: share.in_flight,
+            until: now + account.report_every * SHARE_INTERVALS,
+        });
+    }
+}
+
+impl Account {
+    const fn new(now: Instant) -> Self {
+        Self {
+            tokens: 1.0,
+            refilled_at: now,
+            in_flight: 0,
+            asked: 0,
+            refused: 0,
+            reported_at: now,
+            report_every: REPORT_EVERY,
+            share: None,
+            created_at: now,
+        }
+    }
+
+    /// The even share, but for the first interval a single request, since the others may have been
+    /// given the whole limit.
+    fn in_flight_without_share(&self, now: Instant, limit: u32, vms_alive: usize) -> u32 {
+        if now.saturating_duration_since(self.created_at) < REPORT_EVERY {
+            return 1;
+        }
+        let vms_alive = u32::try_from(vms_alive).unwrap_or(u32::MAX);
+        (limit / vms_alive).max(1)
+    }
+
+    fn admit(
+        &mut self,
+        now: Instant,
+        customer: &CustomerSpec,
+        vms_alive: usize,
+    ) -> Result<(), LimitReached> {
+        let share = self.share.as_ref().filter(|it| now < it.until);
+        let even = 1.0 / vms_alive as f64;
+        let in_flight_limit = match share {
+            Some(share) => share.in_flight,
+            None => customer
+                .max_in_flight
+                .map(|limit| self.in_flight_without_share(now, limit, vms_alive)),
+        };
+        let rate = match share {
+            Some(share) => share.requests_per_s,
+            None => customer.requests_per_s.map(|it| it * even),
+        };
+        if in_flight_limit.is_some_and(|limit| self.in_flight >= limit) {
+            return Err(LimitReached { retry_after: REPORT_EVERY });
+        }
+        rate.map_or(Ok(()), |rate| self.take_token(now, rate))
+    }
+
+    fn take_token(&mut self, now: Instant, requests_per_s: f64) -> Result<(), LimitReached> {
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        self.refilled_at = now;
+        let capacity = (requests_per_s * BURST_S).max(1.0);
+        self.tokens = (self.tokens + elapsed * requests_per_s).min(capacity);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let wait_s = (1.0 - self.tokens) / requests_per_s.max(f64::MIN_POSITIVE);
+        let longest_s = MAX_RETRY.as_secs_f64();
+        let retry_after = Duration::from_secs_f64(wait_s.min(longest_s)).max(MIN_RETRY);
+        Err(LimitReached { retry_after })
+    }
+
+    fn is_report_due(&self, now: Instant) -> bool {
+        let is_first = self.share.is_none() && self.asked > 0;
+        is_first || now.saturating_duration_since(self.reported_at) >= self.report_every
+    }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        let silent = now.saturating_duration_since(self.refilled_at.max(self.reported_at));
+        let lifetime = self.report_every * SHARE_INTERVALS;
+        self.in_flight == 0 && self.asked == 0 && silent >= lifetime
+    }
+
+    fn report(&mut self, now: Instant, customer: &CustomerId) -> LimitDemand {
+        let elapsed = now.saturating_duration_since(self.reported_at).max(REPORT_EVERY);
+        let demand = LimitDemand {
+            customer: customer.clone(),
+            requests_per_s: f64::from(self.asked) / elapsed.as_secs_f64(),
+            in_flight: self.in_flight,
+            refused: self.refused,
+        };
+        self.asked = 0;
+        self.refused = 0;
+        self.reported_at = now;
+        demand
+    }
+}
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -111,6 +111,12 @@
         1 + self.living().count()
     }
 
+    /// Names of the members that are alive, this VM included.
+    pub fn alive_names(&self) -> Vec<VmId> {
+        let others = self.living().map(|it| it.address.vm.clone());
+        std::iter::once(self.own.vm.clone()).chain(others).collect()
+    }
+
     /// All members but this VM, with their states.
     pub fn list(&self) -> Vec<MemberUpdate> {
         self.members.values().map(Member::update).collect()
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::limits::LimitDemand;
+use crate::limits::LimitShare;
 use crate::membership::MemberUpdate;
 
 /// A message from one VM to another.
@@ -24,6 +26,20 @@
         /// Digest of the document.
         digest: Digest,
     },
+    /// What customers ask of the sender, for their home.
+    LimitReport {
+        /// Sender.
+        from: PeerAddress,
+        /// Demands.
+        demands: Vec<LimitDemand>,
+    },
+    /// Shares of customers' limits, from their home.
+    LimitShares {
+        /// Sender.
+        from: PeerAddress,
+        /// Shares.
+        shares: Vec<LimitShare>,
+    },
     /// A configuration document in its stored form.
     Document {
         /// Sender.
@@ -72,7 +88,10 @@
     pub const fn from(&self) -> &PeerAddress {
         match self {
             Self::Heartbeat(heartbeat) => &heartbeat.from,
-            Self::DocumentWanted { from, .. } | Self::Document { from, .. } => from,
+            Self::DocumentWanted { from, .. }
+            | Self::LimitReport { from, .. }
+            | Self::LimitShares { from, .. }
+            | Self::Document { from, .. } => from,
         }
     }
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod heartbeats;
+mod limits;
 mod loads;
 mod platform;
 mod releases;
@@ -29,6 +30,7 @@
     spawn("peers", node, heartbeats::receive)?;
     spawn("loads", node, loads::poll)?;
     spawn("vm-list", node, platform::poll)?;
+    spawn("limits", node, limits::run)?;
     spawn("releases", node, releases::run)
 }
 
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -20,6 +20,7 @@
 use slog::info;
 
 use super::handle_replica;
+use super::limits;
 use crate::node::Node;
 
 /// Pause between two heartbeats to a neighbour.
@@ -109,6 +110,10 @@
             Some(PeerMessage::DocumentWanted { from, digest }) => {
                 send_document(node, &from, &digest);
             }
+            Some(PeerMessage::LimitReport { from, demands }) => {
+                limits::on_report(node, &from, &demands);
+            }
+            Some(PeerMessage::LimitShares { shares, .. }) => limits::take_shares(node, &shares),
             Some(PeerMessage::Document { body, .. }) => on_document(node, &body),
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,6 +15,8 @@
 use cranberryvalve_adapters::telemetry;
 use cranberryvalve_coordination::leaving::LeavingView;
 use cranberryvalve_coordination::ledger::Release;
+use cranberryvalve_coordination::limits::LimitClient;
+use cranberryvalve_coordination::limits::LimitHome;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::replica::Freshness;
@@ -44,6 +46,8 @@
     replica: Mutex<Replica>,
     membership: Mutex<Membership>,
     leaving: Mutex<LeavingView>,
+    limits: Mutex<LimitClient>,
+    limit_home: Mutex<LimitHome>,
     releases: Mutex<Vec<Release>>,
     draining: AtomicBool,
 }
@@ -77,6 +81,8 @@
             replica: Mutex::new(Replica::new(Instant::now())),
             membership: Mutex::new(Membership::new(own, started_unix_ms)),
             leaving: Mutex::default(),
+            limits: Mutex::default(),
+            limit_home: Mutex::default(),
             releases: Mutex::default(),
             draining: AtomicBool::new(false),
             settings,
@@ -95,6 +101,14 @@
         self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn limits(&self) -> MutexGuard<'_, LimitClient> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn limit_home(&self) -> MutexGuard<'_, LimitHome> {
+        self.limit_home.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Ledger rows that are still to be freed.
     pub(crate) fn releases(&self) -> MutexGuard<'_, Vec<Release>> {
         self.releases.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/service/access.rs
+++ b/crates/daemon/src/service/access.rs
@@ -1,8 +1,11 @@
 //! Who calls, and with which class.
 
+use std::time::Instant;
+
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_core::Config;
+use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::CustomerSpec;
 use cranberryvalve_core::NotRunReason;
 use cranberryvalve_core::Outcome;
@@ -41,6 +44,35 @@
         .ok_or_else(|| Problem::unauthorized("the API key is not known".to_owned()))
 }
 
+/// A customer's place within its limits, given back when it is dropped.
+pub(super) struct LimitGuard<'a> {
+    node: &'a Node,
+    customer: CustomerId,
+}
+
+impl Drop for LimitGuard<'_> {
+    fn drop(&mut self) {
+        self.node.limits().ended(&self.customer);
+    }
+}
+
+/// Takes a place within the customer's limits.
+pub(super) fn take_place<'a>(
+    node: &'a Node,
+    customer: &CustomerSpec,
+) -> Result<LimitGuard<'a>, Problem> {
+    let vms_alive = node.membership().alive();
+    let admitted = node.limits().admit(Instant::now(), customer, vms_alive);
+    match admitted {
+        Ok(()) => Ok(LimitGuard { node, customer: customer.id.clone() }),
+        Err(reached) => {
+            let reason = NotRunReason::CustomerLimit;
+            metrics::counter!("cranberryvalve_customer_limited_total").increment(1);
+            Err(Problem::outcome(Outcome::not_run(reason, reached.retry_after)))
+        }
+    }
+}
+
 /// The class that the request names, or the customer's first one.
 pub(super) fn class<'a>(
     config: &'a Config,
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -66,6 +66,7 @@
     check_model(&config, &body)?;
     let digest = Digest::of(&request.body);
     let position = resume_position(node, customer, &digest, request)?;
+    let _place = access::take_place(node, customer)?;
     let ticket = node.dispatcher.admit(Ask {
         class: class.id.clone(),
         customer: customer.id.clone(),
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -63,6 +63,7 @@
     let is_safe = matches!(&*request.head.method, "GET" | "HEAD");
     let repeatable = is_safe || route.idempotent;
     let key = if repeatable { None } else { Some(idempotency_key(request)?) };
+    let _place = access::take_place(node, customer)?;
     let ticket = node.dispatcher.admit(Ask {
         class: class.id.clone(),
         customer: customer.id.clone(),
--- /dev/null
+++ b/crates/daemon/tests/customer_limits.rs
@@ -0,0 +1,72 @@
+//! A customer's limits over all VMs, with real processes.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::client::ChatReply;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::vm::wait_until;
+
+const SOON: Duration = Duration::from_secs(20);
+
+fn start() -> Cluster {
+    let settings = ClusterSettings { vms: 3, engines: 6, ..ClusterSettings::default() };
+    let program = Path::new(env!("CARGO_BIN_EXE_cranberryvalved"));
+    Cluster::start_with(program, settings, |config| config.customers[0].max_in_flight = Some(6))
+        .expect("the deployment starts")
+}
+
+fn chat(customer: usize, number: usize) -> Chat {
+    let prompt = format!("request {number}");
+    Chat::new(&config::api_key(customer), config::COMMENTARY, config::MODEL, &prompt).tokens(400)
+}
+
+fn chat_all(cluster: &Cluster, customer: usize, count: usize) -> Vec<ChatReply> {
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..count)
+            .map(|number| {
+                let callers = cluster.vms[number % 3].callers;
+                scope.spawn(move || client::chat(callers, &chat(customer, number)))
+            })
+            .collect();
+        threads.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
+    })
+}
+
+#[test]
+fn in_flight_is_held_over_all_vms() {
+    let cluster = start();
+    let knows = || cluster.vms.iter().all(|vm| vm.dump()["members_alive"] == 3);
+    assert!(wait_until(SOON, knows), "the VMs do not know each other");
+    let replies = chat_all(&cluster, 0, 24);
+    let (served, refused): (Vec<_>, Vec<_>) = replies.iter().partition(|it| it.complete);
+    // One request for each VM may come on top.
+    assert!((1..=6 + 3).contains(&served.len()), "{} of 6 in flight", served.len());
+    assert!(refused.iter().all(|it| it.reason == "customer_limit"), "{refused:?}");
+    let all = chat_all(&cluster, 1, 24);
+    assert!(all.iter().all(|it| it.complete), "another customer is limited too");
+}
+
+#[test]
+fn whole_limit_moves_to_the_vm_that_is_asked() {
+    let cluster = start();
+    let knows = || cluster.vms.iter().all(|vm| vm.dump()["members_alive"] == 3);
+    assert!(wait_until(SOON, knows), "the VMs do not know each other");
+    // One VM has two places by an even share; it gets all six once its home knows of the demand.
+    let grown = wait_until(SOON, || {
+        let replies: Vec<ChatReply> = thread::scope(|scope| {
+            let callers = cluster.vms[0].callers;
+            let threads: Vec<_> = (0..6)
+                .map(|number| scope.spawn(move || client::chat(callers, &chat(0, number))))
+                .collect();
+            threads.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
+        });
+        replies.iter().all(|it| it.complete)
+    });
+    assert!(grown, "one VM never gets the whole limit");
+}
