feat: orders to engines under a lease with fencing

Cause: orders to load models or change roles were declared and carried out by nobody. Before: nothing.

--- a/crates/adapters/src/upstream.rs
+++ b/crates/adapters/src/upstream.rs
@@ -8,6 +8,7 @@
 mod call;
 mod connection;
 mod engine;
+mod order;
 
 pub use call::CallError;
 pub use call::UpstreamAnswer;
@@ -21,6 +22,9 @@
 pub use engine::decode_chunk;
 pub use engine::fetch_status;
 pub use engine::open_stream;
+pub use order::OrderResult;
+pub use order::carries_order;
+pub use order::send_order;
 
 /// Header in which an upstream attests that it did not run a request.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,12 +4,14 @@
 //! what an adapter must do. None of them has a clock, a thread, a socket or unseeded randomness,
 //! so that each can be embedded anywhere and tested exhaustively.
 //!
+//! - [`lease`]: one holder at a time, with fencing tokens.
 //! - [`ledger`]: at-most-once execution of calls that may not be repeated.
 //! - [`plan`]: changes that are planned first, and confirmed by one conditional write.
 //! - [`replica`]: an accepted configuration in force on every VM, never reverting.
 //! - [`limits`]: a customer's rate and concurrency over all VMs.
 //! - [`membership`]: which VMs are alive, and which of them talk to each other.
 //! - [`leaving`]: which upstreams leave, from sources that lag and disagree.
+//! - [`orders`]: what is left to order of an engine.
 //! - [`peer`]: the messages that VMs exchange.
 //! - [`store`]: the port to the table service and the object store.
 //!
@@ -25,10 +27,12 @@
 //! assert_eq!(replica.freshness(now + Duration::from_secs(9)), Freshness::Stale);
 //! ```
 
+pub mod lease;
 pub mod leaving;
 pub mod ledger;
 pub mod limits;
 pub mod membership;
+pub mod orders;
 pub mod peer;
 pub mod plan;
 pub mod replica;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -4,6 +4,7 @@
 mod heartbeats;
 mod limits;
 mod loads;
+mod orders;
 mod platform;
 mod releases;
 
@@ -31,6 +32,7 @@
     spawn("loads", node, loads::poll)?;
     spawn("vm-list", node, platform::poll)?;
     spawn("limits", node, limits::run)?;
+    spawn("orders", node, orders::run)?;
     spawn("releases", node, releases::run)
 }
 
--- /dev/null
+++ b/crates/daemon/tests/engine_orders.rs
@@ -0,0 +1,96 @@
+//! Orders to engines: each once and in sequence, whoever dies or pauses.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cranberryvalve_core::EngineOrder;
+use cranberryvalve_core::ModelAction;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::vm::wait_until;
+use serde_json::json;
+
+const SOON: Duration = Duration::from_secs(60);
+
+fn start(vms: usize) -> Cluster {
+    let settings = ClusterSettings { vms, engines: 6, ..ClusterSettings::default() };
+    Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
+        .expect("the deployment starts")
+}
+
+fn orders() -> Vec<EngineOrder> {
+    let order = |action, subject: &str| EngineOrder { action, subject: subject.into() };
+    vec![
+        order(ModelAction::Load, "harbour-7b-v2"),
+        order(ModelAction::Load, "adapter-tides"),
+        order(ModelAction::Unload, "harbour-7b-v1"),
+    ]
+}
+
+/// Declares the orders for `engine`.
+fn declare(cluster: &Cluster, engine: usize, checks_fencing: bool) {
+    let mut config = cluster.config.clone();
+    config.upstreams[engine].orders = orders();
+    config.upstreams[engine].checks_fencing = checks_fencing;
+    let reply = cluster.apply(0, &json!({ "intent": "declare", "config": config }));
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
+fn carried_out(cluster: &Cluster, engine: usize) -> Vec<EngineOrder> {
+    cluster.engines[engine].orders().carried_out.into_iter().map(|it| it.order).collect()
+}
+
+/// The VM that holds the lease for orders to `engine`.
+fn holder(cluster: &Cluster, engine: usize) -> Option<usize> {
+    let row = cluster.platform.row(&format!("orders/engine-{engine}"))?;
+    let row: serde_json::Value = serde_json::from_slice(&row).ok()?;
+    let token = row["holder"].as_str()?.to_owned();
+    (0..cluster.vms.len()).find(|it| token.starts_with(&format!("vm-{it}-")))
+}
+
+#[test]
+fn each_order_is_carried_out_once() {
+    let cluster = start(3);
+    for engine in 0..6 {
+        cluster.engines[engine].set_faults(|it| it.lose_order_answers = 1);
+    }
+    let mut config = cluster.config.clone();
+    config.upstreams.iter_mut().take(6).for_each(|it| it.orders = orders());
+    cluster.apply(0, &json!({ "intent": "declare", "config": config }));
+    let done = || (0..6).all(|engine| carried_out(&cluster, engine).len() >= 3);
+    assert!(wait_until(SOON, done), "not all orders are carried out");
+    for engine in 0..6 {
+        assert_eq!(carried_out(&cluster, engine), orders());
+    }
+}
+
+#[test]
+fn killed_holder_is_succeeded() {
+    let mut cluster = start(3);
+    cluster.engines[0].set_faults(|it| it.order_delay = Duration::from_millis(1_500));
+    declare(&cluster, 0, true);
+    assert!(wait_until(SOON, || !carried_out(&cluster, 0).is_empty()));
+    let killed = holder(&cluster, 0).expect("a holder");
+    cluster.vms[killed].kill();
+    assert!(wait_until(SOON, || carried_out(&cluster, 0).len() >= 3), "nobody goes on");
+    assert_eq!(carried_out(&cluster, 0), orders());
+}
+
+#[test]
+fn paused_holder_does_no_harm() {
+    for checks_fencing in [true, false] {
+        let cluster = start(3);
+        cluster.engines[0].set_faults(|it| {
+            it.order_delay = Duration::from_millis(1_000);
+            it.ignores_fencing = !checks_fencing;
+        });
+        declare(&cluster, 0, checks_fencing);
+        assert!(wait_until(SOON, || !carried_out(&cluster, 0).is_empty()));
+        let paused = holder(&cluster, 0).expect("a holder");
+        cluster.vms[paused].pause();
+        assert!(wait_until(SOON, || carried_out(&cluster, 0).len() >= 3), "nobody goes on");
+        cluster.vms[paused].resume();
+        std::thread::sleep(Duration::from_secs(3));
+        assert_eq!(carried_out(&cluster, 0), orders());
+    }
+}
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -1,6 +1,12 @@
-//! Placeholder.
+//! Benchmarks. They print figures and judge nothing.
+
+mod decisions;
+mod process;
+mod spread;
+mod streams;
 
 use eyre::Result;
+use eyre::bail;
 use gumdrop::Options;
 
 use crate::Held;
@@ -9,8 +15,21 @@
 pub(crate) struct BenchOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
+    #[options(free, help = "decisions, streams or spread; all by default")]
+    names: Vec<String>,
 }
 
-pub(crate) fn run(_options: &BenchOptions) -> Result<Held> {
+/// Runs the benchmarks that are named, or all.
+pub(crate) fn run(options: &BenchOptions) -> Result<Held> {
+    let all = ["decisions", "streams", "spread"].map(str::to_owned);
+    let names = if options.names.is_empty() { &all[..] } else { &options.names };
+    for name in names {
+        match name.as_str() {
+            "decisions" => decisions::run(),
+            "streams" => streams::run()?,
+            "spread" => spread::run()?,
+            other => bail!("no benchmark `{other}`; decisions, streams and spread are known"),
+        }
+    }
     Ok(Held::Yes)
 }
--- /dev/null
+++ b/crates/lab/src/bench/streams.rs
@@ -0,0 +1,143 @@
+//! What one VM process carries, and what it adds to a direct connection.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_standins::client;
+use cranberryvalve_standins::client::Chat;
+use cranberryvalve_standins::client::ChatReply;
+use cranberryvalve_standins::cluster::Cluster;
+use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config;
+use cranberryvalve_standins::engine::EngineSettings;
+use eyre::Result;
+
+use super::process;
+use crate::programs;
+use crate::report;
+use crate::report::percentile;
+
+/// Streams at the same time.
+const STREAMS: [usize; 3] = [100, 400, 1_600];
+
+/// Pause between two tokens of a stream.
+const TOKEN_INTERVAL: Duration = Duration::from_millis(39);
+
+/// Tokens of each answer.
+const TOKENS: u64 = 120;
+
+/// Requests that are compared with a direct connection.
+const COMPARED: usize = 60;
+
+/// Runs the streams at each size.
+pub(super) fn run() -> Result<()> {
+    let settings = ClusterSettings {
+        vms: 1,
+        engines: 4,
+        engine: EngineSettings {
+            slots: 1_000,
+            token_interval: TOKEN_INTERVAL,
+            prefill: Duration::from_millis(5),
+            ..EngineSettings::default()
+        },
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start_with(&programs::daemon()?, settings, |config| {
+        config.upstreams.iter_mut().for_each(|it| it.slots = 1_000);
+    })?;
+    compare(&cluster);
+    report::line("\nstreams: one VM process, a token each 39 ms in each stream");
+    let idle_mib = process::memory_mib(cluster.vms[0].pid());
+    let mut rows = vec![vec!["0".to_owned(), "-".into(), "-".into(), format!("{idle_mib:.1}")]];
+    for streams in STREAMS {
+        rows.push(run_streams(&cluster, streams));
+    }
+    report::table(&["streams", "tokens/s", "core %", "memory MiB"], &rows);
+    Ok(())
+}
+
+fn run_streams(cluster: &Cluster, streams: usize) -> Vec<String> {
+    let vm = &cluster.vms[0];
+    let (callers, pid) = (vm.callers, vm.pid());
+    let cpu_before = process::cpu_time(pid);
+    let started = Instant::now();
+    let mut peak_mib = 0.0_f64;
+    let tokens: usize = thread::scope(|scope| {
+        let threads: Vec<_> = (0..streams)
+            .filter_map(|number| {
+                let thread = thread::Builder::new().stack_size(256 * 1024);
+                thread.spawn_scoped(scope, move || client::chat(callers, &chat(number))).ok()
+            })
+            .collect();
+        while threads.iter().any(|it| !it.is_finished()) {
+            peak_mib = peak_mib.max(process::memory_mib(pid));
+            thread::sleep(Duration::from_millis(50));
+        }
+        let replies = threads.into_iter().filter_map(|it| it.join().ok());
+        replies.map(|it| it.tokens.len()).sum()
+    });
+    let elapsed = started.elapsed().as_secs_f64();
+    let cpu = (process::cpu_time(pid) - cpu_before).as_secs_f64();
+    vec![
+        streams.to_string(),
+        format!("{:.0}", tokens as f64 / elapsed),
+        format!("{:.1}", 100.0 * cpu / elapsed),
+        format!("{peak_mib:.1}"),
+    ]
+}
+
+fn chat(number: usize) -> Chat {
+    let prompt = format!("stream {number}");
+    let key = config::api_key(number % 4);
+    Chat::new(&key, config::COMMENTARY, config::MODEL, &prompt).tokens(TOKENS)
+}
+
+/// Compares the times through the VM with those of a direct connection, in turn.
+fn compare(cluster: &Cluster) {
+    let vm = cluster.vms[0].callers;
+    let engine = cluster.engines[0].address();
+    let mut direct = Times::default();
+    let mut routed = Times::default();
+    for number in 0..COMPARED {
+        direct.add(engine, number * 2);
+        routed.add(vm, number * 2 + 1);
+    }
+    let (direct, routed) = (direct.medians_ms(), routed.medians_ms());
+    report::line("\noverhead: through one VM against a direct connection, medians in turn");
+    let row = |name: &str, routed: f64, direct: f64| {
+        vec![
+            name.to_owned(),
+            format!("{direct:.2}"),
+            format!("{routed:.2}"),
+            format!("{:.3}", routed / direct),
+        ]
+    };
+    let rows = [
+        row("time to first token", routed.0, direct.0),
+        row("time between tokens", routed.1, direct.1),
+    ];
+    report::table(&["", "direct ms", "routed ms", "ratio"], &rows);
+}
+
+#[derive(Default)]
+struct Times {
+    first_token_ms: Vec<f64>,
+    token_interval_ms: Vec<f64>,
+}
+
+impl Times {
+    fn add(&mut self, to: SocketAddr, number: usize) {
+        let reply: ChatReply = client::chat(to, &chat(number + 10_000).tokens(20));
+        let ms = |it: Duration| it.as_secs_f64() * 1_000.0;
+        self.first_token_ms.extend(reply.first_token.map(ms));
+        self.token_interval_ms.extend(reply.token_interval().map(ms));
+    }
+
+    fn medians_ms(mut self) -> (f64, f64) {
+        self.first_token_ms.sort_by(f64::total_cmp);
+        self.token_interval_ms.sort_by(f64::total_cmp);
+        (percentile(&self.first_token_ms, 50), percentile(&self.token_interval_ms, 50))
+    }
+}
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -54,6 +54,8 @@
     settings: RouterSettings,
     config: Arc<Config>,
     upstreams: UpstreamTable,
+    /// Upstreams of each pool that this VM considers.
+    subsets: BTreeMap<PoolId, Vec<UpstreamId>>,
     queues: BTreeMap<PoolId, PoolQueue>,
     requests: HashMap<RequestId, Tracked>,
     budgets: RetryBudgets,
@@ -104,6 +106,7 @@
             settings,
             config: Arc::default(),
             upstreams: UpstreamTable::default(),
+            subsets: BTreeMap::new(),
             queues: BTreeMap::new(),
             requests: HashMap::new(),
             budgets: RetryBudgets::default(),
--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -174,6 +174,7 @@
     ) {
         let Some(upstream) = self.upstreams.entry(id) else { return };
         upstream.leaving = leaving;
+        self.choose_subsets();
         self.dispatch_pools_of(now, id, actions);
     }
 
@@ -185,6 +186,7 @@
     ) {
         self.upstreams.reconcile(&config);
         self.config = config;
+        self.choose_subsets();
         for pool in self.upstreams.pools() {
             self.dispatch(now, &pool, actions);
         }
@@ -220,7 +222,10 @@
             AttemptEnd::NotSent | AttemptEnd::Broken { .. } => upstream.circuit.failed(now),
             AttemptEnd::Refused { leaving } => {
                 upstream.circuit.inconclusive();
-                upstream.leaving |= leaving;
+                if leaving && !upstream.leaving {
+                    upstream.leaving = true;
+                    self.choose_subsets();
+                }
             }
             AttemptEnd::Stalled if upstream.is_busy(now) => upstream.circuit.inconclusive(),
             AttemptEnd::Stalled => upstream.circuit.failed(now),
--- a/crates/policy/src/router/placement.rs
+++ b/crates/policy/src/router/placement.rs
@@ -17,6 +17,7 @@
 
 use super::Router;
 use crate::upstream::Upstream;
+use crate::upstream::UpstreamTable;
 
 /// Times the pool's mean load up to which prefix affinity is followed.
 const AFFINITY_LOAD_BOUND: f64 = 1.25;
@@ -65,7 +66,7 @@
         let fresh = |it: &&Upstream| !tracked.avoid.contains(&it.spec.id);
         let any_fresh = subset.iter().any(fresh);
         let eligible = subset.iter().copied().filter(|it| !any_fresh || fresh(it));
-        let median_ms = self.upstreams.median_pace_ms(pool);
+        let median_ms = UpstreamTable::median_pace_ms(subset.iter().copied());
         let candidates: Vec<Candidate<'_>> = eligible
             .filter_map(|it| self.candidate(now, it, slot_tier, overflow, median_ms))
             .collect();
@@ -125,32 +126,38 @@
     ///
     /// Those that are leaving are among them, since their own word may bring them back.
     pub fn considered_upstreams(&self) -> Vec<UpstreamSpec> {
-        let pools = self.upstreams.pools();
-        let considered = pools.iter().flat_map(|pool| self.considered(pool));
+        let ids = self.subsets.values().flatten();
+        let considered = ids.filter_map(|id| self.upstreams.get(id));
         let leaving = self.upstreams.iter().filter(|it| it.leaving);
         let by_id = considered.chain(leaving).map(|it| (it.spec.id.clone(), it.spec.clone()));
         let unique: BTreeMap<UpstreamId, Arc<UpstreamSpec>> = by_id.collect();
         unique.into_values().map(Arc::unwrap_or_clone).collect()
     }
 
-    /// Upstreams of `pool` that this VM considers and that take work.
-    fn subset(&self, now: Instant, pool: &PoolId) -> Vec<&Upstream> {
-        self.considered(pool).into_iter().filter(|it| it.takes_work(now)).collect()
+    /// Chooses anew which upstreams this VM considers, after some came or were withdrawn.
+    pub(super) fn choose_subsets(&mut self) {
+        let pools = self.upstreams.pools().into_iter();
+        self.subsets = pools.map(|pool| (pool.clone(), self.choose_subset(&pool))).collect();
     }
 
-    /// Upstreams of `pool` that this VM considers.
-    ///
     /// Each VM ranks the upstreams by a hash of both names (rendezvous hashing: Thaler and
     /// Ravishankar, 1998) and considers the first ones, so that the VMs' subsets overlap evenly
     /// and change little when an upstream comes or goes. Those that were withdrawn do not count.
-    fn considered(&self, pool: &PoolId) -> Vec<&Upstream> {
+    fn choose_subset(&self, pool: &PoolId) -> Vec<UpstreamId> {
         let in_service = self.upstreams.pool(pool).filter(|it| !it.is_withdrawn());
-        let mut upstreams: Vec<&Upstream> = in_service.collect();
-        if upstreams.len() > self.settings.subset_size {
-            upstreams.sort_by_cached_key(|it| hash_pair(&*self.settings.vm, &*it.spec.id));
-            upstreams.truncate(self.settings.subset_size);
+        let mut ids: Vec<UpstreamId> = in_service.map(|it| it.spec.id.clone()).collect();
+        if ids.len() > self.settings.subset_size {
+            ids.sort_by_cached_key(|id| hash_pair(&*self.settings.vm, &**id));
+            ids.truncate(self.settings.subset_size);
         }
-        upstreams
+        ids
+    }
+
+    /// Upstreams of `pool` that this VM considers and that take work.
+    fn subset(&self, now: Instant, pool: &PoolId) -> Vec<&Upstream> {
+        let ids = self.subsets.get(pool).map_or(&[][..], Vec::as_slice);
+        let considered = ids.iter().filter_map(|id| self.upstreams.get(id));
+        considered.filter(|it| it.takes_work(now)).collect()
     }
 }
 
--- a/crates/policy/src/upstream/table.rs
+++ b/crates/policy/src/upstream/table.rs
@@ -98,6 +98,10 @@
         self.upstreams.get_mut(id)
     }
 
+    pub(crate) fn get(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.get(id)
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
     }
@@ -134,15 +138,15 @@
 
     fn is_straggler(&self, id: &str, pool: &str) -> bool {
         let own_ms = self.upstreams.get(id).and_then(|it| it.pace.mean_ms());
-        match (own_ms, self.median_pace_ms(pool)) {
+        match (own_ms, Self::median_pace_ms(self.pool(pool))) {
             (Some(own_ms), Some(median_ms)) => own_ms >= median_ms * STRAGGLER_RATIO,
             _ => false,
         }
     }
 
-    /// Median of the paces of `pool` in milliseconds; none when no pace is known.
-    pub(crate) fn median_pace_ms(&self, pool: &str) -> Option<f64> {
-        let mut paces_ms: Vec<f64> = self.pool(pool).filter_map(|it| it.pace.mean_ms()).collect();
+    /// Median of the paces of `upstreams` in milliseconds; none when no pace is known.
+    pub(crate) fn median_pace_ms<'a>(upstreams: impl Iterator<Item = &'a Upstream>) -> Option<f64> {
+        let mut paces_ms: Vec<f64> = upstreams.filter_map(|it| it.pace.mean_ms()).collect();
         paces_ms.sort_by(f64::total_cmp);
         let middle = paces_ms.len().checked_sub(1)? / 2;
         paces_ms.get(middle).copied()
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,7 +6,6 @@
 mod scheduler;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -22,6 +21,7 @@
 use cranberryvalve_adapters::caller::CallerServer;
 use cranberryvalve_adapters::caller::Limits;
 use cranberryvalve_adapters::caller::Responder;
+use cranberryvalve_coordination::orders::FencedOrder;
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::Tier;
 use serde_json::Value;
@@ -74,6 +74,12 @@
     pub scrambled: bool,
     /// Whether its status is not answered.
     pub status_down: bool,
+    /// Whether it carries out orders with an old fencing token.
+    pub ignores_fencing: bool,
+    /// Time that an order takes.
+    pub order_delay: Duration,
+    /// Orders that it carries out and whose answer it loses.
+    pub lose_order_answers: u32,
 }
 
 /// What an engine did with one attempt.
@@ -115,10 +121,10 @@
 pub struct OrderBook {
     /// Highest fencing token seen.
     pub highest_fencing: u64,
-    /// Orders carried out: fencing token and content.
-    pub carried_out: Vec<(u64, String)>,
-    /// Models that are loaded.
-    pub loaded: BTreeSet<String>,
+    /// Orders carried out, in sequence.
+    pub carried_out: Vec<FencedOrder>,
+    /// Orders refused for an old fencing token.
+    pub refused: u32,
 }
 
 impl Engine {
@@ -211,7 +217,12 @@
         match (&*request.head.method, request.head.path()) {
             ("GET", "/load") if !faults.status_down => self.send_load(&faults, responder),
             ("POST", "/v1/chat/completions") => self.chat(&request, stream, responder),
-            ("POST", "/orders") => self.order(&request, responder),
+            ("POST", "/orders") => self.order(&request, &faults, responder),
+            ("GET", "/orders") => {
+                let orders = lock(&self.shared.orders).carried_out.clone();
+                let body = json!({ "orders": orders }).to_string();
+                let _ = responder.respond(200, &[], body.as_bytes());
+            }
             _ => responder.close(),
         }
     }
@@ -229,16 +240,23 @@
         let _ = responder.respond(200, &headers, body.as_bytes());
     }
 
-    fn order(&self, request: &CallerRequest, responder: &mut Responder<'_>) {
-        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let fencing = body["fencing"].as_u64();
-        let mut orders = lock(&self.shared.orders);
-        if fencing.is_some_and(|it| it < orders.highest_fencing) {
+    fn order(&self, request: &CallerRequest, faults: &EngineFaults, responder: &mut Responder<'_>) {
+        let Ok(order) = serde_json::from_slice::<FencedOrder>(&request.body) else {
+            let _ = responder.respond(400, &[], b"not an order");
+            return;
+        };
+        if !self.shared.admit_order(&order, faults.ignores_fencing) {
             let _ = responder.respond(409, &[("x-not-run", "true")], b"old fencing token");
             return;
         }
-        orders.highest_fencing = fencing.unwrap_or(orders.highest_fencing);
-        orders.carried_out.push((fencing.unwrap_or(0), body["order"].to_string()));
+        thread::sleep(faults.order_delay);
+        lock(&self.shared.orders).carried_out.push(order);
+        let mut faults = lock(&self.shared.faults);
+        if faults.lose_order_answers > 0 {
+            faults.lose_order_answers -= 1;
+            responder.close();
+            return;
+        }
         let _ = responder.respond(200, &[], b"{}");
     }
 
@@ -351,6 +369,17 @@
         thread::sleep(usual * slowdown);
     }
 
+    /// Whether an order is accepted, by its fencing token.
+    fn admit_order(&self, order: &FencedOrder, ignores_fencing: bool) -> bool {
+        let mut orders = lock(&self.orders);
+        if order.fencing < orders.highest_fencing && !ignores_fencing {
+            orders.refused += 1;
+            return false;
+        }
+        orders.highest_fencing = orders.highest_fencing.max(order.fencing);
+        true
+    }
+
     /// Time for reading a prompt, and notes it as cached.
     fn prefill_of(&self, digest: &Digest) -> Duration {
         let mut prefixes = lock(&self.prefixes);
