test: silent peer link and parted VMs; measure the worth of peers' pressure

Cause: a peer link that carries nothing for good, and VMs cut off while a plan is confirmed, were not provoked; what peers' pressure brings was not measured. Change: an advertised address (also for VMs behind address translation) lets a proxy sit in a peer link; measure has a variant without word from peers.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -61,7 +61,7 @@
         let platform = PlatformClient::new(settings.platform_address);
         let own = PeerAddress {
             vm: settings.vm.clone(),
-            address: settings.peer_address,
+            address: settings.advertised_address,
             failure_domain: settings.failure_domain.clone(),
         };
         let started_unix_ms = telemetry::unix_ms();
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -38,6 +38,11 @@
     operator_address: Option<String>,
     #[options(no_short, help = "IP address and port for other VMs")]
     peer_address: Option<String>,
+    #[options(
+        no_short,
+        help = "IP address and port at which other VMs reach this one, if another"
+    )]
+    advertised_address: Option<String>,
     #[options(no_short, help = "IP address and port of the platform")]
     platform_address: Option<String>,
     #[options(
@@ -69,6 +74,8 @@
     pub(crate) caller_address: SocketAddr,
     pub(crate) operator_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
+    /// Address at which other VMs reach this one.
+    pub(crate) advertised_address: SocketAddr,
     pub(crate) platform_address: SocketAddr,
     pub(crate) operator_token: Arc<str>,
     pub(crate) shared_secret: Arc<str>,
@@ -100,6 +107,11 @@
             caller_address: reader.address("caller-address", &flags.caller_address),
             operator_address: reader.address("operator-address", &flags.operator_address),
             peer_address: reader.address("peer-address", &flags.peer_address),
+            advertised_address: reader.address(
+                "advertised-address",
+                &Reader::text("advertised-address", &flags.advertised_address)
+                    .or_else(|| Reader::text("peer-address", &flags.peer_address)),
+            ),
             platform_address: reader.address("platform-address", &flags.platform_address),
             operator_token: reader.secret("operator-token", &flags.operator_token),
             shared_secret: reader.secret("shared-secret", &flags.shared_secret),
--- a/crates/daemon/tests/config_spread.rs
+++ b/crates/daemon/tests/config_spread.rs
@@ -4,11 +4,15 @@
 use std::thread;
 use std::time::Duration;
 
+use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_standins::client;
 use cranberryvalve_standins::client::Chat;
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
 use cranberryvalve_standins::config;
+use cranberryvalve_standins::ports::free_address;
+use cranberryvalve_standins::proxy::Proxy;
+use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 use serde_json::Value;
 use serde_json::json;
@@ -137,6 +141,44 @@
     assert!(wait_until(IN_FORCE, || all_have(&cluster, 3)));
 }
 
+#[test]
+fn silent_peer_link_is_dialled_anew() {
+    // The second VM hears of the configuration over one link only, through the proxy.
+    let mut cluster = start(1);
+    let peers = free_address();
+    let proxy = Proxy::start(peers).expect("a proxy");
+    let mut settings = cluster.vms[0].settings.clone();
+    settings.name = "vm-behind-proxy".to_owned();
+    settings.flags.extend(["--advertised-address".to_owned(), proxy.address().to_string()]);
+    let addresses = [free_address(), free_address(), peers];
+    let vm = Vm::start_at(settings, addresses).expect("a VM");
+    cluster.platform.list_vm(PeerAddress { address: proxy.address(), ..vm.listing() });
+    cluster.vms.push(vm);
+    cluster.vms[1].wait_ready(SOON);
+    let meet = || cluster.vms.iter().all(|it| it.dump()["members_alive"] == 2);
+    assert!(wait_until(SOON, meet), "the VMs do not meet");
+    proxy.silence_present();
+    assert_eq!(cluster.apply(0, &drain(1)).status, 200);
+    cluster.platform.set_faults(|it| it.down = true);
+    assert!(wait_until(IN_FORCE, || all_have(&cluster, 2)), "the silent link is not replaced");
+}
+
+#[test]
+fn parted_region_catches_up_and_never_reverts() {
+    let cluster = start(3);
+    let plan = cluster.plan(0, "ana", &drain(1)).body;
+    cluster.vms[1].pause();
+    cluster.vms[2].pause();
+    assert_eq!(cluster.confirm(0, &plan).status, 200);
+    cluster.platform.set_faults(|it| it.down = true);
+    cluster.vms[1].resume();
+    cluster.vms[2].resume();
+    // The two that were parted are the majority, and still take the higher version.
+    assert!(wait_until(IN_FORCE, || all_have(&cluster, 2)));
+    thread::sleep(Duration::from_secs(2));
+    assert!(all_have(&cluster, 2), "a VM went back");
+}
+
 #[test]
 fn altered_plan_is_refused() {
     let cluster = start(1);
--- a/crates/lab/src/campaign.rs
+++ b/crates/lab/src/campaign.rs
@@ -9,6 +9,7 @@
 
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 use eyre::Result;
 use gumdrop::Options;
@@ -95,7 +96,7 @@
 /// Notes the versions in force once all VMs had time to agree.
 fn observe_versions(cluster: &Cluster, observations: &mut Observations) {
     let versions = || -> Vec<u64> {
-        let dumps = cluster.vms.iter().map(|it| it.dump());
+        let dumps = cluster.vms.iter().map(Vm::dump);
         dumps.filter_map(|it| it["config"]["version"].as_u64()).collect()
     };
     wait_until(AGREE, || {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -37,7 +37,7 @@
 pub(crate) fn run(options: &MeasureOptions) -> Result<Held> {
     for deployment in chosen(options)? {
         report::line(&format!("\n{}: {}", deployment.name, deployment.describe()));
-        for decider in [Decider::Router, Decider::Naive] {
+        for decider in [Decider::Router, Decider::Alone, Decider::Naive] {
             let mut sum = BTreeMap::<&'static str, Tally>::new();
             for seed in SEEDS {
                 for (class, tally) in run_once(&deployment, decider, seed) {
--- a/crates/lab/src/measure/run.rs
+++ b/crates/lab/src/measure/run.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Decider {
     Router,
+    /// The router without word from its peers.
+    Alone,
     Naive,
 }
 
@@ -71,6 +73,7 @@
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::Router => "cranberryvalve",
+            Self::Alone => "cranberryvalve, VMs do not tell each other of waiting requests",
             Self::Naive => "naive: round robin, first come first served, no retries",
         }
     }
@@ -127,6 +130,7 @@
     attempts: BTreeMap<AttemptKey, usize>,
     begun: BTreeSet<AttemptKey>,
     last_id: RequestId,
+    has_gossip: bool,
     rng: Pcg64Mcg,
 }
 
@@ -155,7 +159,7 @@
         let epoch = Instant::now() + Duration::from_secs(1_000);
         let config = deployment.config();
         let vms = (0..deployment.vms).map(|number| match decider {
-            Decider::Router => {
+            Decider::Router | Decider::Alone => {
                 let settings = RouterSettings::new(format!("vm-{number}").into(), seed);
                 Vm::Router(Box::new(Router::new(settings, config.clone(), epoch)))
             }
@@ -163,7 +167,7 @@
         });
         let engines = (0..deployment.engines).map(|number| {
             let slowdown = if number == STRAGGLER { STRAGGLER_SLOWDOWN } else { 1.0 };
-            FakeEngine::new(deployment.slots as usize, slowdown, decider == Decider::Router)
+            FakeEngine::new(deployment.slots as usize, slowdown, decider != Decider::Naive)
         });
         Self {
             deployment,
@@ -177,6 +181,7 @@
             attempts: BTreeMap::new(),
             begun: BTreeSet::new(),
             last_id: 0,
+            has_gossip: decider == Decider::Router,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -200,7 +205,9 @@
         }
         self.schedule(Duration::ZERO, Happening::Tick);
         self.schedule(Duration::ZERO, Happening::Report);
-        self.schedule(Duration::ZERO, Happening::Gossip);
+        if self.has_gossip {
+            self.schedule(Duration::ZERO, Happening::Gossip);
+        }
     }
 
     fn step(&mut self, happening: Happening) {
