--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -71,7 +71,7 @@
         /// Digest of the document.
         digest: Digest,
     },
-    /// Put a document in force, and push it to the peers.
+    /// Put a document in force, and announce it to the peers.
     PutInForce(Arc<ConfigDocument>),
 }
 
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -18,6 +18,7 @@
 use slog::info;
 use slog::warn;
 
+use super::heartbeats;
 use super::sleep_about;
 use crate::node::Node;
 
@@ -77,17 +78,12 @@
     }
 }
 
-/// Applies a document and pushes it to the neighbours, who push it on.
+/// Applies a document and announces it to the neighbours, who ask for it and announce it on.
+///
+/// The announcement is small; a neighbour that has the document already costs no more than that.
 fn put_in_force(node: &Node, document: &Arc<ConfigDocument>) {
     node.dispatcher.put_in_force(document.config.clone());
     metrics::gauge!("cranberryvalve_config_version").set(document.version as f64);
     info!(node.log, "configuration in force"; "version" => document.version, "plan" => &*document.plan);
-    let (from, neighbours) = {
-        let membership = node.membership();
-        (membership.own().clone(), membership.neighbours())
-    };
-    let message = PeerMessage::Document { from, body: document.to_bytes() };
-    for neighbour in neighbours {
-        node.links.send(&neighbour, &message);
-    }
+    heartbeats::announce(node);
 }
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -57,6 +57,15 @@
     pressure.entries.iter().map(|it| (it.pool.clone(), it.tier)).collect()
 }
 
+/// Sends a heartbeat to each neighbour at once, since a new configuration is in force.
+pub(super) fn announce(node: &Node) {
+    let neighbours = node.membership().neighbours();
+    let pressure = node.dispatcher.pressure();
+    for neighbour in &neighbours {
+        send_heartbeat(node, neighbour, pressure.clone());
+    }
+}
+
 /// Sends one heartbeat to each neighbour, and on regular rounds to one member thought dead.
 fn send_round(node: &Node, pressure: &PressureDigest, regular_turn: Option<usize>) {
     let receivers = {
--- a/crates/lab/src/bench/spread.rs
+++ b/crates/lab/src/bench/spread.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::Config;
+use cranberryvalve_core::UpstreamKind;
 use cranberryvalve_standins::client;
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::config::upstream;
 use cranberryvalve_standins::vm::Vm;
 use eyre::Result;
 use serde_json::json;
@@ -19,6 +22,10 @@
 /// Numbers of VMs.
 const SIZES: [usize; 5] = [4, 8, 16, 32, 64];
 
+/// Customers and upstreams in the document.
+const CUSTOMERS: usize = 440;
+const UPSTREAMS: usize = 600;
+
 /// Time for which control alone is measured.
 const QUIET: Duration = Duration::from_secs(8);
 
@@ -29,15 +36,25 @@
 pub(super) fn run() -> Result<()> {
     let mut times = Vec::new();
     let mut costs = Vec::new();
+    let mut document_bytes = 0;
     for vms in SIZES {
-        let settings =
-            ClusterSettings { vms, engines: 12, services: 3, ..ClusterSettings::default() };
-        let cluster = Cluster::start(&programs::daemon()?, settings)?;
+        let settings = ClusterSettings {
+            vms,
+            engines: 12,
+            services: 3,
+            customers: CUSTOMERS,
+            ..ClusterSettings::default()
+        };
+        let cluster = Cluster::start_with(&programs::daemon()?, settings, pad)?;
+        document_bytes = serde_json::to_vec(&cluster.config)?.len();
         thread::sleep(Duration::from_secs(5));
         costs.push(control_cost(&cluster));
         times.push(spread_times(&cluster));
     }
-    report::line("\nspread: time until in force on every VM, median and worst VM, in s");
+    report::line(&format!(
+        "\nspread: time until in force on every VM, median and worst VM, in s; the document has \
+         {document_bytes} bytes"
+    ));
     let header = ["VMs", "healthy", "store slow by 500 ms", "store down after"];
     report::table(&header, &times);
     report::line("\ncontrol: cost of one VM without requests, 15 upstreams");
@@ -54,6 +71,17 @@
     Ok(())
 }
 
+/// Adds upstreams up to the target size, out of service, so that the document has that size too.
+fn pad(config: &mut Config) {
+    for number in config.upstreams.len()..UPSTREAMS {
+        let address = ([127, 0, 0, 1], 1).into();
+        let id = format!("engine-{number}");
+        let mut upstream = upstream(&id, address, UpstreamKind::Engine, "lyttelton", 8);
+        upstream.drained = true;
+        config.upstreams.push(upstream);
+    }
+}
+
 fn spread_times(cluster: &Cluster) -> Vec<String> {
     let mut cells = vec![cluster.vms.len().to_string()];
     let mut drained = false;
