--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -2,12 +2,12 @@
 
 mod answer;
 mod body;
+mod pace;
 
 use std::io;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use cranberryvalve_adapters::caller::CallerRequest;
 use cranberryvalve_adapters::caller::Responder;
@@ -20,7 +20,6 @@
 use cranberryvalve_adapters::upstream::EngineStream;
 use cranberryvalve_adapters::upstream::Timeouts;
 use cranberryvalve_adapters::upstream::UpstreamAnswer;
-use cranberryvalve_core::Attempt;
 use cranberryvalve_core::Config;
 use cranberryvalve_core::CustomerSpec;
 use cranberryvalve_core::Digest;
@@ -34,6 +33,7 @@
 
 use self::answer::Answer;
 use self::body::ChatBody;
+use self::pace::AttemptPace;
 use super::access;
 use super::problem::Problem;
 use crate::dispatcher::Ask;
@@ -130,41 +130,6 @@
     assembler: TokenAssembler,
 }
 
-/// Tokens after which the router is told an attempt's pace.
-const PACE_TOKENS: u32 = 16;
-
-/// Pace of one attempt.
-#[derive(Default)]
-struct AttemptPace {
-    first_at: Option<Instant>,
-    tokens: u32,
-}
-
-impl AttemptPace {
-    /// Counts tokens, and tells the router of the first one and of the pace.
-    fn tell(&mut self, tokens: usize, ticket: &Ticket, attempt: Attempt) {
-        if tokens == 0 {
-            return;
-        }
-        if self.first_at.is_none() {
-            self.first_at = Some(Instant::now());
-            ticket.first_token(attempt);
-        }
-        let before = self.tokens;
-        self.tokens = before.saturating_add(u32::try_from(tokens).unwrap_or(u32::MAX));
-        let is_due = before < PACE_TOKENS && self.tokens >= PACE_TOKENS;
-        if let Some(token_interval) = self.token_interval().filter(|_| is_due) {
-            ticket.paced(attempt, token_interval);
-        }
-    }
-
-    /// Mean time between the tokens so far; none before the second one.
-    fn token_interval(&self) -> Option<Duration> {
-        let gaps = self.tokens.checked_sub(1).filter(|it| *it > 0)?;
-        Some(self.first_at?.elapsed() / gaps)
-    }
-}
-
 /// How reading an attempt's stream ended.
 enum Reading {
     Complete,
--- a/crates/policy/src/router/dispatch.rs
+++ b/crates/policy/src/router/dispatch.rs
@@ -23,9 +23,22 @@
 
 /// A turn that a request has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Turn {
-    Regular,
-    Promoted,
+struct Turn {
+    waiting: Waiting,
+    /// Whether it is ahead of its tier, because the request is overdue.
+    promoted: bool,
+}
+
+impl Turn {
+    /// Tier at which it is sent.
+    const fn slot_tier(self) -> Tier {
+        if self.promoted { PROMOTED_TIER } else { self.waiting.tier }
+    }
+
+    /// Requests above an upstream's slots that it may add.
+    const fn overflow(self) -> u32 {
+        if self.promoted { PROMOTED_OVERFLOW } else { 0 }
+    }
 }
 
 impl Router {
@@ -39,7 +52,7 @@
         let overdue = queue.due_promotion(now);
         let heads = queue.heads();
         if let Some(waiting) = overdue
-            && self.try_send(now, pool, &waiting, Turn::Promoted, actions)
+            && self.take_turn(now, pool, Turn { waiting, promoted: true }, actions)
         {
             return true;
         }
@@ -47,67 +60,57 @@
             if self.pressure.holds_back(now, pool, waiting.tier) {
                 return false;
             }
-            if self.try_send(now, pool, &waiting, Turn::Regular, actions) {
+            if self.take_turn(now, pool, Turn { waiting, promoted: false }, actions) {
                 return true;
             }
         }
         false
     }
 
-    /// Sends `waiting` or gives it up; false when it must go on waiting.
-    fn try_send(
+    /// Sends a request or gives it up; false when it must go on waiting.
+    fn take_turn(
         &mut self,
         now: Instant,
         pool: &PoolId,
-        waiting: &Waiting,
         turn: Turn,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let (slot_tier, overflow) = match turn {
-            Turn::Regular => (waiting.tier, 0),
-            Turn::Promoted => (PROMOTED_TIER, PROMOTED_OVERFLOW),
-        };
-        match self.place(now, pool, waiting.id, slot_tier, overflow) {
+        let id = turn.waiting.id;
+        match self.place(now, pool, id, turn.slot_tier(), turn.overflow()) {
             Placement::Upstream(upstream) => {
-                self.send(now, pool, waiting, turn, slot_tier, upstream, actions);
+                self.leave_queue(now, pool, turn);
+                actions.extend(self.send(now, turn, upstream));
                 true
             }
             Placement::NoneServes => {
                 let reason = NotRunReason::NoUpstream;
-                self.give_up_queued(waiting.id, reason, RETRY_AFTER_FAULT, actions);
+                self.give_up_queued(id, reason, RETRY_AFTER_FAULT, actions);
                 true
             }
             Placement::NoRoom => false,
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "all of it describes the one turn")]
-    fn send(
-        &mut self,
-        now: Instant,
-        pool: &PoolId,
-        waiting: &Waiting,
-        turn: Turn,
-        slot_tier: Tier,
-        upstream: UpstreamId,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Some(queue) = self.queues.get_mut(pool) {
-            match turn {
-                Turn::Regular => queue.take_regular(waiting),
-                Turn::Promoted => queue.take_promoted(now, waiting),
-            }
+    fn leave_queue(&mut self, now: Instant, pool: &PoolId, turn: Turn) {
+        let Some(queue) = self.queues.get_mut(pool) else { return };
+        if turn.promoted {
+            queue.take_promoted(now, &turn.waiting);
+        } else {
+            queue.take_regular(&turn.waiting);
         }
+    }
+
+    fn send(&mut self, now: Instant, turn: Turn, upstream: UpstreamId) -> Option<Action> {
+        let slot_tier = turn.slot_tier();
         if let Some(entry) = self.upstreams.entry(&upstream) {
             entry.load.add(slot_tier);
             entry.circuit.sent(now);
         }
-        let Some(tracked) = self.requests.get_mut(&waiting.id) else { return };
+        let tracked = self.requests.get_mut(&turn.waiting.id)?;
         tracked.attempts += 1;
         tracked.avoid.push(upstream.clone());
         tracked.stage = Stage::InFlight { upstream: upstream.clone(), slot_tier };
-        let attempt = tracked.attempts;
-        let order = SendOrder { id: waiting.id, attempt, upstream, priority: slot_tier };
-        actions.push(Action::Send(order));
+        let (id, attempt) = (turn.waiting.id, tracked.attempts);
+        Some(Action::Send(SendOrder { id, attempt, upstream, priority: slot_tier }))
     }
 }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,6 +3,7 @@
 //! The text of an answer depends only on the request and the position, so that any engine can
 //! continue what another one began, and a client can tell whether an answer is whole and its own.
 
+mod answer;
 mod scheduler;
 
 use std::collections::BTreeMap;
@@ -27,6 +28,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+use self::answer::answer_of;
+use self::answer::events;
+pub use self::answer::expected_tokens;
 use self::scheduler::Scheduler;
 use crate::ports::ANY;
 
@@ -185,24 +189,6 @@
     }
 }
 
-/// The tokens of the whole answer to a body.
-pub fn expected_tokens(body: &Value) -> Vec<String> {
-    let (digest, count) = answer_of(body);
-    (0..count).map(|position| token(&digest, position)).collect()
-}
-
-fn answer_of(body: &Value) -> (Digest, u64) {
-    let prompt = json!([body["model"], body["messages"]]).to_string();
-    let digest = Digest::of(prompt.as_bytes());
-    let count = body["max_tokens"].as_u64().unwrap_or(20 + digest.prefix_u64() % 40);
-    (digest, count)
-}
-
-fn token(digest: &Digest, position: u64) -> String {
-    let word = Digest::of(format!("{digest}/{position}").as_bytes());
-    format!("{}-{position} ", &word.as_str()[..6])
-}
-
 struct Handler {
     shared: Arc<Shared>,
 }
@@ -331,38 +317,6 @@
     }
 }
 
-/// The events for one token; a scrambled engine sends pairs the wrong way round, and more.
-fn events(
-    run: &EngineRun,
-    digest: &Digest,
-    position: u64,
-    is_last: bool,
-    scrambled: bool,
-) -> String {
-    let own = event(&run.attempt_id, position, &token(digest, position));
-    if !scrambled {
-        return own;
-    }
-    let foreign = event("another-answer-1", position, "not yours ");
-    let is_first_of_pair = (position - run.start).is_multiple_of(2);
-    if is_first_of_pair && !is_last {
-        return foreign;
-    }
-    if is_first_of_pair {
-        return own;
-    }
-    let earlier = event(&run.attempt_id, position - 1, &token(digest, position - 1));
-    format!("{own}{own}{foreign}{earlier}")
-}
-
-fn event(id: &str, position: u64, text: &str) -> String {
-    let chunk = json!({
-        "id": id, "object": "chat.completion.chunk", "token_index": position,
-        "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
-    });
-    format!("data: {chunk}\n\n")
-}
-
 impl Shared {
     fn pause(&self, usual: Duration) {
         let slowdown = lock(&self.faults).slowdown.max(1);
