fix: faults found by reading the tree as a newcomer

Cause and change, each with a test: - an answer was written to the ledger twice, three writes a call instead of two; - a caller that left cut its call that may not be repeated, and the answer was lost for good; such a call is finished now and recorded; - an upstream whose refusal said that it leaves stayed out for good, since its own later word was not compared with the refusal; - an upstream that was known to leave before the configuration named it was given work; - a plan could be confirmed unseen while a VM could not be reached: that is a hazard now.

--- a/crates/adapters/src/upstream/connection.rs
+++ b/crates/adapters/src/upstream/connection.rs
@@ -15,6 +15,7 @@
 
 use ureq::Agent;
 use ureq::Error;
+use ureq::config::AutoHeaderValue;
 use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::Buffers;
 use ureq::unversioned::transport::ConnectionDetails;
@@ -93,6 +94,9 @@
         .max_idle_connections(0)
         .max_redirects(0)
         .proxy(None)
+        .user_agent(AutoHeaderValue::None)
+        .accept(AutoHeaderValue::None)
+        .accept_encoding(AutoHeaderValue::None)
         .allow_non_standard_methods(true)
         .build();
     let connector = AttemptConnector { timeouts, cancel: cancel.clone() };
--- a/crates/coordination/src/leaving.rs
+++ b/crates/coordination/src/leaving.rs
@@ -55,6 +55,12 @@
         self.entries.get(upstream).copied().is_some_and(Sources::leaving)
     }
 
+    /// All upstreams that some source says leave.
+    pub fn leaving_upstreams(&self) -> Vec<UpstreamId> {
+        let leaving = self.entries.iter().filter(|(_, sources)| sources.leaving());
+        leaving.map(|(upstream, _)| upstream.clone()).collect()
+    }
+
     /// Takes a copy of the platform's list: each upstream and whether it leaves.
     ///
     /// A copy with a lower revision than one already seen is ignored.
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -122,6 +122,12 @@
         self.members.values().map(Member::update).collect()
     }
 
+    /// Names of the members that are thought dead.
+    pub fn dead_names(&self) -> Vec<VmId> {
+        let dead = self.members.values().filter(|it| it.state == MemberState::Dead);
+        dead.map(|it| it.address.vm.clone()).collect()
+    }
+
     /// Address of a member; none when it is not known.
     pub fn address_of(&self, vm: &str) -> Option<PeerAddress> {
         self.members.get(vm).map(|it| it.address.clone())
--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -21,6 +21,7 @@
 use cranberryvalve_core::OperatorId;
 use cranberryvalve_core::PlanId;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::VmId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -134,6 +135,23 @@
         }
     }
 
+    /// Adds a hazard for each VM that cannot be reached at present.
+    #[must_use]
+    pub fn unreachable(mut self, vms: &[VmId]) -> Self {
+        self.hazards.extend(vms.iter().map(|vm| Hazard::VmUnreachable { vm: vm.clone() }));
+        self
+    }
+
+    /// Whether both plans would change the same thing, whichever VMs could be reached.
+    pub fn changes_the_same(&self, other: &Self) -> bool {
+        let without_vms = |plan: &Self| {
+            let mut plan = plan.clone();
+            plan.hazards.retain(|it| !matches!(it, Hazard::VmUnreachable { .. }));
+            plan
+        };
+        without_vms(self) == without_vms(other)
+    }
+
     /// Names of the hazards that are not among `acknowledged`.
     pub fn unacknowledged(&self, acknowledged: &[Arc<str>]) -> Vec<Arc<str>> {
         let names = self.hazards.iter().map(Hazard::name);
--- a/crates/coordination/src/plan/hazard.rs
+++ b/crates/coordination/src/plan/hazard.rs
@@ -9,6 +9,7 @@
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
+use cranberryvalve_core::VmId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -46,6 +47,11 @@
         /// Class.
         class: ClassId,
     },
+    /// A VM cannot be reached at present, and would learn of the configuration later.
+    VmUnreachable {
+        /// VM.
+        vm: VmId,
+    },
     /// A customer can no longer call.
     CustomerRemoved {
         /// Customer.
@@ -61,6 +67,7 @@
             Self::DomainEmptied { failure_domain } => format!("domain-emptied:{failure_domain}"),
             Self::CapacityLoss { pool, .. } => format!("capacity-loss:{pool}"),
             Self::ClassRemoved { class } => format!("class-removed:{class}"),
+            Self::VmUnreachable { vm } => format!("vm-unreachable:{vm}"),
             Self::CustomerRemoved { customer } => format!("customer-removed:{customer}"),
         }
         .into()
@@ -80,6 +87,9 @@
                 write!(f, "{pool} loses {loss_percent}% of its slots at once")
             }
             Self::ClassRemoved { class } => write!(f, "class {class} is removed"),
+            Self::VmUnreachable { vm } => {
+                write!(f, "VM {vm} cannot be reached; if it runs, it learns of this later")
+            }
             Self::CustomerRemoved { customer } => write!(f, "customer {customer} is removed"),
         }
     }
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -82,7 +82,7 @@
 ///
 /// The announcement is small; a neighbour that has the document already costs no more than that.
 fn put_in_force(node: &Node, document: &Arc<ConfigDocument>) {
-    node.dispatcher.put_in_force(document.config.clone());
+    node.put_in_force(document.config.clone());
     metrics::gauge!("cranberryvalve_config_version").set(document.version as f64);
     info!(node.log, "configuration in force"; "version" => document.version, "plan" => &*document.plan);
     heartbeats::announce(node);
--- a/crates/daemon/src/control/loads.rs
+++ b/crates/daemon/src/control/loads.rs
@@ -23,7 +23,13 @@
 
 /// Pause between any two requests, which bounds what a VM spends on them; with many upstreams it
 /// stretches the period of each.
-const SPACING: Duration = Duration::from_millis(66);
+const SPACING: Duration = Duration::from_millis(40);
+
+/// The same where many VMs take more of what control may spend.
+const SPACING_MANY_VMS: Duration = Duration::from_millis(80);
+
+/// VMs above which there are many.
+const MANY_VMS: usize = 64;
 
 /// Threads that ask, so that one silent upstream does not delay the others.
 const WORKERS: usize = 4;
@@ -39,9 +45,11 @@
     let mut turn = 0;
     loop {
         let upstreams = node.dispatcher.considered_upstreams();
+        let is_many = node.membership().alive() > MANY_VMS;
+        let spacing = if is_many { SPACING_MANY_VMS } else { SPACING };
         asked_at.retain(|id, _| upstreams.iter().any(|it| it.id == *id));
         for upstream in upstreams {
-            thread::sleep(SPACING);
+            thread::sleep(spacing);
             let is_due = asked_at.get(&upstream.id).is_none_or(|it| it.elapsed() >= MIN_PERIOD);
             if !is_due {
                 continue;
@@ -50,7 +58,7 @@
             turn += 1;
             hand_out(&workers, turn, upstream);
         }
-        thread::sleep(SPACING);
+        thread::sleep(spacing);
     }
 }
 
@@ -83,10 +91,7 @@
 }
 
 fn report(node: &Node, upstream: UpstreamId, status: &EngineStatus) {
-    let change = node.leaving().on_own_word(&upstream, status.leaving);
-    if let Some(change) = change {
-        super::platform::tell_leaving(node, change);
-    }
+    node.hear_upstream(&upstream, status.leaving);
     let report = status.load_report();
     node.dispatcher.handle(Event::LoadReported { upstream, report });
 }
--- a/crates/daemon/src/control/platform.rs
+++ b/crates/daemon/src/control/platform.rs
@@ -5,10 +5,7 @@
 use std::time::Instant;
 
 use cranberryvalve_adapters::platform::VmList;
-use cranberryvalve_coordination::leaving::LeavingChange;
 use cranberryvalve_core::UpstreamId;
-use cranberryvalve_policy::Event;
-use slog::info;
 
 use super::sleep_about;
 use crate::node::Node;
@@ -39,13 +36,6 @@
         list.upstreams.into_iter().map(|it| (it.id, it.leaving)).collect();
     let changes = node.leaving().on_list(list.revision, &upstreams);
     for change in changes {
-        tell_leaving(node, change);
+        node.tell_leaving(change);
     }
 }
-
-/// Tells the router that an upstream leaves or is back.
-pub(super) fn tell_leaving(node: &Node, change: LeavingChange) {
-    info!(node.log, "upstream changed"; "upstream" => &*change.upstream, "leaving" => change.leaving);
-    let LeavingChange { upstream, leaving } = change;
-    node.dispatcher.handle(Event::LeavingChanged { upstream, leaving });
-}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use cranberryvalve_adapters::platform::PlatformClient;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry;
+use cranberryvalve_coordination::leaving::LeavingChange;
 use cranberryvalve_coordination::leaving::LeavingView;
 use cranberryvalve_coordination::ledger::Release;
 use cranberryvalve_coordination::limits::LimitClient;
@@ -21,11 +22,15 @@
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_coordination::replica::Replica;
+use cranberryvalve_core::Config;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_policy::Event;
 use cranberryvalve_policy::RouterSettings;
 use eyre::Result;
 use eyre::WrapErr;
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::Logger;
+use slog::info;
 
 use crate::dispatcher::Dispatcher;
 use crate::settings::Settings;
@@ -119,6 +124,28 @@
         self.replica().freshness(Instant::now())
     }
 
+    /// Takes what an upstream says of itself, in an answer or a load report.
+    pub(crate) fn hear_upstream(&self, upstream: &UpstreamId, leaving: bool) {
+        let change = self.leaving().on_own_word(upstream, leaving);
+        change.into_iter().for_each(|it| self.tell_leaving(it));
+    }
+
+    /// Tells the router that an upstream leaves or is back.
+    pub(crate) fn tell_leaving(&self, change: LeavingChange) {
+        let LeavingChange { upstream, leaving } = change;
+        info!(self.log, "upstream changed"; "upstream" => &*upstream, "leaving" => leaving);
+        self.dispatcher.handle(Event::LeavingChanged { upstream, leaving });
+    }
+
+    /// Puts a configuration in force at the router, with what is known of its upstreams.
+    pub(crate) fn put_in_force(&self, config: Arc<Config>) {
+        self.dispatcher.put_in_force(config);
+        let leaving = self.leaving().leaving_upstreams();
+        for upstream in leaving {
+            self.dispatcher.handle(Event::LeavingChanged { upstream, leaving: true });
+        }
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -133,7 +133,8 @@
         OperatorProblem::new(422, lines.join("\n"))
     })?;
     let id = format!("plan-{:016x}", rand::random::<u64>());
-    let plan = Plan::new(id.into(), request.operator.clone(), &base, Arc::new(config));
+    let plan = Plan::new(id.into(), request.operator.clone(), &base, Arc::new(config))
+        .unreachable(&node.membership().dead_names());
     Ok(Response::json(&plan))
 }
 
--- a/crates/daemon/src/operator/confirm.rs
+++ b/crates/daemon/src/operator/confirm.rs
@@ -60,8 +60,9 @@
     if !is_present {
         return Ok(());
     }
-    let fresh = Plan::new(plan.id.clone(), plan.operator.clone(), &base, plan.config.clone());
-    if fresh != *plan {
+    let fresh = Plan::new(plan.id.clone(), plan.operator.clone(), &base, plan.config.clone())
+        .unreachable(&node.membership().dead_names());
+    if !fresh.changes_the_same(plan) {
         return Err(OperatorProblem::new(422, "the plan was altered; make a new one"));
     }
     let missing = fresh.unacknowledged(&request.acknowledged);
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -192,6 +192,9 @@
             Err(_) if cancel.is_cancelled() => (Attempted::CallerGone, AttemptEnd::Abandoned),
             Err(CallError::NotSent) => (Attempted::Failed, AttemptEnd::NotSent),
             Err(CallError::Refused { leaving }) => {
+                if leaving {
+                    self.node.hear_upstream(&upstream.id, true);
+                }
                 (Attempted::Failed, AttemptEnd::Refused { leaving })
             }
             Err(CallError::Stalled) => (Attempted::Failed, AttemptEnd::Stalled),
--- a/crates/daemon/src/service/claims.rs
+++ b/crates/daemon/src/service/claims.rs
@@ -15,6 +15,9 @@
 
 use crate::node::Node;
 
+/// Times that an answer is written to the record.
+const RECORD_TRIES: u32 = 2;
+
 /// Releases that may wait for the store, at most.
 const MAX_RELEASES: usize = 10_000;
 
@@ -40,9 +43,10 @@
 /// Records the answer of a call; true when the store confirmed it.
 pub(super) fn record(node: &Node, sent: &SentCall, answer: RecordedAnswer) -> bool {
     let command = sent.record(answer);
-    // A write in doubt may have been carried out; writing again under the same condition is safe.
-    let replies = [(); 2].map(|()| execute(&node.store, &command));
-    replies.iter().any(|it| matches!(it, StoreReply::Write(_)))
+    // A write in doubt may have been carried out; writing again under the same condition is safe,
+    // and a conflict then tells that it was.
+    let mut tries = (0..RECORD_TRIES).map(|_| execute(&node.store, &command));
+    tries.any(|reply| matches!(reply, StoreReply::Write(_)))
 }
 
 /// Frees the row of a call that was not run, as soon as the store can be reached.
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -9,6 +9,7 @@
 use cranberryvalve_adapters::upstream;
 use cranberryvalve_adapters::upstream::ATTEMPT_HEADER;
 use cranberryvalve_adapters::upstream::CallError;
+use cranberryvalve_adapters::upstream::CancelHandle;
 use cranberryvalve_adapters::upstream::Timeouts;
 use cranberryvalve_adapters::upstream::UpstreamAnswer;
 use cranberryvalve_coordination::ledger::ClaimStep;
@@ -188,8 +189,10 @@
         order: &SendOrder,
         upstream: &UpstreamSpec,
     ) -> Option<UpstreamAnswer> {
-        let cancel = ticket.start_attempt();
         let sent = self.permit.take().map(SendPermit::send);
+        // A call that may not be repeated is finished even when its caller leaves, so that its
+        // answer is there when the caller asks again.
+        let cancel = if sent.is_some() { CancelHandle::new() } else { ticket.start_attempt() };
         let result = self.build(order).and_then(|request| {
             upstream::call(upstream.address, request, self.timeouts(), &cancel)
         });
@@ -211,6 +214,9 @@
             }
             Err(_) => {}
         }
+        if end == (AttemptEnd::Refused { leaving: true }) {
+            self.node.hear_upstream(&upstream.id, true);
+        }
         ticket.ended(order.attempt, end);
         match result {
             Ok(answer) | Err(CallError::Declined(answer)) => Some(answer),
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -1,5 +1,7 @@
 //! Calls that may not be repeated run at most once, and `not_run` is true.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -121,6 +123,40 @@
     assert_eq!(effects(&cluster, "refused"), 1);
 }
 
+#[test]
+fn answer_is_kept_for_a_caller_that_left() {
+    let cluster = start(1);
+    for service in &cluster.services {
+        service.set_faults(|it| it.delay = Duration::from_millis(600));
+    }
+    let mut caller = TcpStream::connect(cluster.vms[0].callers).expect("the VM listens");
+    let key = config::api_key(0);
+    let body = "{\"barge\":7}";
+    write!(
+        caller,
+        "POST /berths/4 HTTP/1.1\r\nauthorization: Bearer {key}\r\nidempotency-key: booking\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("the VM reads");
+    assert!(wait_until(SOON, || effects(&cluster, "booking") == 1));
+    drop(caller);
+    let replayed = wait_until(SOON, || {
+        let reply = book(&cluster, 0, "booking");
+        reply.replayed && reply.outcome == "completed"
+    });
+    assert!(replayed, "the answer is lost with its caller");
+    assert_eq!(effects(&cluster, "booking"), 1);
+}
+
+#[test]
+fn a_call_takes_two_writes() {
+    let cluster = start(1);
+    let before = cluster.platform.counts().writes;
+    assert_eq!(book(&cluster, 0, "booking").outcome, "completed");
+    assert_eq!(cluster.platform.counts().writes - before, 2);
+}
+
 #[test]
 fn paused_holder_stays_the_only_one() {
     let cluster = start(2);
--- a/crates/daemon/tests/config_spread.rs
+++ b/crates/daemon/tests/config_spread.rs
@@ -179,6 +179,21 @@
     assert!(all_have(&cluster, 2), "a VM went back");
 }
 
+#[test]
+fn unreachable_vm_has_to_be_acknowledged() {
+    let mut cluster = start(3);
+    let meet = || cluster.vms.iter().all(|it| it.dump()["members_alive"] == 3);
+    assert!(wait_until(SOON, meet), "the VMs do not meet");
+    let early = cluster.plan(0, "ana", &drain(1)).body;
+    cluster.vms[2].kill();
+    assert!(wait_until(SOON, || cluster.vms[0].dump()["members_alive"] == 2));
+    let refused = cluster.confirm(0, &early);
+    assert_eq!(refused.status, 428);
+    assert!(refused.body["error"].to_string().contains("vm-unreachable:vm-2"), "{refused:?}");
+    let late = cluster.plan(0, "ana", &drain(1)).body;
+    assert_eq!(cluster.confirm(0, &late).status, 200, "all hazards are acknowledged");
+}
+
 #[test]
 fn altered_plan_is_refused() {
     let cluster = start(1);
--- a/crates/daemon/tests/leaving_upstream.rs
+++ b/crates/daemon/tests/leaving_upstream.rs
@@ -73,6 +73,39 @@
     assert!(wait_until(SOON, || new_runs(&cluster, 1) > 0), "it gets no work again");
 }
 
+#[test]
+fn upstream_that_stays_gets_work_again() {
+    let cluster = start();
+    for engine in &cluster.engines {
+        engine.set_faults(|it| it.status_down = true);
+    }
+    // Only its refusals say that it leaves.
+    cluster.engines[1].set_faults(|it| it.leaving = true);
+    new_runs(&cluster, 1);
+    assert!(wait_until(SOON, || new_runs(&cluster, 1) == 0 && is_leaving(&cluster, 1)));
+    for engine in &cluster.engines {
+        engine.set_faults(|it| *it = Default::default());
+    }
+    assert!(wait_until(SOON, || new_runs(&cluster, 1) > 0), "it gets no work again");
+}
+
+#[test]
+fn leaving_is_known_before_the_configuration() {
+    let mut cluster = start();
+    let mut without = cluster.config.clone();
+    without.upstreams.retain(|it| &*it.id != "engine-1");
+    let declare =
+        |config: &cranberryvalve_core::Config| json!({ "intent": "declare", "config": config });
+    assert_eq!(cluster.apply(0, &declare(&without)).status, 200);
+    cluster.platform.list_upstream("engine-1", true);
+    std::thread::sleep(NO_NEW_WORK);
+    assert_eq!(cluster.apply(0, &declare(&cluster.config)).status, 200);
+    assert!(wait_until(NO_NEW_WORK, || is_leaving(&cluster, 1)));
+    cluster.platform.set_faults(|it| it.down = true);
+    assert_eq!(new_runs(&cluster, 1), 0);
+    cluster.vms.clear();
+}
+
 #[test]
 fn running_stream_ends_in_peace() {
     let cluster = start();
