perf: heartbeats name the configuration's version only

Cause: worked out to 340 VMs, peers' heartbeats, load reports and documents took 9.2 KB/s in both directions together, above the 8 KB/s of the target; the digest was 64 bytes of each heartbeat's 165. Change: a peer is asked for the version it announced; the digest stays in the head row and the object's key.

--- a/crates/adapters/tests/decoders.rs
+++ b/crates/adapters/tests/decoders.rs
@@ -47,7 +47,7 @@
         address: ([127, 0, 0, 1], 7_001).into(),
         failure_domain: "lyttelton".into(),
     };
-    PeerMessage::DocumentWanted { from, digest: Digest::of(b"x") }
+    PeerMessage::DocumentWanted { from, version: 7 }
 }
 
 #[test]
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use cranberryvalve_core::ConfigVersion;
-use cranberryvalve_core::Digest;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_core::VmId;
@@ -19,12 +18,12 @@
 pub enum PeerMessage {
     /// Sent to each neighbour at a fixed interval.
     Heartbeat(Heartbeat),
-    /// Asks for the document with the given digest.
+    /// Asks for the configuration in force, when it has at least the given version.
     DocumentWanted {
         /// Sender.
         from: PeerAddress,
-        /// Digest of the document.
-        digest: Digest,
+        /// Version.
+        version: ConfigVersion,
     },
     /// What customers ask of the sender, for their home.
     LimitReport {
@@ -73,8 +72,6 @@
     pub acknowledged: u64,
     /// Version of the configuration in force at the sender.
     pub config_version: ConfigVersion,
-    /// Digest of that document.
-    pub config_digest: Digest,
     /// Whether the sender has heard the store or a fresh peer itself.
     pub config_fresh: bool,
     /// Requests that wait for capacity.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -45,8 +45,6 @@
         from: VmId,
         /// Its version; 0 when it has none.
         version: ConfigVersion,
-        /// Digest of its document.
-        digest: Digest,
     },
     /// A document arrived from the store or from a peer.
     Document(Arc<ConfigDocument>),
@@ -55,22 +53,17 @@
 /// Where to fetch a document from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FetchFrom {
-    /// The object store.
-    Store,
-    /// A peer.
-    Peer(VmId),
+    /// The object store, by the document's digest.
+    Store(Digest),
+    /// A peer that has at least this version.
+    Peer(VmId, ConfigVersion),
 }
 
 /// Something that the adapter must do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReplicaAction {
     /// Fetch a document.
-    Fetch {
-        /// Where from.
-        from: FetchFrom,
-        /// Digest of the document.
-        digest: Digest,
-    },
+    Fetch(FetchFrom),
     /// Put a document in force, and announce it to the peers.
     PutInForce(Arc<ConfigDocument>),
 }
@@ -155,11 +148,11 @@
             ReplicaEvent::StoreHead(head) => {
                 self.heard_at = Some(now);
                 let Some(head) = head else { return Vec::new() };
-                self.fetch(now, head.version, head.digest, FetchFrom::Store)
+                self.fetch(now, head.version, FetchFrom::Store(head.digest))
             }
-            ReplicaEvent::PeerHead { from, version, digest } => {
+            ReplicaEvent::PeerHead { from, version } => {
                 self.heard_at = Some(now);
-                self.fetch(now, version, digest, FetchFrom::Peer(from))
+                self.fetch(now, version, FetchFrom::Peer(from, version))
             }
             ReplicaEvent::Document(document) => self.on_document(document),
         }
@@ -169,7 +162,6 @@
         &mut self,
         now: Instant,
         version: ConfigVersion,
-        digest: Digest,
         from: FetchFrom,
     ) -> Vec<ReplicaAction> {
         if version <= self.version() {
@@ -182,7 +174,7 @@
             return Vec::new();
         }
         self.fetching = Some(Fetching { version, asked_at: now });
-        vec![ReplicaAction::Fetch { from, digest }]
+        vec![ReplicaAction::Fetch(from)]
     }
 
     fn on_document(&mut self, document: Arc<ConfigDocument>) -> Vec<ReplicaAction> {
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -13,6 +13,7 @@
 use cranberryvalve_coordination::replica::ReplicaEvent;
 use cranberryvalve_coordination::store::Store;
 use cranberryvalve_core::ConfigDocument;
+use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::VmId;
 use slog::info;
@@ -50,8 +51,8 @@
     let actions = node.replica().handle(Instant::now(), event);
     for action in actions {
         match action {
-            ReplicaAction::Fetch { from: FetchFrom::Store, digest } => fetch(node, &digest),
-            ReplicaAction::Fetch { from: FetchFrom::Peer(vm), digest } => ask(node, &vm, digest),
+            ReplicaAction::Fetch(FetchFrom::Store(digest)) => fetch(node, &digest),
+            ReplicaAction::Fetch(FetchFrom::Peer(vm, version)) => ask(node, &vm, version),
             ReplicaAction::PutInForce(document) => put_in_force(node, &document),
         }
     }
@@ -68,13 +69,13 @@
     }
 }
 
-fn ask(node: &Node, vm: &VmId, digest: Digest) {
+fn ask(node: &Node, vm: &VmId, version: ConfigVersion) {
     let (from, to) = {
         let membership = node.membership();
         (membership.own().clone(), membership.address_of(vm))
     };
     if let Some(to) = to {
-        node.links.send(&to, &PeerMessage::DocumentWanted { from, digest });
+        node.links.send(&to, &PeerMessage::DocumentWanted { from, version });
     }
 }
 
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -12,7 +12,7 @@
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_coordination::replica::ReplicaEvent;
 use cranberryvalve_core::ConfigDocument;
-use cranberryvalve_core::Digest;
+use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_core::Tier;
@@ -86,10 +86,10 @@
 }
 
 fn send_heartbeat(node: &Node, receiver: &PeerAddress, pressure: PressureDigest) {
-    let (config_version, config_digest, config_fresh) = {
+    let (config_version, config_fresh) = {
         let replica = node.replica();
         let is_fresh = replica.freshness(Instant::now()) == Freshness::Current;
-        (replica.version(), replica.digest().clone(), is_fresh)
+        (replica.version(), is_fresh)
     };
     let (from, incarnation, members) = {
         let mut membership = node.membership();
@@ -103,7 +103,6 @@
         sequence: counters.sequence,
         acknowledged: counters.received,
         config_version,
-        config_digest,
         config_fresh,
         pressure,
         members,
@@ -116,8 +115,8 @@
     while let Ok(message) = node.links.receive() {
         match message {
             Some(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(node, heartbeat),
-            Some(PeerMessage::DocumentWanted { from, digest }) => {
-                send_document(node, &from, &digest);
+            Some(PeerMessage::DocumentWanted { from, version }) => {
+                send_document(node, &from, version);
             }
             Some(PeerMessage::LimitReport { from, demands }) => {
                 limits::on_report(node, &from, &demands);
@@ -149,24 +148,14 @@
         send_heartbeat(node, &from, node.dispatcher.pressure());
     }
     if heartbeat.config_fresh || heartbeat.config_version > node.replica().version() {
-        let event = ReplicaEvent::PeerHead {
-            from: from.vm,
-            version: heartbeat.config_version,
-            digest: heartbeat.config_digest,
-        };
+        let event = ReplicaEvent::PeerHead { from: from.vm, version: heartbeat.config_version };
         handle_replica(node, event);
     }
 }
 
-fn send_document(node: &Node, to: &PeerAddress, digest: &Digest) {
-    let document = {
-        let replica = node.replica();
-        if replica.digest() != digest {
-            return;
-        }
-        replica.document().cloned()
-    };
-    let Some(document) = document else { return };
+fn send_document(node: &Node, to: &PeerAddress, version: ConfigVersion) {
+    let document = node.replica().document().cloned();
+    let Some(document) = document.filter(|it| it.version >= version) else { return };
     let from = node.membership().own().clone();
     node.links.send(to, &PeerMessage::Document { from, body: document.to_bytes() });
 }
