--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -107,11 +107,7 @@
             caller_address: reader.address("caller-address", &flags.caller_address),
             operator_address: reader.address("operator-address", &flags.operator_address),
             peer_address: reader.address("peer-address", &flags.peer_address),
-            advertised_address: reader.address(
-                "advertised-address",
-                &Reader::text("advertised-address", &flags.advertised_address)
-                    .or_else(|| Reader::text("peer-address", &flags.peer_address)),
-            ),
+            advertised_address: reader.advertised_address(flags),
             platform_address: reader.address("platform-address", &flags.platform_address),
             operator_token: reader.secret("operator-token", &flags.operator_token),
             shared_secret: reader.secret("shared-secret", &flags.shared_secret),
@@ -181,6 +177,15 @@
         })
     }
 
+    /// The advertised address, or else the peer address, which is checked on its own.
+    fn advertised_address(&mut self, flags: &Flags) -> SocketAddr {
+        if Self::text("advertised-address", &flags.advertised_address).is_some() {
+            return self.address("advertised-address", &flags.advertised_address);
+        }
+        let peer = Self::text("peer-address", &flags.peer_address).unwrap_or_default();
+        peer.parse().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
     fn secret(&mut self, name: &str, flag: &Option<String>) -> Arc<str> {
         let text = Self::text(name, flag).unwrap_or_default();
         if text.len() < MIN_SECRET_BYTES {
