test: wait for the second VM before it plans

Trace: the second VM planned on version 1 a moment after version 2 was confirmed on the first, and the confirmation was stale, as it should be; with announcements in place of pushed documents that moment is longer. Change: the test waits for the version and checks that both changes are applied, which it had not. Conclusion: a case of the test, allowed by the design; the check is stricter than before.

--- a/crates/daemon/tests/config_spread.rs
+++ b/crates/daemon/tests/config_spread.rs
@@ -135,8 +135,10 @@
 fn paused_vm_catches_up() {
     let cluster = start(3);
     cluster.vms[2].pause();
-    cluster.apply(0, &drain(1));
-    cluster.apply(1, &drain(2));
+    assert_eq!(cluster.apply(0, &drain(1)).status, 200);
+    // A plan made on the second VM before it has the version would rightly be stale.
+    assert!(wait_until(IN_FORCE, || cluster.vms[1].config_version() == 2));
+    assert_eq!(cluster.apply(1, &drain(2)).status, 200);
     cluster.vms[2].resume();
     assert!(wait_until(IN_FORCE, || all_have(&cluster, 3)));
 }
