refactor: one limit for connections, one loop of heartbeats, no dead ends

Cause: a second reading of the change. The time for connecting to an upstream stood three times, once as a bare number; heartbeats were sent by two loops; a stopped order carried an option that was always there; Router::takes_work was called by nobody. Change: Timeouts::new, send_heartbeats, a plain lease, the method removed. No behaviour. Left: a refusal that says leaving reaches the router twice, by the attempt's end and by the node's view of leaving upstreams; one of them would do.

--- a/crates/adapters/src/upstream/connection.rs
+++ b/crates/adapters/src/upstream/connection.rs
@@ -27,6 +27,9 @@
 /// Size of the buffers for input and output, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// Usual time for the connection to be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Longest times that an attempt may wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timeouts {
@@ -38,6 +41,13 @@
     pub silence: Duration,
 }
 
+impl Timeouts {
+    /// Creates limits with the usual time for the connection.
+    pub const fn new(first_byte: Duration, silence: Duration) -> Self {
+        Self { connect: CONNECT_TIMEOUT, first_byte, silence }
+    }
+}
+
 /// The end of an attempt that other threads hold.
 #[derive(Debug, Clone, Default)]
 pub struct CancelHandle(Arc<Shared>);
--- a/crates/adapters/src/upstream/order.rs
+++ b/crates/adapters/src/upstream/order.rs
@@ -32,7 +32,7 @@
         .header("content-type", "application/json")
         .body(body);
     let Ok(request) = request else { return OrderResult::Refused };
-    match call(address, request, timeouts(life), &CancelHandle::new()) {
+    match call(address, request, Timeouts::new(life, life), &CancelHandle::new()) {
         Ok(answer) if answer.status == 200 => OrderResult::CarriedOut,
         Ok(answer) if (400..500).contains(&answer.status) => OrderResult::Refused,
         Err(CallError::NotSent | CallError::Refused { .. }) => OrderResult::Refused,
@@ -48,11 +48,7 @@
 /// Whether the engine carried out `order` at its place; none when the engine does not tell.
 pub fn carries_order(address: SocketAddr, order: &FencedOrder, life: Duration) -> Option<bool> {
     let request = Request::builder().method("GET").uri("/orders").body(Vec::new()).ok()?;
-    let answer = call(address, request, timeouts(life), &CancelHandle::new()).ok()?;
+    let answer = call(address, request, Timeouts::new(life, life), &CancelHandle::new()).ok()?;
     let carried: CarriedOut = serde_json::from_slice(&answer.body).ok()?;
     Some(carried.orders.iter().any(|it| it.place == order.place && it.order == order.order))
 }
-
-const fn timeouts(life: Duration) -> Timeouts {
-    Timeouts { connect: Duration::from_millis(500), first_byte: life, silence: life }
-}
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -60,10 +60,7 @@
 /// Sends a heartbeat to each neighbour at once, since a new configuration is in force.
 pub(super) fn announce(node: &Node) {
     let neighbours = node.membership().neighbours();
-    let pressure = node.dispatcher.pressure();
-    for neighbour in &neighbours {
-        send_heartbeat(node, neighbour, pressure.clone());
-    }
+    send_heartbeats(node, &neighbours, &node.dispatcher.pressure());
 }
 
 /// Sends one heartbeat to each neighbour, and on regular rounds to one member thought dead.
@@ -75,9 +72,7 @@
         receivers.extend(regular_turn.and_then(|turn| membership.probe_target(turn)));
         receivers
     };
-    for receiver in &receivers {
-        send_heartbeat(node, receiver, pressure.clone());
-    }
+    send_heartbeats(node, &receivers, pressure);
     for vm in node.links.close_silent(&receivers) {
         info!(node.log, "link was silent and is dialled anew"; "peer" => &*vm);
         metrics::counter!("cranberryvalve_links_redialled_total").increment(1);
@@ -85,6 +80,12 @@
     metrics::gauge!("cranberryvalve_members_alive").set(node.membership().alive() as f64);
 }
 
+fn send_heartbeats(node: &Node, receivers: &[PeerAddress], pressure: &PressureDigest) {
+    for receiver in receivers {
+        send_heartbeat(node, receiver, pressure.clone());
+    }
+}
+
 fn send_heartbeat(node: &Node, receiver: &PeerAddress, pressure: PressureDigest) {
     let (config_version, config_fresh) = {
         let replica = node.replica();
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -88,7 +88,7 @@
                     return true;
                 }
                 Progress::Stopped(last) => {
-                    last.map(|it| execute(&node.store, &it.release()));
+                    execute(&node.store, &last.release());
                     return false;
                 }
                 Progress::InDoubt => return false,
@@ -105,7 +105,7 @@
         let permit = match self.permit(node, order) {
             Permit::Unneeded => None,
             Permit::Held(permit) => Some(permit),
-            Permit::NotHad => return Progress::Stopped(Some(lease)),
+            Permit::NotHad => return Progress::Stopped(lease),
         };
         let progress = self.send(node, upstream, lease, done, order);
         if let Some(permit) = permit {
@@ -127,18 +127,18 @@
         // A former holder's answer may be lost: the engine itself knows what it carried out.
         let is_carried = match carries_order(upstream.address, &fenced, ORDER_LIFE) {
             Some(is_carried) => is_carried,
-            None => return Progress::Stopped(Some(lease)),
+            None => return Progress::Stopped(lease),
         };
         if !is_carried {
             if !lease.may_act(Instant::now(), ORDER_LIFE) {
-                return Progress::Stopped(Some(lease));
+                return Progress::Stopped(lease);
             }
             match send_order(upstream.address, &fenced, ORDER_LIFE) {
                 OrderResult::CarriedOut => {}
                 OrderResult::Refused => {
                     warn!(node.log, "engine refused an order"; "upstream" => &*upstream.id,
                         "fencing" => fenced.fencing);
-                    return Progress::Stopped(Some(lease));
+                    return Progress::Stopped(lease);
                 }
                 OrderResult::InDoubt => return Progress::InDoubt,
             }
@@ -202,7 +202,7 @@
     /// Nothing is left.
     Finished(Lease),
     /// It was not sent, or was refused.
-    Stopped(Option<Lease>),
+    Stopped(Lease),
     /// It may have been carried out, or the lease may be lost; it lapses by itself.
     InDoubt,
 }
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -48,9 +48,6 @@
 /// Header that carries the position of the last token that the caller has.
 const LAST_EVENT_HEADER: &str = "last-event-id";
 
-/// Time for connecting to an engine.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Serves a model request.
 pub(super) fn serve(
     node: &Arc<Node>,
@@ -309,6 +306,6 @@
     fn timeouts(&self) -> Timeouts {
         let silence = Duration::from_millis(self.class.silence_limit_ms);
         let first_token = Duration::from_millis(self.class.first_token_target_ms);
-        Timeouts { connect: CONNECT_TIMEOUT, first_byte: first_token + silence, silence }
+        Timeouts::new(first_token + silence, silence)
     }
 }
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -40,9 +40,6 @@
 /// Longest idempotency key that is accepted, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
-/// Time for connecting to a plain service.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time after which a caller may try again when the store is down, in milliseconds.
 const RETRY_AFTER_STORE_MS: u64 = 2_000;
 
@@ -252,11 +249,9 @@
     }
 
     fn timeouts(&self) -> Timeouts {
-        Timeouts {
-            connect: CONNECT_TIMEOUT,
-            first_byte: Duration::from_millis(self.class.answer_limit_ms),
-            silence: Duration::from_millis(self.class.silence_limit_ms),
-        }
+        let first_byte = Duration::from_millis(self.class.answer_limit_ms);
+        let silence = Duration::from_millis(self.class.silence_limit_ms);
+        Timeouts::new(first_byte, silence)
     }
 
     fn send_answer(
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -146,11 +146,6 @@
         self.requests.len()
     }
 
-    /// Whether `upstream` may be given new work at `now`.
-    pub fn takes_work(&self, now: Instant, upstream: &str) -> bool {
-        self.upstreams.iter().any(|it| &*it.spec.id == upstream && it.takes_work(now))
-    }
-
     /// Evidence of waiting requests to tell peers: this VM's own and what it has heard.
     pub fn pressure(&self, now: Instant) -> PressureDigest {
         let mut view = PressureView::default();
