--- a/crates/adapters/src/caller.rs
+++ b/crates/adapters/src/caller.rs
@@ -12,6 +12,7 @@
 mod server;
 
 pub use connection::CallerRequest;
+pub use head::BodyKind;
 pub use head::HeadError;
 pub use head::RequestHead;
 pub use head::parse_head;
--- a/crates/adapters/src/caller/head.rs
+++ b/crates/adapters/src/caller/head.rs
@@ -20,8 +20,10 @@
 
 /// How the body of a request is delimited.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum BodyKind {
+pub enum BodyKind {
+    /// By its length in bytes.
     Length(usize),
+    /// By chunks.
     Chunked,
 }
 
@@ -62,12 +64,22 @@
         self.target.split('?').next().unwrap_or("/")
     }
 
-    pub(super) fn body_kind(&self) -> Result<BodyKind, HeadError> {
+    /// All headers in order, names in lower case.
+    pub fn headers(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.headers.iter().map(|(name, value)| (&**name, &**value))
+    }
+
+    /// How the body is delimited.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that is ambiguous.
+    pub fn body_kind(&self) -> Result<BodyKind, HeadError> {
         let lengths: Vec<&str> = self.all("content-length");
         let encodings: Vec<&str> = self.all("transfer-encoding");
         match (lengths.as_slice(), encodings.as_slice()) {
             ([], []) => Ok(BodyKind::Length(0)),
-            ([length], []) => {
+            ([length], []) if length.bytes().all(|it| it.is_ascii_digit()) => {
                 length.parse().map(BodyKind::Length).map_err(|_| HeadError::BadLength)
             }
             ([], [encoding]) if encoding.eq_ignore_ascii_case("chunked") => Ok(BodyKind::Chunked),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod ids;
 mod outcome;
 mod pressure;
+pub mod table;
 
 pub use config::Config;
 pub use config::ConfigDocument;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod request;
 mod retry;
 mod router;
+pub mod scheduler;
 mod stream;
 mod upstream;
 
--- /dev/null
+++ b/crates/policy/src/scheduler.rs
@@ -0,0 +1,458 @@
+//! Decides which upstream answers a call, when, and what becomes of a call that fails.
+//!
+//! [`Scheduler`] is a state machine without clock, thread or socket, like [`Router`]; it serves
+//! calls of any kind on declared routes, from a directory of upstreams that changes while it runs.
+//!
+//! [`Router`]: crate::Router
+
+mod budget;
+mod cache;
+mod call;
+mod engine;
+mod event;
+mod placement;
+mod queue;
+mod upstream;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::Attempt;
+use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::PoolId;
+use cranberryvalve_core::RequestId;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::VmId;
+use cranberryvalve_core::table::RoutingTable;
+
+pub use budget::RetryLimits;
+pub use call::Call;
+pub use call::Prompt;
+pub use call::PromptPart;
+pub use call::PromptPrefix;
+pub use event::Conclusion;
+pub use event::ConclusionReason;
+pub use event::PlacementReason;
+pub use event::SchedulerAction;
+pub use event::SchedulerEvent;
+pub use event::SendCommand;
+pub use event::SendEnd;
+pub use event::ToldLoad;
+pub use upstream::PeerLoad;
+pub use upstream::UpstreamRecord;
+
+use self::budget::RetryBudget;
+use self::placement::Placement;
+use self::placement::Surroundings;
+use self::queue::CallQueue;
+use self::upstream::Upstream;
+
+/// Share of a route's target for which a call waits for room before it is refused.
+const WAIT_SHARE: f64 = 0.12;
+
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Time after which a caller may come back when no upstream is in service.
+const RETRY_AFTER_FAULT: Duration = Duration::from_millis(500);
+
+/// Share of an upstream's connections that the VMs use together; the rest is for those that are
+/// being closed and for VMs not counted yet.
+const CONNECTIONS_USED: f64 = 0.8;
+
+/// Fixed properties of a scheduler.
+#[derive(Debug, Clone, Default)]
+pub struct SchedulerSettings {
+    /// Failure domain of the VM; none when distance does not matter.
+    pub failure_domain: Option<FailureDomainId>,
+    /// Limits on retries over all VMs.
+    pub retry_limits: RetryLimits,
+}
+
+/// Scheduling decisions of one VM.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use cranberryvalve_policy::scheduler::Scheduler;
+/// use cranberryvalve_policy::scheduler::SchedulerEvent;
+/// use cranberryvalve_policy::scheduler::SchedulerSettings;
+///
+/// let mut scheduler = Scheduler::new(SchedulerSettings::default());
+/// assert!(scheduler.handle(Instant::now(), SchedulerEvent::Tick).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Scheduler {
+    settings: SchedulerSettings,
+    table: Arc<RoutingTable>,
+    vms: u32,
+    upstreams: BTreeMap<UpstreamId, Upstream>,
+    queues: HashMap<PoolId, CallQueue>,
+    calls: HashMap<RequestId, Tracked>,
+    budget: RetryBudget,
+}
+
+/// A call between its arrival and its end.
+#[derive(Debug)]
+struct Tracked {
+    call: Call,
+    attempts: Attempt,
+    tried: Vec<UpstreamId>,
+    /// Upstream that has it now.
+    at: Option<UpstreamId>,
+    may_have_run: bool,
+    give_up_at: Instant,
+}
+
+impl Scheduler {
+    /// Creates a scheduler that knows no upstream yet.
+    pub fn new(settings: SchedulerSettings) -> Self {
+        Self {
+            budget: RetryBudget::new(settings.retry_limits),
+            settings,
+            table: Arc::default(),
+            vms: 1,
+            upstreams: BTreeMap::new(),
+            queues: HashMap::new(),
+            calls: HashMap::new(),
+        }
+    }
+
+    /// Puts a routing table in force.
+    pub fn put_in_force(&mut self, table: Arc<RoutingTable>) {
+        self.table = table;
+    }
+
+    /// Takes an event and returns what must be done.
+    pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
+        let mut actions = Vec::new();
+        match event {
+            SchedulerEvent::Arrived(call) => self.on_arrived(now, *call, &mut actions),
+            SchedulerEvent::Answering { id, attempt } => {
+                self.on_answering(now, id, attempt, &mut actions);
+            }
+            SchedulerEvent::LoadTold { upstream, load } => {
+                if let Some(it) = self.upstreams.get_mut(&upstream) {
+                    it.told(now, load);
+                }
+            }
+            SchedulerEvent::Ended { id, attempt, end } => {
+                self.on_ended(now, id, attempt, end, &mut actions);
+            }
+            SchedulerEvent::Left { id } => self.on_left(now, id, &mut actions),
+            SchedulerEvent::DirectoryChanged(records) => {
+                self.on_directory_changed(now, records);
+                self.dispatch_all(now, &mut actions);
+            }
+            SchedulerEvent::PeerTold { vm, loads } => self.on_peer_told(now, &vm, &loads),
+            SchedulerEvent::VmsCounted(vms) => {
+                self.vms = vms.max(1);
+                self.budget.set_vms(self.vms);
+            }
+            SchedulerEvent::Tick => self.on_tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// Whether calls wait for room, so that ticks are needed.
+    pub fn has_waiting(&self) -> bool {
+        self.queues.values().any(|it| !it.is_empty())
+    }
+
+    /// Calls that wait or are in flight.
+    pub fn live_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// What the other VMs are told of this VM's work.
+    pub fn loads_for_peers(&self, now: Instant) -> Vec<PeerLoad> {
+        self.upstreams.values().filter_map(|it| it.load_for_peers(now)).collect()
+    }
+
+    /// The directory as it is believed to be.
+    pub fn directory(&self) -> Vec<UpstreamRecord> {
+        self.upstreams.values().map(|it| it.record.clone()).collect()
+    }
+
+    fn on_arrived(&mut self, now: Instant, call: Call, actions: &mut Vec<SchedulerAction>) {
+        let pool = call.pool.clone();
+        self.budget.credit(&pool);
+        let give_up_at = (call.arrived_at + call.route.target.mul_f64(WAIT_SHARE)).min(call.deadline);
+        let (id, tier) = (call.id, call.tier);
+        let tracked = Tracked {
+            call,
+            attempts: 0,
+            tried: Vec::new(),
+            at: None,
+            may_have_run: false,
+            give_up_at,
+        };
+        self.calls.insert(id, tracked);
+        self.queues.entry(pool.clone()).or_default().push(tier, id);
+        self.dispatch(now, &pool, actions);
+    }
+
+    fn on_answering(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        attempt: Attempt,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get(&id).filter(|it| it.attempts == attempt) else { return };
+        let pool = tracked.call.pool.clone();
+        if let Some(upstream) = tracked.at.as_ref().and_then(|it| self.upstreams.get_mut(it)) {
+            upstream.answering(now, id);
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    fn on_ended(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        attempt: Attempt,
+        end: SendEnd,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get_mut(&id).filter(|it| it.attempts == attempt) else {
+            return;
+        };
+        let pool = tracked.call.pool.clone();
+        tracked.may_have_run |= matches!(end, SendEnd::Failed | SendEnd::Broken { .. });
+        if let Some(upstream) = tracked.at.take().and_then(|it| self.upstreams.get_mut(&it)) {
+            upstream.ended(id);
+            record_health(now, upstream, end);
+        }
+        match end {
+            SendEnd::Complete | SendEnd::Abandoned => {
+                self.calls.remove(&id);
+            }
+            SendEnd::NotSent
+            | SendEnd::Refused { .. }
+            | SendEnd::Failed
+            | SendEnd::Broken { .. } => self.retry_or_conclude(now, id, end, actions),
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    fn retry_or_conclude(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        end: SendEnd,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get_mut(&id) else { return };
+        let pool = tracked.call.pool.clone();
+        if end == SendEnd::NotSent {
+            // Nothing arrived anywhere, so neither the route's attempts nor the budget count it.
+            tracked.attempts_unsent();
+        }
+        let may_repeat = tracked.call.route.kind.is_repeatable() || !tracked.may_have_run;
+        let reason = if !may_repeat {
+            Some(ConclusionReason::MayHaveRun)
+        } else if tracked.sends() >= tracked.call.route.max_attempts
+            || tracked.attempts >= MAX_TRIES
+        {
+            Some(ConclusionReason::AttemptsUsed)
+        } else if end != SendEnd::NotSent && !self.budget.take(&pool) {
+            Some(ConclusionReason::BudgetUsed)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            self.conclude(id, reason, RETRY_AFTER_FAULT, actions);
+            return;
+        }
+        if let Some(tracked) = self.calls.get_mut(&id) {
+            tracked.give_up_at = (now + RETRY_WAIT).min(tracked.call.deadline);
+            let tier = tracked.call.tier;
+            self.queues.entry(pool).or_default().push_first(tier, id);
+        }
+    }
+
+    fn on_left(&mut self, now: Instant, id: RequestId, actions: &mut Vec<SchedulerAction>) {
+        let Some(tracked) = self.calls.remove(&id) else { return };
+        let pool = tracked.call.pool.clone();
+        if let Some(queue) = self.queues.get_mut(&pool) {
+            queue.remove(tracked.call.tier, id);
+        }
+        if let Some(upstream) = tracked.at.and_then(|it| self.upstreams.get_mut(&it)) {
+            upstream.ended(id);
+            upstream.circuit.inconclusive();
+        }
+        self.dispatch(now, &pool, actions);
+    }
+
+    fn on_directory_changed(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        let mut former = std::mem::take(&mut self.upstreams);
+        for record in records {
+            let known = former.remove(&record.id).filter(|it| {
+                it.record.incarnation == record.incarnation && it.record.address == record.address
+            });
+            let upstream = match known {
+                Some(mut it) => {
+                    it.is_gone &= it.record == record;
+                    it.record = record;
+                    it
+                }
+                None => {
+                    let engine = self.table.pool(&record.pool).and_then(|it| it.engine.as_ref());
+                    Upstream::new(record, engine, now)
+                }
+            };
+            self.upstreams.insert(upstream.record.id.clone(), upstream);
+        }
+    }
+
+    fn on_peer_told(&mut self, now: Instant, vm: &VmId, loads: &[PeerLoad]) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.forget_peer(vm);
+        }
+        for load in loads {
+            if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
+                upstream.peer_told(now, vm, load);
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        self.dispatch_all(now, actions);
+        let waiting = self.queues.values().flat_map(CallQueue::ids);
+        let expired: Vec<RequestId> = waiting
+            .filter(|id| self.calls.get(id).is_some_and(|it| now >= it.give_up_at))
+            .collect();
+        for id in expired {
+            self.refuse(now, id, actions);
+        }
+    }
+
+    fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let pools: Vec<PoolId> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch(now, &pool, actions);
+        }
+    }
+
+    /// Sends the calls that wait for `pool`, highest tier first, until one finds no room.
+    ///
+    /// Within a tier a call that finds no room lets those behind it try, since what fits one may
+    /// not fit the other; the tiers below wait.
+    fn dispatch(&mut self, now: Instant, pool: &PoolId, actions: &mut Vec<SchedulerAction>) {
+        let Some(queue) = self.queues.get(pool) else { return };
+        let waiting: Vec<(cranberryvalve_core::Tier, RequestId)> = queue.entries().collect();
+        let mut blocked_tier = None;
+        for (tier, id) in waiting {
+            if blocked_tier.is_some_and(|it| it < tier) {
+                return;
+            }
+            let Some(tracked) = self.calls.get(&id) else { continue };
+            match self.place(now, tracked) {
+                Placement::Chosen(choice) => self.send(now, id, &choice, actions),
+                Placement::Full(_) => blocked_tier = Some(tier),
+                Placement::NoUpstream => {
+                    self.conclude(id, ConclusionReason::NoUpstream, RETRY_AFTER_FAULT, actions);
+                }
+            }
+        }
+    }
+
+    fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
+        let pool = &tracked.call.pool;
+        let upstreams: Vec<&Upstream> =
+            self.upstreams.values().filter(|it| it.record.pool == *pool).collect();
+        let connections = self.table.pool(pool).map_or(u32::MAX, |it| it.max_connections);
+        let share = f64::from(connections) * CONNECTIONS_USED / f64::from(self.vms);
+        let around = Surroundings {
+            now,
+            failure_domain: self.settings.failure_domain.as_ref(),
+            connection_share: (share as u32).max(1),
+        };
+        placement::place(&around, &tracked.call, &upstreams, &tracked.tried)
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        choice: &placement::Choice,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get_mut(&id) else { return };
+        let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else { return };
+        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
+            queue.remove(tracked.call.tier, id);
+        }
+        upstream.sent(now, &tracked.call);
+        tracked.attempts += 1;
+        tracked.tried.push(choice.upstream.clone());
+        tracked.at = Some(choice.upstream.clone());
+        actions.push(SchedulerAction::Send(SendCommand {
+            id,
+            attempt: tracked.attempts,
+            upstream: upstream.record.clone(),
+            reason: choice.reason,
+        }));
+    }
+
+    /// Gives up a call that found no room in time.
+    fn refuse(&mut self, now: Instant, id: RequestId, actions: &mut Vec<SchedulerAction>) {
+        let Some(tracked) = self.calls.get(&id) else { return };
+        let retry_after = match self.place(now, tracked) {
+            Placement::Full(shortest) => shortest.max(MIN_RETRY_AFTER),
+            Placement::Chosen(_) => MIN_RETRY_AFTER,
+            Placement::NoUpstream => RETRY_AFTER_FAULT,
+        };
+        self.conclude(id, ConclusionReason::Overloaded, retry_after, actions);
+    }
+
+    fn conclude(
+        &mut self,
+        id: RequestId,
+        reason: ConclusionReason,
+        retry_after: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.remove(&id) else { return };
+        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
+            queue.remove(tracked.call.tier, id);
+        }
+        actions.push(SchedulerAction::Conclude(Conclusion { id, reason, retry_after }));
+    }
+}
+
+/// Tries at one call, those that reached no upstream included.
+const MAX_TRIES: u32 = 6;
+
+/// Time for which a call that is sent again waits for room.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
+impl Tracked {
+    /// Attempts that may have reached an upstream.
+    fn sends(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes back the last attempt, which reached no upstream.
+    fn attempts_unsent(&mut self) {
+        self.tried.pop();
+    }
+}
+
+fn record_health(now: Instant, upstream: &mut Upstream, end: SendEnd) {
+    match end {
+        SendEnd::Complete => upstream.circuit.succeeded(),
+        SendEnd::NotSent => upstream.circuit.unreachable(now),
+        SendEnd::Refused { misdirected } => {
+            upstream.is_gone |= misdirected;
+            upstream.circuit.inconclusive();
+        }
+        SendEnd::Failed => upstream.circuit.inconclusive(),
+        SendEnd::Broken { .. } => upstream.circuit.failed(now),
+        SendEnd::Abandoned => upstream.circuit.inconclusive(),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/event.rs
@@ -0,0 +1,168 @@
+//! What happens to the scheduler, and what it asks for.
+
+use std::time::Duration;
+
+use cranberryvalve_core::Attempt;
+use cranberryvalve_core::RequestId;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::VmId;
+
+use super::Call;
+use super::PeerLoad;
+use super::UpstreamRecord;
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum SchedulerEvent {
+    /// A call arrived.
+    Arrived(Box<Call>),
+    /// The first part of an answer arrived.
+    Answering {
+        /// Call.
+        id: RequestId,
+        /// Attempt.
+        attempt: Attempt,
+    },
+    /// An upstream told its load along with an answer.
+    LoadTold {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Load.
+        load: ToldLoad,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Call.
+        id: RequestId,
+        /// Attempt.
+        attempt: Attempt,
+        /// How it ended.
+        end: SendEnd,
+    },
+    /// The caller left, or its call's time is over.
+    Left {
+        /// Call.
+        id: RequestId,
+    },
+    /// The directory of upstreams as it is now.
+    DirectoryChanged(Vec<UpstreamRecord>),
+    /// Another VM told what it has in flight.
+    PeerTold {
+        /// The other VM.
+        vm: VmId,
+        /// Its work at each upstream.
+        loads: Vec<PeerLoad>,
+    },
+    /// Number of VMs that share the retry budgets and the upstreams' connections.
+    VmsCounted(u32),
+    /// Time passed.
+    Tick,
+}
+
+/// Load that an upstream tells with its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at the same time.
+    pub slots: u32,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendEnd {
+    /// The whole answer arrived.
+    Complete,
+    /// No byte was sent: the connection could not be made.
+    NotSent,
+    /// The upstream attested that it did not run the call.
+    Refused {
+        /// Whether another upstream has taken over the address.
+        misdirected: bool,
+    },
+    /// The upstream answered with a failure of its own.
+    Failed,
+    /// The call was sent, and no whole answer arrived.
+    Broken {
+        /// Whether the connection ended, rather than being silent for too long.
+        disconnected: bool,
+    },
+    /// The caller left or the time was over, without evidence against the upstream.
+    Abandoned,
+}
+
+/// Something that must be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SchedulerAction {
+    /// Send an attempt.
+    Send(SendCommand),
+    /// No further attempt is made.
+    Conclude(Conclusion),
+}
+
+/// An attempt to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendCommand {
+    /// Call.
+    pub id: RequestId,
+    /// Attempt, starting at 1.
+    pub attempt: Attempt,
+    /// Upstream to send it to.
+    pub upstream: UpstreamRecord,
+    /// Figures that decided, for logs.
+    pub reason: PlacementReason,
+}
+
+/// Figures behind a placement.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlacementReason {
+    /// Upstreams that were considered.
+    pub candidates: u32,
+    /// Estimated time until the upstream has read the prompts before this one.
+    pub backlog: Duration,
+    /// Prompt tokens that the upstream is believed to have cached.
+    pub cached_tokens: u32,
+    /// Age of the oldest figure of another VM that went into the estimate.
+    pub peer_age: Duration,
+}
+
+/// The end of a call that got no answer to pass on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Conclusion {
+    /// Call.
+    pub id: RequestId,
+    /// Why no further attempt is made.
+    pub reason: ConclusionReason,
+    /// When the caller may try again, if the call was not run.
+    pub retry_after: Duration,
+}
+
+/// Why no further attempt is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConclusionReason {
+    /// No upstream of the pool is known to be in service.
+    NoUpstream,
+    /// No upstream has room in time.
+    Overloaded,
+    /// The route's attempts are used up.
+    AttemptsUsed,
+    /// The pool's retry budget is used up.
+    BudgetUsed,
+    /// It may have been run and cannot be run again.
+    MayHaveRun,
+}
+
+impl ConclusionReason {
+    /// Name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoUpstream => "no_upstream",
+            Self::Overloaded => "overloaded",
+            Self::AttemptsUsed => "attempts_used",
+            Self::BudgetUsed => "retry_budget_used",
+            Self::MayHaveRun => "may_have_run",
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/placement.rs
@@ -0,0 +1,250 @@
+//! Choice of the upstream for a call.
+//!
+//! Every upstream of the pool that has room gets a cost, in the time that the choice takes away
+//! from others and from the caller; the cheapest one is chosen. Engines fall into two lanes by a
+//! hash that is the same on all VMs: long prompts go to the first lane and short ones to the
+//! second, since a long prompt delays every token of the streams beside it. A prompt's shared
+//! beginning has a home in its lane, again by hash (rendezvous hashing: Thaler and Ravishankar,
+//! 1998), so that the VMs find its cache without telling each other.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::UpstreamId;
+
+use super::Call;
+use super::PlacementReason;
+use super::call::hash_of;
+use super::engine;
+use super::upstream::Upstream;
+
+/// Prompt tokens from which a prompt is long: 90 ms of reading at the start speed.
+const LONG_PROMPT_TOKENS: u32 = 3_500;
+
+/// Share of a failure domain's engines in the lane of long prompts.
+const LONG_LANE_SHARE: f64 = 0.6;
+
+/// Cost of a call in the lane of the other kind, in milliseconds.
+const WRONG_LANE_COST_MS: f64 = 150.0;
+
+/// Cost of a kilobyte that crosses failure domains, in milliseconds.
+const CROSS_DOMAIN_COST_MS_PER_KB: f64 = 1.0;
+
+/// Cost of a millisecond of waiting that leaves the answer on time.
+const WAIT_COST: f64 = 0.4;
+
+/// Cost of a millisecond of waiting beyond the target.
+const LATE_COST: f64 = 4.0;
+
+/// Share of a shared beginning that its home is believed to have cached through other VMs.
+const HOME_CACHED_SHARE: f64 = 0.7;
+
+/// Share of the target that reading and waiting may take for an upstream to have room.
+const TARGET_SHARE: f64 = 0.75;
+
+/// Time for an answer of a plain service, for comparing its load with the way to it, in
+/// milliseconds.
+const SERVICE_TIME_MS: f64 = 20.0;
+
+/// Requests in flight at a plain service, relative to its slots, up to which it has room.
+const SERVICE_FILL: u32 = 2;
+
+/// What placement needs to know besides the call.
+#[derive(Debug)]
+pub(super) struct Surroundings<'a> {
+    pub(super) now: Instant,
+    pub(super) failure_domain: Option<&'a FailureDomainId>,
+    /// Requests of one VM that an upstream's connections allow.
+    pub(super) connection_share: u32,
+}
+
+/// A choice with the figures behind it.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Choice {
+    pub(super) upstream: UpstreamId,
+    pub(super) reason: PlacementReason,
+}
+
+/// The result of looking for an upstream.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Placement {
+    /// This one.
+    Chosen(Choice),
+    /// All are full; the shortest time until one may have room.
+    Full(Duration),
+    /// None is in service.
+    NoUpstream,
+}
+
+/// Chooses among `upstreams`, all of the call's pool, without those that were `tried`.
+pub(super) fn place(
+    around: &Surroundings<'_>,
+    call: &Call,
+    upstreams: &[&Upstream],
+    tried: &[UpstreamId],
+) -> Placement {
+    let in_service: Vec<&Upstream> =
+        upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
+    if in_service.is_empty() {
+        return Placement::NoUpstream;
+    }
+    let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
+    let fresh = select(&healthy, |it| !tried.contains(&it.record.id));
+    let lanes = Lanes::new(&in_service);
+    let home = call.prompt.as_ref().and_then(|it| lanes.home(around, it, &healthy));
+    let rated = fresh.iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref()));
+    let rated: Vec<Rated<'_>> = rated.collect();
+    let with_room = rated.iter().filter(|it| it.has_room);
+    let cheapest = with_room.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+    match cheapest {
+        Some(it) => Placement::Chosen(Choice {
+            upstream: it.upstream.record.id.clone(),
+            reason: PlacementReason {
+                candidates: u32::try_from(rated.len()).unwrap_or(u32::MAX),
+                backlog: it.backlog,
+                cached_tokens: it.cached_tokens,
+                peer_age: it.upstream.peer_age(around.now),
+            },
+        }),
+        None => {
+            let shortest = rated.iter().map(|it| it.backlog).min();
+            Placement::Full(shortest.unwrap_or_default())
+        }
+    }
+}
+
+/// Those that `is_wanted`, or all when there are none.
+fn select<'a>(
+    upstreams: &[&'a Upstream],
+    is_wanted: impl Fn(&Upstream) -> bool,
+) -> Vec<&'a Upstream> {
+    let wanted: Vec<&Upstream> = upstreams.iter().copied().filter(|it| is_wanted(it)).collect();
+    if wanted.is_empty() { upstreams.to_vec() } else { wanted }
+}
+
+/// The lanes of a pool's engines.
+struct Lanes {
+    is_long: HashMap<UpstreamId, bool>,
+}
+
+impl Lanes {
+    fn new(upstreams: &[&Upstream]) -> Self {
+        let mut by_domain: HashMap<&str, Vec<&Upstream>> = HashMap::new();
+        for upstream in upstreams.iter().filter(|it| it.is_engine) {
+            by_domain.entry(&upstream.record.failure_domain).or_default().push(upstream);
+        }
+        let mut is_long = HashMap::new();
+        for domain in by_domain.values_mut() {
+            domain.sort_by_cached_key(|it| hash_of(&it.record.id));
+            let long = (domain.len() as f64 * LONG_LANE_SHARE).ceil() as usize;
+            let ranked = domain.iter().enumerate();
+            is_long.extend(ranked.map(|(rank, it)| (it.record.id.clone(), rank < long)));
+        }
+        Self { is_long }
+    }
+
+    fn is_long(&self, upstream: &Upstream) -> bool {
+        self.is_long.get(&upstream.record.id).copied().unwrap_or_default()
+    }
+
+    /// The home of the prompt's shared beginning.
+    ///
+    /// A long prompt has one home in all failure domains, as reading it again costs more than the
+    /// way there; a short one has a home in each.
+    fn home(
+        &self,
+        around: &Surroundings<'_>,
+        prompt: &super::Prompt,
+        upstreams: &[&Upstream],
+    ) -> Option<UpstreamId> {
+        let shared = prompt.shared_hash()?;
+        let is_long = is_long_prompt(prompt);
+        let in_lane = upstreams.iter().filter(|it| self.is_long(it) == is_long);
+        let near = in_lane.filter(|it| is_long || is_near(around, it));
+        let home = near.min_by_key(|it| hash_of(&(shared, &it.record.id)))?;
+        Some(home.record.id.clone())
+    }
+}
+
+fn is_long_prompt(prompt: &super::Prompt) -> bool {
+    prompt.input_tokens >= LONG_PROMPT_TOKENS
+}
+
+fn is_near(around: &Surroundings<'_>, upstream: &Upstream) -> bool {
+    around.failure_domain.is_none_or(|it| *it == upstream.record.failure_domain)
+}
+
+/// An upstream with its cost for a call.
+struct Rated<'a> {
+    upstream: &'a Upstream,
+    has_room: bool,
+    cost_ms: f64,
+    backlog: Duration,
+    cached_tokens: u32,
+}
+
+impl<'a> Rated<'a> {
+    fn new(
+        around: &Surroundings<'_>,
+        call: &Call,
+        upstream: &'a Upstream,
+        lanes: &Lanes,
+        home: Option<&UpstreamId>,
+    ) -> Self {
+        let way_ms = if is_near(around, upstream) {
+            0.0
+        } else {
+            call.body_bytes as f64 / 1_000.0 * CROSS_DOMAIN_COST_MS_PER_KB + 2.0
+        };
+        let in_flight = upstream.in_flight(around.now);
+        let has_connection = upstream.own_in_flight() < around.connection_share;
+        let Some(prompt) = call.prompt.as_ref().filter(|_| upstream.is_engine) else {
+            let load = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
+            return Self {
+                upstream,
+                has_room: has_connection && in_flight < upstream.record.slots * SERVICE_FILL,
+                cost_ms: load * SERVICE_TIME_MS + way_ms,
+                backlog: Duration::ZERO,
+                cached_tokens: 0,
+            };
+        };
+        let mut cached_tokens = upstream.cache.cached_tokens(prompt);
+        if home == Some(&upstream.record.id) {
+            let shared = f64::from(prompt.shared_tokens()) * HOME_CACHED_SHARE;
+            cached_tokens = cached_tokens.max(shared as u32);
+        }
+        let read = engine::read_time(prompt.input_tokens, cached_tokens);
+        let backlog = upstream.backlog(around.now);
+        let until_first = backlog + read;
+        let time_to_target = call.target_at().saturating_duration_since(around.now);
+        let late = until_first.saturating_sub(time_to_target.mul_f64(TARGET_SHARE));
+        let is_wrong_lane = lanes.is_long(upstream) != is_long_prompt(prompt);
+        let lane_ms = if is_wrong_lane { WRONG_LANE_COST_MS } else { 0.0 };
+        let fill = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
+        let cost_ms = millis(read)
+            + WAIT_COST * millis(backlog)
+            + LATE_COST * millis(late)
+            + fill * FULL_COST_MS
+            + lane_ms
+            + way_ms;
+        let room = call.route.target.mul_f64(TARGET_SHARE);
+        Self {
+            upstream,
+            has_room: has_connection
+                && in_flight < upstream.record.slots
+                && (backlog.is_zero() || until_first < room),
+            cost_ms,
+            backlog,
+            cached_tokens,
+        }
+    }
+}
+
+/// Cost of an engine whose slots are all taken, against one that is empty, in milliseconds.
+const FULL_COST_MS: f64 = 60.0;
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -5,6 +5,7 @@
 mod pace;
 mod table;
 
+pub(crate) use circuit::Circuit;
 pub use circuit::CircuitState;
 pub use load::LoadReport;
 pub(crate) use table::Upstream;
--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Notes that no connection could be made, which one failure is enough to tell.
+    pub(crate) fn unreachable(&mut self, now: Instant) {
+        if self.state(now) != CircuitState::Open {
+            self.open(now);
+        }
+    }
+
     fn open(&mut self, now: Instant) {
         let backoff = MIN_OPEN * 2_u32.saturating_pow(self.openings.min(8));
         self.open_until = Some(now + backoff.min(MAX_OPEN));
--- /dev/null
+++ b/crates/relay/src/dispatch.rs
@@ -0,0 +1,214 @@
+//! Connects the threads of callers with the scheduler.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::Attempt;
+use cranberryvalve_core::RequestId;
+use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_policy::scheduler::Call;
+use cranberryvalve_policy::scheduler::Conclusion;
+use cranberryvalve_policy::scheduler::PeerLoad;
+use cranberryvalve_policy::scheduler::Scheduler;
+use cranberryvalve_policy::scheduler::SchedulerAction;
+use cranberryvalve_policy::scheduler::SchedulerEvent;
+use cranberryvalve_policy::scheduler::SchedulerSettings;
+use cranberryvalve_policy::scheduler::SendCommand;
+use cranberryvalve_policy::scheduler::SendEnd;
+use cranberryvalve_policy::scheduler::UpstreamRecord;
+
+use crate::socket::Waker;
+
+/// Time between two looks at the calls that wait.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What a caller's thread must do next.
+#[derive(Debug)]
+pub(crate) enum Directive {
+    /// Send an attempt.
+    Send(SendCommand),
+    /// Give the caller its final answer.
+    Conclude(Conclusion),
+}
+
+/// Directives for one caller's connection.
+#[derive(Debug)]
+pub(crate) struct Mailbox {
+    directives: Mutex<VecDeque<(RequestId, Directive)>>,
+    waker: Waker,
+}
+
+impl Mailbox {
+    pub(crate) fn new() -> std::io::Result<Self> {
+        Ok(Self { directives: Mutex::default(), waker: Waker::new()? })
+    }
+
+    /// Wakes the thread that waits for directives.
+    pub(crate) const fn waker(&self) -> &Waker {
+        &self.waker
+    }
+
+    /// Takes the next directive for `id`; those for earlier calls are dropped.
+    pub(crate) fn take(&self, id: RequestId) -> Option<Directive> {
+        let mut directives = self.directives.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some((for_id, directive)) = directives.pop_front() {
+            if for_id == id {
+                return Some(directive);
+            }
+        }
+        None
+    }
+
+    fn put(&self, id: RequestId, directive: Directive) {
+        let mut directives = self.directives.lock().unwrap_or_else(PoisonError::into_inner);
+        directives.push_back((id, directive));
+    }
+}
+
+/// The scheduler and the callers that wait for its decisions.
+pub(crate) struct Dispatcher {
+    state: Mutex<State>,
+    /// Signalled when calls begin to wait, so that ticks are needed.
+    waiting: Condvar,
+}
+
+struct State {
+    scheduler: Scheduler,
+    mailboxes: HashMap<RequestId, Arc<Mailbox>>,
+    last_id: RequestId,
+}
+
+impl Dispatcher {
+    pub(crate) fn new(settings: SchedulerSettings) -> Self {
+        let state =
+            State { scheduler: Scheduler::new(settings), mailboxes: HashMap::new(), last_id: 0 };
+        Self { state: Mutex::new(state), waiting: Condvar::new() }
+    }
+
+    /// Hands a call to the scheduler, which gives it its id.
+    pub(crate) fn admit(self: &Arc<Self>, mut call: Call, mailbox: &Arc<Mailbox>) -> Ticket {
+        let mut state = self.lock();
+        state.last_id += 1;
+        let id = state.last_id;
+        call.id = id;
+        state.mailboxes.insert(id, mailbox.clone());
+        state.handle(SchedulerEvent::Arrived(Box::new(call)), Some(id));
+        if state.scheduler.has_waiting() {
+            self.waiting.notify_one();
+        }
+        drop(state);
+        Ticket { id, dispatcher: self.clone(), is_over: false }
+    }
+
+    /// Tells the scheduler what happened.
+    pub(crate) fn handle(&self, event: SchedulerEvent) {
+        self.handle_for(None, event);
+    }
+
+    /// Tells the scheduler what happened to `own`, whose thread needs no waking.
+    fn handle_for(&self, own: Option<RequestId>, event: SchedulerEvent) {
+        let mut state = self.lock();
+        state.handle(event, own);
+        if state.scheduler.has_waiting() {
+            self.waiting.notify_one();
+        }
+    }
+
+    /// Puts a routing table in force.
+    pub(crate) fn put_in_force(&self, table: Arc<RoutingTable>) {
+        self.lock().scheduler.put_in_force(table);
+    }
+
+    /// Calls that wait or are in flight.
+    pub(crate) fn live_calls(&self) -> usize {
+        self.lock().scheduler.live_calls()
+    }
+
+    /// What the other VMs are told.
+    pub(crate) fn loads_for_peers(&self) -> Vec<PeerLoad> {
+        self.lock().scheduler.loads_for_peers(Instant::now())
+    }
+
+    /// The directory in force.
+    pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
+        self.lock().scheduler.directory()
+    }
+
+    /// Ticks while calls wait; does not return.
+    pub(crate) fn run_ticks(&self) {
+        let mut state = self.lock();
+        loop {
+            while !state.scheduler.has_waiting() {
+                state = self.waiting.wait(state).unwrap_or_else(PoisonError::into_inner);
+            }
+            drop(state);
+            std::thread::sleep(TICK);
+            state = self.lock();
+            state.handle(SchedulerEvent::Tick, None);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Passes an event on and its actions to the callers; the thread of `own` needs no waking.
+    fn handle(&mut self, event: SchedulerEvent, own: Option<RequestId>) {
+        for action in self.scheduler.handle(Instant::now(), event) {
+            let (id, directive) = match action {
+                SchedulerAction::Send(it) => (it.id, Directive::Send(it)),
+                SchedulerAction::Conclude(it) => (it.id, Directive::Conclude(it)),
+            };
+            if let Some(mailbox) = self.mailboxes.get(&id) {
+                mailbox.put(id, directive);
+                if own != Some(id) {
+                    mailbox.waker.wake();
+                }
+            }
+        }
+    }
+}
+
+/// A call's place with the scheduler, given up when it is dropped.
+pub(crate) struct Ticket {
+    id: RequestId,
+    dispatcher: Arc<Dispatcher>,
+    is_over: bool,
+}
+
+impl Ticket {
+    pub(crate) const fn id(&self) -> RequestId {
+        self.id
+    }
+
+    /// Tells the scheduler that the first part of an answer arrived.
+    pub(crate) fn answering(&self, attempt: Attempt) {
+        self.dispatcher.handle(SchedulerEvent::Answering { id: self.id, attempt });
+    }
+
+    /// Tells the scheduler how an attempt ended.
+    pub(crate) fn ended(&mut self, attempt: Attempt, end: SendEnd) {
+        self.is_over = matches!(end, SendEnd::Complete | SendEnd::Abandoned);
+        let event = SchedulerEvent::Ended { id: self.id, attempt, end };
+        self.dispatcher.handle_for(Some(self.id), event);
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut state = self.dispatcher.lock();
+        state.mailboxes.remove(&self.id);
+        if !self.is_over {
+            state.handle(SchedulerEvent::Left { id: self.id }, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/events.rs
@@ -0,0 +1,80 @@
+//! Events of a stream (`text/event-stream`), as they are cut out of a body.
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Number of an event within its stream.
+pub(crate) type EventId = u64;
+
+/// An event that is larger than is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct EventTooLarge;
+
+/// Cuts whole events out of a body and leaves out those that the caller has already.
+#[derive(Debug, Default)]
+pub(crate) struct EventReader {
+    pending: Vec<u8>,
+    last_id: Option<EventId>,
+}
+
+impl EventReader {
+    /// Creates a reader for a stream that goes on after event `last_id`.
+    pub(crate) const fn after(last_id: Option<EventId>) -> Self {
+        Self { pending: Vec::new(), last_id }
+    }
+
+    /// Number of the last whole event.
+    pub(crate) const fn last_id(&self) -> Option<EventId> {
+        self.last_id
+    }
+
+    /// Whether a part of an event is left over.
+    pub(crate) const fn has_partial(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Buffer to which the body is appended before [`EventReader::take_whole`].
+    pub(crate) const fn buffer(&mut self) -> &mut Vec<u8> {
+        &mut self.pending
+    }
+
+    /// Takes all whole events that are new to the caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is larger than is accepted.
+    pub(crate) fn take_whole(&mut self) -> Result<Vec<u8>, EventTooLarge> {
+        let mut whole = Vec::new();
+        let mut start = 0;
+        while let Some(len) = event_len(&self.pending[start..]) {
+            let event = &self.pending[start..start + len];
+            let id = event_id(event);
+            let is_new = id.is_none() || self.last_id.is_none() || id > self.last_id;
+            if is_new {
+                whole.extend_from_slice(event);
+                self.last_id = id.or(self.last_id);
+            }
+            start += len;
+        }
+        self.pending.drain(..start);
+        if self.pending.len() > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(whole) }
+    }
+}
+
+/// Length of the first event with the empty line that ends it.
+fn event_len(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, _) in bytes.iter().enumerate().filter(|(_, it)| **it == b'\n') {
+        let line = &bytes[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn event_id(event: &[u8]) -> Option<EventId> {
+    let line = event.split(|it| *it == b'\n').find_map(|it| it.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/relay/src/service.rs
@@ -0,0 +1,346 @@
+//! From a caller's request to its answer.
+
+use std::hash::BuildHasher;
+use std::hash::BuildHasherDefault;
+use std::hash::DefaultHasher;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::CustomerId;
+use cranberryvalve_core::PoolId;
+use cranberryvalve_core::Tier;
+use cranberryvalve_core::table::CallerLimits;
+use cranberryvalve_core::table::RouteRule;
+use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_policy::scheduler::Call;
+use cranberryvalve_policy::scheduler::Conclusion;
+use cranberryvalve_policy::scheduler::SendCommand;
+use cranberryvalve_policy::scheduler::SendEnd;
+use slog::info;
+
+use crate::caller::Caller;
+use crate::caller::CallerRequest;
+use crate::caller::ReadError;
+use crate::dialect::CallFacts;
+use crate::dialect::Refusal;
+use crate::dispatch::Directive;
+use crate::dispatch::Mailbox;
+use crate::dispatch::Ticket;
+use crate::exchange::AttemptOutcome;
+use crate::exchange::Delivery;
+use crate::exchange::Exchange;
+use crate::exchange::WholeAnswer;
+use crate::socket::Connection;
+use crate::socket::Waits;
+use crate::socket::wait;
+use crate::state::Relay;
+
+/// When a caller may try again that came before there was a configuration.
+const RETRY_AFTER_START: Duration = Duration::from_millis(500);
+
+/// Serves one caller's connection until it is closed.
+pub(crate) fn serve(relay: &Arc<Relay>, stream: TcpStream) {
+    let Ok(connection) = Connection::accepted(stream) else { return };
+    // Without a mailbox there are no more files to be had, and nothing can be served.
+    let Ok(mailbox) = Mailbox::new() else { return };
+    let mut service = Service { relay, mailbox: Arc::new(mailbox), caller: Caller::new(connection) };
+    if relay.connections() > relay.settings.max_connections {
+        service.refuse(&refusal(503, Some(RETRY_AFTER_START), "too many connections"));
+        return;
+    }
+    while service.serve_one() {}
+}
+
+struct Service<'a> {
+    relay: &'a Arc<Relay>,
+    mailbox: Arc<Mailbox>,
+    caller: Caller,
+}
+
+/// Who asks for what.
+struct Access {
+    route: Arc<RouteRule>,
+    customer: Option<CustomerId>,
+    tier: Tier,
+    pool: PoolId,
+}
+
+/// What a call ends with.
+enum Ending {
+    /// An upstream's answer.
+    Answer(WholeAnswer),
+    /// An answer of the relay's own.
+    Refusal(Refusal),
+    /// The caller has the whole stream.
+    Delivered,
+    /// The caller has a part of a stream, and its connection is closed to show that.
+    Partial,
+    /// The caller is gone.
+    CallerGone,
+}
+
+impl Service<'_> {
+    /// Serves one request; false when the connection must be closed.
+    fn serve_one(&mut self) -> bool {
+        let limits = self.limits();
+        if self.caller.wait_for_request(limits.idle_time).is_err() {
+            return false;
+        }
+        let _busy = self.relay.count_busy();
+        let request = match self.caller.read(&limits) {
+            Ok(request) => request,
+            Err(ReadError::Gone) => return false,
+            Err(ReadError::Refused(refusal)) => {
+                self.refuse(&refusal);
+                return false;
+            }
+        };
+        if self.relay.is_draining() {
+            self.caller.keeps_alive = false;
+        }
+        let ending = match self.prepare(&request) {
+            Ok((facts, access)) => self.call(&request, &facts, &access),
+            Err(refusal) => Ending::Refusal(refusal),
+        };
+        self.finish(&request, ending)
+    }
+
+    fn limits(&self) -> CallerLimits {
+        self.relay.table().map(|it| it.limits().clone()).unwrap_or_default()
+    }
+
+    /// Answers a request that could not be read, and lets the caller receive that.
+    fn refuse(&mut self, refusal: &Refusal) {
+        self.caller.keeps_alive = false;
+        if self.caller.send_refusal(refusal).is_ok() {
+            self.caller.linger();
+        }
+    }
+
+    /// Finds out what is asked for and whether it is allowed.
+    fn prepare(&self, request: &CallerRequest) -> Result<(CallFacts, Access), Refusal> {
+        let Some(table) = self.relay.table() else {
+            return Err(refusal(503, Some(RETRY_AFTER_START), "no configuration is known yet"));
+        };
+        let facts = self.relay.dialect.read_call(&request.head)?;
+        let access = access(&table, request, &facts)?;
+        Ok((facts, access))
+    }
+
+    /// Waits for the scheduler and exchanges the call until it has an ending.
+    fn call(&mut self, request: &CallerRequest, facts: &CallFacts, access: &Access) -> Ending {
+        let call = self.scheduler_call(request, facts, access);
+        let deadline = call.deadline;
+        let mut ticket = self.relay.dispatcher.admit(call, &self.mailbox);
+        let exchange = Exchange {
+            relay: self.relay,
+            head: &request.head,
+            body: &request.body,
+            caller_id: facts.id.as_deref(),
+            customer: access.customer.as_deref(),
+            tier: access.tier,
+            is_stream: access.route.kind.is_stream(),
+            deadline,
+        };
+        let mut progress = Progress {
+            delivery: Delivery { last_event: facts.last_event, ..Delivery::default() },
+            ..Progress::default()
+        };
+        loop {
+            let ending = match self.next_directive(&ticket, deadline) {
+                Ok(Directive::Send(command)) => {
+                    self.attempt(&exchange, &command, &mut ticket, &mut progress)
+                }
+                Ok(Directive::Conclude(conclusion)) => Some(progress.conclude(&conclusion)),
+                Err(Interruption::CallerGone) => Some(Ending::CallerGone),
+                Err(Interruption::TimeOver) => Some(progress.time_over()),
+            };
+            if let Some(ending) = ending {
+                return ending;
+            }
+        }
+    }
+
+    fn scheduler_call(&self, request: &CallerRequest, facts: &CallFacts, access: &Access) -> Call {
+        let route = access.route.clone();
+        let time_limit = facts.time_limit.map_or(route.time_limit, |it| it.min(route.time_limit));
+        Call {
+            id: 0,
+            pool: access.pool.clone(),
+            customer: access.customer.clone(),
+            tier: access.tier,
+            arrived_at: request.arrived_at,
+            deadline: request.arrived_at + time_limit,
+            prompt: facts.prompt.clone(),
+            body_bytes: request.body.len(),
+            route,
+        }
+    }
+
+    /// Waits for what to do next.
+    fn next_directive(
+        &self,
+        ticket: &Ticket,
+        deadline: Instant,
+    ) -> Result<Directive, Interruption> {
+        loop {
+            if let Some(directive) = self.mailbox.take(ticket.id()) {
+                return Ok(directive);
+            }
+            let waits = Waits {
+                caller: Some(&self.caller.connection),
+                waker: Some(self.mailbox.waker()),
+                ..Waits::default()
+            };
+            let ready = wait(waits, deadline).map_err(|_| Interruption::CallerGone)?;
+            if ready.caller_gone {
+                return Err(Interruption::CallerGone);
+            }
+            if ready.timed_out {
+                return Err(Interruption::TimeOver);
+            }
+        }
+    }
+
+    /// Carries out an attempt; none when the scheduler is to decide what comes next.
+    fn attempt(
+        &mut self,
+        exchange: &Exchange<'_>,
+        command: &SendCommand,
+        ticket: &mut Ticket,
+        progress: &mut Progress,
+    ) -> Option<Ending> {
+        progress.attempts += 1;
+        progress.upstream = Some(command.clone());
+        let outcome =
+            exchange.attempt(command, ticket, &mut self.caller, &mut progress.delivery);
+        let (end, ending) = match outcome {
+            AttemptOutcome::NotSent => (SendEnd::NotSent, None),
+            AttemptOutcome::NotRun { misdirected } => (SendEnd::Refused { misdirected }, None),
+            AttemptOutcome::Whole(answer) if answer.head.status >= 500 => {
+                progress.failure = Some(answer);
+                (SendEnd::Failed, None)
+            }
+            AttemptOutcome::Whole(answer) => (SendEnd::Complete, Some(Ending::Answer(answer))),
+            AttemptOutcome::Delivered => (SendEnd::Complete, Some(Ending::Delivered)),
+            AttemptOutcome::Broken => {
+                progress.may_have_run = true;
+                (SendEnd::Broken { disconnected: true }, None)
+            }
+            AttemptOutcome::CallerGone => (SendEnd::Abandoned, Some(Ending::CallerGone)),
+            AttemptOutcome::TimeOver => {
+                progress.may_have_run = true;
+                (SendEnd::Abandoned, Some(progress.time_over()))
+            }
+        };
+        ticket.ended(command.attempt, end);
+        ending
+    }
+
+    /// Gives the caller its final answer; false when the connection must be closed.
+    fn finish(&mut self, request: &CallerRequest, ending: Ending) -> bool {
+        let sent = match &ending {
+            Ending::Answer(answer) => self.caller.send_whole(answer).is_ok(),
+            Ending::Refusal(refusal) => self.caller.send_refusal(refusal).is_ok(),
+            Ending::Delivered => true,
+            Ending::Partial | Ending::CallerGone => false,
+        };
+        let outcome = match &ending {
+            Ending::Answer(answer) => answer.head.status,
+            Ending::Refusal(refusal) => refusal.status,
+            Ending::Delivered => 200,
+            Ending::Partial => 0,
+            Ending::CallerGone => 499,
+        };
+        info!(self.relay.log, "call ended"; "path" => request.head.path(), "status" => outcome,
+            "time_ms" => u64::try_from(request.arrived_at.elapsed().as_millis()).unwrap_or(0));
+        sent && self.caller.keeps_alive
+    }
+}
+
+/// Why a call waits no longer.
+enum Interruption {
+    CallerGone,
+    TimeOver,
+}
+
+/// What has become of a call so far.
+#[derive(Debug, Default)]
+struct Progress {
+    delivery: Delivery,
+    attempts: u32,
+    upstream: Option<SendCommand>,
+    /// Whether an upstream may have begun to run it.
+    may_have_run: bool,
+    /// The last answer of an upstream that failed.
+    failure: Option<WholeAnswer>,
+}
+
+impl Progress {
+    /// The ending when no further attempt is made.
+    fn conclude(&mut self, conclusion: &Conclusion) -> Ending {
+        if self.delivery.is_started {
+            return Ending::Partial;
+        }
+        if let Some(answer) = self.failure.take() {
+            return Ending::Answer(answer);
+        }
+        let reason = conclusion.reason.name();
+        if self.may_have_run {
+            let message = format!("no whole answer came back, and it may have been run: {reason}");
+            return Ending::Refusal(refusal(502, None, message));
+        }
+        let message = format!("not run: {reason}");
+        Ending::Refusal(refusal(503, Some(conclusion.retry_after), message))
+    }
+
+    /// The ending when the time for the call is over.
+    fn time_over(&mut self) -> Ending {
+        if self.delivery.is_started {
+            return Ending::Partial;
+        }
+        if self.may_have_run || self.failure.is_some() {
+            let message = "no whole answer came back in time, and it may have been run";
+            return Ending::Refusal(refusal(504, None, message));
+        }
+        Ending::Refusal(refusal(503, Some(RETRY_AFTER_START), "not run: no room in time"))
+    }
+}
+
+/// Finds the route and the customer of a request.
+fn access(
+    table: &RoutingTable,
+    request: &CallerRequest,
+    facts: &CallFacts,
+) -> Result<Access, Refusal> {
+    let host = request.head.header("host").unwrap_or_default();
+    let Some(route) = table.route(host, request.head.path()) else {
+        return Err(refusal(404, None, "no route matches the host and path"));
+    };
+    let key = facts.api_key.as_deref();
+    let customer = key.and_then(|it| table.customer(it));
+    if customer.is_none() && table.has_customers() && !route.is_public {
+        return Err(refusal(401, None, "the API key is missing or unknown"));
+    }
+    let draw = draw(facts.id.as_deref().unwrap_or_else(|| request.head.path()));
+    let Some(pool) = route.pool(draw) else {
+        return Err(refusal(503, Some(RETRY_AFTER_START), "the route has no upstreams"));
+    };
+    Ok(Access {
+        customer: customer.map(|it| it.id.clone()),
+        tier: customer.and_then(|it| it.tier).unwrap_or(route.tier),
+        pool: pool.clone(),
+        route: route.clone(),
+    })
+}
+
+/// A number for `text` that is the same on all VMs.
+fn draw(text: &str) -> u64 {
+    BuildHasherDefault::<DefaultHasher>::default().hash_one(text)
+}
+
+fn refusal(status: u16, retry_after: Option<Duration>, message: impl Into<Box<str>>) -> Refusal {
+    Refusal { status, retry_after, message: message.into() }
+}
--- /dev/null
+++ b/crates/relay/src/socket.rs
@@ -0,0 +1,254 @@
+//! Non-blocking sockets, and waiting for several of them at once.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::os::fd::AsFd;
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::event::EventfdFlags;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::eventfd;
+use rustix::event::poll;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::SockRef;
+use socket2::Socket;
+use socket2::TcpKeepalive;
+use socket2::Type;
+
+/// Size of one read, in bytes.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Time for which sent bytes may stay unacknowledged before the connection counts as lost.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Idle time after which a connection is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time between two probes of an idle connection.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection counts as lost.
+const KEEPALIVE_RETRIES: u32 = 2;
+
+/// What a read brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Filled {
+    /// Bytes were appended to the input.
+    Data,
+    /// Nothing is there yet.
+    Nothing,
+    /// The other side will send no more.
+    Closed,
+}
+
+/// A connection with the input that was read and not yet taken.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    pub(crate) input: Vec<u8>,
+}
+
+impl Connection {
+    /// Takes over an accepted connection.
+    pub(crate) fn accepted(stream: TcpStream) -> io::Result<Self> {
+        configure(&SockRef::from(&stream))?;
+        stream.set_nonblocking(true)?;
+        Ok(Self { stream, input: Vec::new() })
+    }
+
+    /// Starts to connect to `address`; the connection is made when it becomes writable.
+    pub(crate) fn start(address: SocketAddr) -> io::Result<Self> {
+        let domain = Domain::for_address(address);
+        let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+        configure(&SockRef::from(&socket))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&address.into()) {
+            Ok(()) => {}
+            Err(error) if error.raw_os_error() == Some(IN_PROGRESS) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+        Ok(Self { stream: socket.into(), input: Vec::new() })
+    }
+
+    /// The error of a connection attempt, if it failed.
+    pub(crate) fn connect_error(&self) -> io::Result<Option<io::Error>> {
+        self.stream.take_error()
+    }
+
+    /// Reads what is there.
+    pub(crate) fn fill(&mut self) -> io::Result<Filled> {
+        let before = self.input.len();
+        self.input.resize(before + READ_BYTES, 0);
+        let result = (&self.stream).read(&mut self.input[before..]);
+        self.input.truncate(before + result.as_ref().map_or(0, |it| *it));
+        match result {
+            Ok(0) => Ok(Filled::Closed),
+            Ok(_) => Ok(Filled::Data),
+            Err(error) if is_retry(&error) => Ok(Filled::Nothing),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes as much as is taken at once.
+    pub(crate) fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        match (&self.stream).write(bytes) {
+            Ok(0) if !bytes.is_empty() => Err(io::ErrorKind::WriteZero.into()),
+            Ok(amount) => Ok(amount),
+            Err(error) if is_retry(&error) => Ok(0),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Whether nothing has arrived and the other side is still there.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        self.input.is_empty() && peeked.is_err_and(|it| is_retry(&it))
+    }
+
+    /// Whether the other side has closed the connection or its sending half.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(amount) => amount == 0,
+            Err(error) => !is_retry(&error),
+        }
+    }
+
+    /// Says that nothing more will be sent.
+    pub(crate) fn shutdown_write(&self) {
+        // An error means that the connection is gone already.
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+/// `EINPROGRESS` on Linux.
+const IN_PROGRESS: i32 = 115;
+
+fn is_retry(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
+fn configure(socket: &SockRef<'_>) -> io::Result<()> {
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Wakes a thread that waits in [`wait`].
+#[derive(Debug)]
+pub(crate) struct Waker(OwnedFd);
+
+impl Waker {
+    pub(crate) fn new() -> io::Result<Self> {
+        Ok(Self(eventfd(0, EventfdFlags::NONBLOCK | EventfdFlags::CLOEXEC)?))
+    }
+
+    /// Wakes the thread that waits, or the next one to wait.
+    pub(crate) fn wake(&self) {
+        // The counter is full only when a wake is pending already.
+        let _ = rustix::io::write(&self.0, &1_u64.to_ne_bytes());
+    }
+
+    fn clear(&self) {
+        // Nothing to read means that it was cleared already.
+        let _ = rustix::io::read(&self.0, &mut [0; 8]);
+    }
+}
+
+/// What a thread waits for besides the time.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Waits<'a> {
+    /// The caller's connection, for its end.
+    pub(crate) caller: Option<&'a Connection>,
+    /// Whether input of the caller counts.
+    pub(crate) caller_input: bool,
+    /// Whether room for output to the caller counts.
+    pub(crate) caller_output: bool,
+    /// The upstream's connection, for input.
+    pub(crate) upstream: Option<&'a Connection>,
+    /// Whether room for output to the upstream counts.
+    pub(crate) upstream_output: bool,
+    /// A waker.
+    pub(crate) waker: Option<&'a Waker>,
+}
+
+/// What a wait ended with.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Ready {
+    /// The caller sent something, or took something, as asked.
+    pub(crate) caller: bool,
+    /// The caller has closed its connection.
+    pub(crate) caller_gone: bool,
+    /// The upstream sent something, closed, or took something.
+    pub(crate) upstream: bool,
+    /// The waker was woken.
+    pub(crate) woken: bool,
+    /// The time is over.
+    pub(crate) timed_out: bool,
+}
+
+/// Waits until something happens or `until` has come.
+pub(crate) fn wait(waits: Waits<'_>, until: Instant) -> io::Result<Ready> {
+    let left = until.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Ok(Ready { timed_out: true, ..Ready::default() });
+    }
+    let mut caller_flags = PollFlags::RDHUP;
+    caller_flags.set(PollFlags::IN, waits.caller_input);
+    caller_flags.set(PollFlags::OUT, waits.caller_output);
+    let mut upstream_flags = PollFlags::IN;
+    upstream_flags.set(PollFlags::OUT, waits.upstream_output);
+    let mut fds = Vec::with_capacity(3);
+    if let Some(caller) = waits.caller {
+        fds.push(PollFd::from_borrowed_fd(caller.stream.as_fd(), caller_flags));
+    }
+    if let Some(upstream) = waits.upstream {
+        fds.push(PollFd::from_borrowed_fd(upstream.stream.as_fd(), upstream_flags));
+    }
+    if let Some(waker) = waits.waker {
+        fds.push(PollFd::from_borrowed_fd(waker.0.as_fd(), PollFlags::IN));
+    }
+    let timeout = Timespec {
+        tv_sec: i64::try_from(left.as_secs()).unwrap_or(i64::MAX),
+        tv_nsec: i64::from(left.subsec_nanos()),
+    };
+    match poll(&mut fds, Some(&timeout)) {
+        Ok(0) => return Ok(Ready { timed_out: true, ..Ready::default() }),
+        Ok(_) => {}
+        Err(rustix::io::Errno::INTR) => return Ok(Ready::default()),
+        Err(error) => return Err(error.into()),
+    }
+    let mut events = fds.iter().map(PollFd::revents);
+    let mut ready = Ready::default();
+    if waits.caller.is_some() {
+        let caller = events.next().unwrap_or(PollFlags::empty());
+        let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        ready.caller_gone = caller.intersects(gone);
+        ready.caller = caller.intersects(PollFlags::IN | PollFlags::OUT);
+    }
+    if waits.upstream.is_some() {
+        ready.upstream = !events.next().unwrap_or(PollFlags::empty()).is_empty();
+    }
+    if let Some(waker) = waits.waker {
+        ready.woken = !events.next().unwrap_or(PollFlags::empty()).is_empty();
+        if ready.woken {
+            waker.clear();
+        }
+    }
+    Ok(ready)
+}
--- /dev/null
+++ b/crates/relay/src/sources/directory.rs
@@ -0,0 +1,81 @@
+//! The directory as it is believed to be while its source has trouble.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_policy::scheduler::UpstreamRecord;
+
+/// Time after the end of an outage within which entries that lapsed meanwhile are back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Upstreams by the key of their row.
+///
+/// Entries also lapse because the source was down and took no sign of life. One that is missing
+/// just after an outage therefore stays for a while, and goes if it is not back by then.
+#[derive(Debug, Default)]
+pub(super) struct Directory {
+    entries: HashMap<Arc<str>, Entry>,
+    recovered_at: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    record: UpstreamRecord,
+    is_missing: bool,
+}
+
+impl Directory {
+    /// Notes that the source answers again after an outage.
+    pub(super) const fn recovered(&mut self, now: Instant) {
+        self.recovered_at = Some(now);
+    }
+
+    /// Takes an entry.
+    pub(super) fn put(&mut self, key: Arc<str>, record: UpstreamRecord) {
+        self.entries.insert(key, Entry { record, is_missing: false });
+    }
+
+    /// Takes the removal of an entry.
+    pub(super) fn remove(&mut self, now: Instant, key: &str) {
+        if !self.is_in_grace(now) {
+            self.entries.remove(key);
+        } else if let Some(entry) = self.entries.get_mut(key) {
+            entry.is_missing = true;
+        }
+    }
+
+    /// Takes the removal of all entries but those that are `present`.
+    pub(super) fn retain(&mut self, now: Instant, present: &[Arc<str>]) {
+        let missing = self.entries.keys().filter(|it| !present.contains(it)).cloned();
+        for key in missing.collect::<Vec<_>>() {
+            self.remove(now, &key);
+        }
+    }
+
+    /// Drops missing entries after the time within which they would be back; true when some go.
+    pub(super) fn expire(&mut self, now: Instant) -> bool {
+        if self.is_in_grace(now) {
+            return false;
+        }
+        let before = self.entries.len();
+        self.entries.retain(|_, it| !it.is_missing);
+        before != self.entries.len()
+    }
+
+    /// When [`Directory::expire`] has something to do; none when nothing is missing.
+    pub(super) fn expires_at(&self) -> Option<Instant> {
+        let has_missing = self.entries.values().any(|it| it.is_missing);
+        self.recovered_at.filter(|_| has_missing).map(|it| it + LAPSE_GRACE)
+    }
+
+    /// All upstreams.
+    pub(super) fn records(&self) -> Vec<UpstreamRecord> {
+        self.entries.values().map(|it| it.record.clone()).collect()
+    }
+
+    fn is_in_grace(&self, now: Instant) -> bool {
+        self.recovered_at.is_some_and(|it| now < it + LAPSE_GRACE)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/sources/follow.rs
@@ -0,0 +1,235 @@
+//! Threads that follow sources.
+
+use std::collections::HashSet;
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use slog::info;
+use slog::warn;
+
+use super::Changes;
+use super::DirectoryFeed;
+use super::Feed;
+use super::FeedError;
+use super::Row;
+use super::RowChange;
+use super::Snapshot;
+use super::TableFeed;
+use super::directory::Directory;
+use crate::state::Relay;
+
+/// Longest time for which a call waits for changes. A connection that has gone silent is noticed
+/// when this and the margin of the call are over.
+const WAIT: Duration = Duration::from_secs(3);
+
+/// Pause after the first failure of a source.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between two tries while a source fails.
+const MAX_PAUSE: Duration = Duration::from_millis(800);
+
+/// Starts to follow a source of routing tables.
+///
+/// # Errors
+///
+/// Fails when no thread can be had.
+pub fn follow_tables(relay: &Arc<Relay>, feed: Arc<dyn TableFeed>) -> io::Result<()> {
+    let relay = relay.clone();
+    thread::Builder::new().name("tables".to_owned()).spawn(move || {
+        let mut follower = Follower::new(relay.clone(), feed.clone());
+        loop {
+            for row in follower.next(WAIT).into_rows() {
+                put_table(&relay, &*feed, &row);
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn put_table(relay: &Relay, feed: &dyn TableFeed, row: &Row) {
+    match feed.decode(row) {
+        None => {}
+        Some(Ok(table)) => {
+            let version = table.version();
+            let routes = table.routes().len();
+            if relay.put_table(Arc::new(table)) {
+                info!(relay.log, "configuration in force"; "config_version" => version,
+                    "routes" => routes);
+            }
+        }
+        Some(Err(message)) => {
+            warn!(relay.log, "configuration left out"; "error" => message);
+        }
+    }
+}
+
+/// Starts to follow a source of upstreams.
+///
+/// # Errors
+///
+/// Fails when no thread can be had.
+pub fn follow_directory(relay: &Arc<Relay>, feed: Arc<dyn DirectoryFeed>) -> io::Result<()> {
+    let relay = relay.clone();
+    thread::Builder::new().name("directory".to_owned()).spawn(move || {
+        let mut reader = DirectoryReader {
+            directory: Directory::default(),
+            malformed: HashSet::new(),
+            relay: relay.clone(),
+            feed: feed.clone(),
+        };
+        let mut follower = Follower::new(relay, feed);
+        loop {
+            let now = Instant::now();
+            let expires_at = reader.directory.expires_at();
+            let wait = expires_at.map_or(WAIT, |it| it.saturating_duration_since(now).min(WAIT));
+            let news = follower.next(wait.max(MIN_PAUSE));
+            reader.take(news, follower.recovered_at);
+        }
+    })?;
+    Ok(())
+}
+
+struct DirectoryReader {
+    directory: Directory,
+    /// Keys of rows that could not be decoded, each of which is logged once.
+    malformed: HashSet<Arc<str>>,
+    relay: Arc<Relay>,
+    feed: Arc<dyn DirectoryFeed>,
+}
+
+impl DirectoryReader {
+    fn take(&mut self, news: News, recovered_at: Option<Instant>) {
+        let now = Instant::now();
+        if let Some(at) = recovered_at {
+            self.directory.recovered(at);
+        }
+        let mut is_changed = !matches!(&news, News::Nothing);
+        match news {
+            News::Nothing => {}
+            News::Snapshot(snapshot) => {
+                let present: Vec<Arc<str>> =
+                    snapshot.rows.iter().map(|it| it.key.clone()).collect();
+                self.directory.retain(now, &present);
+                snapshot.rows.into_iter().for_each(|it| self.put(now, &it));
+            }
+            News::Changes(changes) => {
+                is_changed = !changes.changes.is_empty();
+                for change in changes.changes {
+                    match change {
+                        RowChange::Put(row) => self.put(now, &row),
+                        RowChange::Removed(key) => self.directory.remove(now, &key),
+                    }
+                }
+            }
+        }
+        is_changed |= self.directory.expire(now);
+        if is_changed {
+            let records = self.directory.records();
+            info!(self.relay.log, "directory changed"; "upstreams" => records.len(),
+                "leaving" => records.iter().filter(|it| it.is_leaving).count());
+            self.relay.put_directory(records);
+        }
+    }
+
+    fn put(&mut self, now: Instant, row: &Row) {
+        match self.feed.decode(row) {
+            Ok(record) => {
+                self.malformed.remove(&row.key);
+                self.directory.put(row.key.clone(), record);
+            }
+            Err(message) => {
+                if self.malformed.insert(row.key.clone()) {
+                    warn!(self.relay.log, "upstream left out"; "upstream" => &*row.key,
+                        "error" => message);
+                }
+                self.directory.remove(now, &row.key);
+            }
+        }
+    }
+}
+
+/// What a source brought.
+enum News {
+    Nothing,
+    Snapshot(Snapshot),
+    Changes(Changes),
+}
+
+impl News {
+    /// All rows that are new or have changed.
+    fn into_rows(self) -> Vec<Row> {
+        match self {
+            Self::Nothing => Vec::new(),
+            Self::Snapshot(snapshot) => snapshot.rows,
+            Self::Changes(changes) => {
+                let puts = changes.changes.into_iter().filter_map(|it| match it {
+                    RowChange::Put(row) => Some(row),
+                    RowChange::Removed(_) => None,
+                });
+                puts.collect()
+            }
+        }
+    }
+}
+
+/// A place in a source's feed, with what is known of the source's health.
+struct Follower<F: ?Sized> {
+    relay: Arc<Relay>,
+    feed: Arc<F>,
+    version: Option<u64>,
+    failures: u32,
+    recovered_at: Option<Instant>,
+}
+
+impl<F: Feed + ?Sized> Follower<F> {
+    fn new(relay: Arc<Relay>, feed: Arc<F>) -> Self {
+        Self { relay, feed, version: None, failures: 0, recovered_at: None }
+    }
+
+    /// Waits for news, for `wait` at most while the source is well.
+    fn next(&mut self, wait: Duration) -> News {
+        let result = match self.version {
+            None => self.feed.read().map(|it| (it.version, News::Snapshot(it))),
+            Some(version) => {
+                self.feed.changes(version, wait).map(|it| (it.version, News::Changes(it)))
+            }
+        };
+        match result {
+            Ok((version, news)) => {
+                self.version = Some(version);
+                self.succeeded();
+                news
+            }
+            Err(FeedError::HistoryGone) => {
+                info!(self.relay.log, "feed lost its history"; "source" => self.feed.name());
+                self.version = None;
+                News::Nothing
+            }
+            Err(FeedError::Unreachable(error)) => {
+                self.failed(&error);
+                News::Nothing
+            }
+        }
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            info!(self.relay.log, "source is back"; "source" => self.feed.name(),
+                "failures" => self.failures);
+            self.failures = 0;
+            self.recovered_at = Some(Instant::now());
+        }
+    }
+
+    fn failed(&mut self, error: &str) {
+        self.failures += 1;
+        if self.failures == 1 {
+            warn!(self.relay.log, "source lost"; "source" => self.feed.name(), "error" => error);
+        }
+        let pause = MIN_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1);
+        thread::sleep(pause.min(MAX_PAUSE));
+    }
+}
