fix: take no request late in a stop, and date the end of an outage

Change: when the balancer must know of the stop, the listener and idle connections are closed and only calls under way go on. After a failure a source is read at once instead of waited for.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -20,6 +20,7 @@
 use crate::socket::Connection;
 use crate::socket::Filled;
 use crate::socket::Waits;
+use crate::socket::Waker;
 use crate::socket::wait;
 
 /// Time within which a body must be complete.
@@ -72,11 +73,24 @@
         Self { connection, keeps_alive: true }
     }
 
-    /// Waits for the first byte of the next request.
-    pub(crate) fn wait_for_request(&mut self, idle: Duration) -> Result<(), ReadError> {
+    /// Waits for the first byte of the next request; `closing` ends the wait.
+    pub(crate) fn wait_for_request(
+        &mut self,
+        idle: Duration,
+        closing: &Waker,
+    ) -> Result<(), ReadError> {
         let until = Instant::now() + idle;
         while self.connection.input.is_empty() {
-            if self.fill(until)? == Filled::Nothing && Instant::now() >= until {
+            let waits = Waits {
+                caller: Some(&self.connection),
+                caller_input: true,
+                broadcast: Some(closing),
+                ..Waits::default()
+            };
+            let ready = wait(waits, until).map_err(|_| ReadError::Gone)?;
+            let filled = self.connection.fill().map_err(|_| ReadError::Gone)?;
+            let is_over = ready.timed_out || ready.broadcast;
+            if filled == Filled::Closed || (filled == Filled::Nothing && is_over) {
                 return Err(ReadError::Gone);
             }
         }
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! How a relay stops.
 
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,7 +10,7 @@
 const INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time for which nothing may be in flight before the relay stops.
-const QUIET: Duration = Duration::from_millis(300);
+const QUIET: Duration = Duration::from_millis(100);
 
 /// How long a stop takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,21 +25,19 @@
     /// Stops without interrupting a call, as far as the time allows.
     ///
     /// The relay is not ready from now on, so that the balancer sends callers elsewhere; those
-    /// that still come are served, and each connection is closed after its answer.
+    /// that still come are served, and each connection is closed after its answer. When that is
+    /// settled, no new request is taken and those under way come to their end.
     pub fn stop(&self, settings: StopSettings) {
         let started_at = Instant::now();
         self.start_draining();
+        thread::sleep(settings.settle);
+        self.close();
         let mut quiet_since = Instant::now();
-        loop {
+        while quiet_since.elapsed() < QUIET && started_at.elapsed() < settings.limit {
             if self.busy_callers() > 0 {
                 quiet_since = Instant::now();
             }
-            let settled = started_at.elapsed() >= settings.settle;
-            let quiet = quiet_since.elapsed() >= QUIET;
-            if (settled && quiet) || started_at.elapsed() >= settings.limit {
-                return;
-            }
-            std::thread::sleep(INTERVAL);
+            thread::sleep(INTERVAL);
         }
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -85,7 +85,7 @@
     /// Serves one request; false when the connection must be closed.
     fn serve_one(&mut self) -> bool {
         let limits = self.limits();
-        if self.caller.wait_for_request(limits.idle_time).is_err() {
+        if self.caller.wait_for_request(limits.idle_time, &self.relay.closing).is_err() {
             return false;
         }
         let _busy = self.relay.count_busy();
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -116,15 +116,6 @@
         self.input.is_empty() && peeked.is_err_and(|it| is_retry(&it))
     }
 
-    /// Whether the other side has closed the connection or its sending half.
-    pub(crate) fn is_closed_by_peer(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&self.stream).peek(&mut byte) {
-            Ok(amount) => amount == 0,
-            Err(error) => !is_retry(&error),
-        }
-    }
-
     /// Says that nothing more will be sent.
     pub(crate) fn shutdown_write(&self) {
         // An error means that the connection is gone already.
@@ -185,6 +176,8 @@
     pub(crate) upstream_output: bool,
     /// A waker.
     pub(crate) waker: Option<&'a Waker>,
+    /// A waker that many threads wait for, and that stays woken.
+    pub(crate) broadcast: Option<&'a Waker>,
 }
 
 /// What a wait ended with.
@@ -198,6 +191,8 @@
     pub(crate) upstream: bool,
     /// The waker was woken.
     pub(crate) woken: bool,
+    /// The waker of many threads was woken.
+    pub(crate) broadcast: bool,
     /// The time is over.
     pub(crate) timed_out: bool,
 }
@@ -213,14 +208,14 @@
     caller_flags.set(PollFlags::OUT, waits.caller_output);
     let mut upstream_flags = PollFlags::IN;
     upstream_flags.set(PollFlags::OUT, waits.upstream_output);
-    let mut fds = Vec::with_capacity(3);
+    let mut fds = Vec::with_capacity(4);
     if let Some(caller) = waits.caller {
         fds.push(PollFd::from_borrowed_fd(caller.stream.as_fd(), caller_flags));
     }
     if let Some(upstream) = waits.upstream {
         fds.push(PollFd::from_borrowed_fd(upstream.stream.as_fd(), upstream_flags));
     }
-    if let Some(waker) = waits.waker {
+    for waker in [waits.waker, waits.broadcast].into_iter().flatten() {
         fds.push(PollFd::from_borrowed_fd(waker.0.as_fd(), PollFlags::IN));
     }
     let timeout = Timespec {
@@ -250,5 +245,8 @@
             waker.clear();
         }
     }
+    if waits.broadcast.is_some() {
+        ready.broadcast = !events.next().unwrap_or(PollFlags::empty()).is_empty();
+    }
     Ok(ready)
 }
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -226,6 +226,8 @@
 
     fn failed(&mut self, error: &str) {
         self.failures += 1;
+        // The next call is one that does not wait, so that the end of an outage shows at once.
+        self.version = None;
         if self.failures == 1 {
             warn!(self.relay.log, "source lost"; "source" => self.feed.name(), "error" => error);
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -2,10 +2,13 @@
 
 use std::collections::HashSet;
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
@@ -21,11 +24,13 @@
 use cranberryvalve_policy::scheduler::SchedulerSettings;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::Logger;
+use socket2::SockRef;
 
 use crate::connections::KeptConnections;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::service::serve;
+use crate::socket::Waker;
 
 /// Stack of a connection's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
@@ -49,6 +54,9 @@
     pub(crate) log: Logger,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) kept: KeptConnections,
+    /// Wakes the threads of idle callers when the relay closes.
+    pub(crate) closing: Waker,
+    listener: Mutex<Option<TcpListener>>,
     table: RwLock<Option<Arc<RoutingTable>>>,
     is_draining: AtomicBool,
     connections: AtomicUsize,
@@ -57,19 +65,29 @@
 
 impl Relay {
     /// Creates a relay that knows no configuration and no upstream yet.
-    pub fn new(settings: RelaySettings, dialect: Arc<dyn Dialect>, log: Logger) -> Arc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when no more files can be opened.
+    pub fn new(
+        settings: RelaySettings,
+        dialect: Arc<dyn Dialect>,
+        log: Logger,
+    ) -> io::Result<Arc<Self>> {
         let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone()));
-        Arc::new(Self {
+        Ok(Arc::new(Self {
             settings,
             dialect,
             log,
             dispatcher,
             kept: KeptConnections::default(),
+            closing: Waker::new()?,
+            listener: Mutex::default(),
             table: RwLock::default(),
             is_draining: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
-        })
+        }))
     }
 
     /// Listens for callers at `address` and starts to serve them.
@@ -79,6 +97,7 @@
     /// Fails when the address is in use or not this VM's, or no thread can be had.
     pub fn listen(self: &Arc<Self>, address: SocketAddr) -> io::Result<()> {
         let listener = TcpListener::bind(address)?;
+        *self.lock_listener() = Some(listener.try_clone()?);
         let relay = self.clone();
         thread::Builder::new().name("accept".to_owned()).spawn(move || relay.accept(&listener))?;
         let dispatcher = self.dispatcher.clone();
@@ -155,6 +174,19 @@
         self.is_draining.store(true, Ordering::SeqCst);
     }
 
+    /// Takes no new connection and no new request; those under way go on.
+    pub(crate) fn close(&self) {
+        if let Some(listener) = self.lock_listener().take() {
+            // Wakes the accepting thread; an error means that it is closed already.
+            let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
+        }
+        self.closing.wake();
+    }
+
+    fn lock_listener(&self) -> MutexGuard<'_, Option<TcpListener>> {
+        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a request until the guard is dropped.
     pub(crate) fn count_busy(&self) -> CountGuard<'_> {
         CountGuard::new(&self.busy)
@@ -164,6 +196,7 @@
         loop {
             match listener.accept() {
                 Ok((stream, _)) => self.admit(stream),
+                Err(_) if self.lock_listener().is_none() => return,
                 Err(_) => thread::sleep(ACCEPT_PAUSE),
             }
         }
