feat: peers share the configuration and the work at engines

Change: membership by gossip from the seeds, routing tables from peers, a home VM for each engine that is told of long prompts and asked before the next one is placed; retry budgets count the VMs.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! what an adapter must do. None of them has a clock, a thread, a socket or unseeded randomness,
 //! so that each can be embedded anywhere and tested exhaustively.
 //!
+//! - [`home`]: the VM that keeps the common knowledge of something.
 //! - [`lease`]: one holder at a time, with fencing tokens.
 //! - [`ledger`]: at-most-once execution of calls that may not be repeated.
 //! - [`plan`]: changes that are planned first, and confirmed by one conditional write.
@@ -27,6 +28,7 @@
 //! assert_eq!(replica.freshness(now + Duration::from_secs(9)), Freshness::Stale);
 //! ```
 
+pub mod home;
 pub mod lease;
 pub mod leaving;
 pub mod ledger;
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -13,13 +13,9 @@
 mod client;
 mod home;
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::time::Duration;
 
 use cranberryvalve_core::CustomerId;
-use cranberryvalve_core::VmId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -60,26 +56,6 @@
     /// Pause until the next report, in milliseconds.
     pub report_every_ms: u32,
 }
-
-/// The home of `customer` among `vms`; none when there are no VMs.
-///
-/// ```
-/// use cranberryvalve_coordination::limits::home_of;
-///
-/// let vms = ["vm-1".into(), "vm-2".into(), "vm-3".into()];
-/// let home = home_of("tasman", &vms).cloned();
-/// let without_others: Vec<_> = vms.iter().filter(|it| Some(*it) == home.as_ref()).cloned().collect();
-/// assert_eq!(home_of("tasman", &without_others), home.as_ref());
-/// ```
-pub fn home_of<'a>(customer: &str, vms: &'a [VmId]) -> Option<&'a VmId> {
-    vms.iter().max_by_key(|vm| {
-        let mut hasher = DefaultHasher::new();
-        customer.hash(&mut hasher);
-        vm.hash(&mut hasher);
-        hasher.finish()
-    })
-}
-
 /// Pause between two reports when there are `reporters`.
 fn report_interval(reporters: usize) -> Duration {
     let reporters = u32::try_from(reporters).unwrap_or(u32::MAX);
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -117,6 +117,16 @@
         std::iter::once(self.own.vm.clone()).chain(others).collect()
     }
 
+    /// Names of the members that are alive in a failure domain, or of all that are alive when there
+    /// are none in it.
+    pub fn alive_names_near(&self, failure_domain: &str) -> Vec<VmId> {
+        let others = self.living().map(|it| &it.address);
+        let all = std::iter::once(&self.own).chain(others);
+        let near = all.filter(|it| &*it.failure_domain == failure_domain);
+        let names: Vec<VmId> = near.map(|it| it.vm.clone()).collect();
+        if names.is_empty() { self.alive_names() } else { names }
+    }
+
     /// All members but this VM, with their states.
     pub fn list(&self) -> Vec<MemberUpdate> {
         self.members.values().map(Member::update).collect()
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -5,6 +5,8 @@
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PressureDigest;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,8 +48,43 @@
         /// The document's bytes.
         body: Vec<u8>,
     },
+    /// All members that the sender knows, for one that has just joined.
+    Members {
+        /// Sender.
+        from: PeerAddress,
+        /// Members.
+        members: Vec<MemberUpdate>,
+    },
+    /// What the sender has in flight at upstreams whose home the receiver is.
+    LoadReport {
+        /// Sender.
+        from: PeerAddress,
+        /// Its work.
+        loads: Vec<UpstreamLoad>,
+    },
+    /// Asks the home of upstreams for the work that other VMs have there.
+    LoadsWanted {
+        /// Sender.
+        from: PeerAddress,
+        /// Number of the question.
+        question: QuestionId,
+        /// Upstreams.
+        upstreams: Vec<UpstreamId>,
+    },
+    /// The answer to [`PeerMessage::LoadsWanted`].
+    LoadsTold {
+        /// Sender.
+        from: PeerAddress,
+        /// Number of the question.
+        question: QuestionId,
+        /// Work of the VMs other than the receiver.
+        loads: Vec<UpstreamLoad>,
+    },
 }
 
+/// Number of a question of one VM.
+pub type QuestionId = u64;
+
 /// Name and address of a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PeerAddress {
@@ -88,7 +125,11 @@
             Self::DocumentWanted { from, .. }
             | Self::LimitReport { from, .. }
             | Self::LimitShares { from, .. }
-            | Self::Document { from, .. } => from,
+            | Self::Document { from, .. }
+            | Self::Members { from, .. }
+            | Self::LoadReport { from, .. }
+            | Self::LoadsWanted { from, .. }
+            | Self::LoadsTold { from, .. } => from,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod config;
 mod digest;
 mod ids;
+mod load;
 mod outcome;
 mod pressure;
 pub mod table;
@@ -52,6 +53,7 @@
 pub use ids::Tier;
 pub use ids::UpstreamId;
 pub use ids::VmId;
+pub use load::UpstreamLoad;
 pub use outcome::NotRunReason;
 pub use outcome::Outcome;
 pub use pressure::PressureDigest;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -124,6 +124,13 @@
             }
             Some(PeerMessage::LimitShares { shares, .. }) => limits::take_shares(node, &shares),
             Some(PeerMessage::Document { body, .. }) => on_document(node, &body),
+            // This program learns members from the platform's list and loads from the upstreams.
+            Some(
+                PeerMessage::Members { .. }
+                | PeerMessage::LoadReport { .. }
+                | PeerMessage::LoadsWanted { .. }
+                | PeerMessage::LoadsTold { .. },
+            ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
             }
--- a/crates/daemon/src/control/limits.rs
+++ b/crates/daemon/src/control/limits.rs
@@ -8,7 +8,7 @@
 
 use cranberryvalve_coordination::limits::LimitDemand;
 use cranberryvalve_coordination::limits::LimitShare;
-use cranberryvalve_coordination::limits::home_of;
+use cranberryvalve_coordination::home::home_of;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_core::VmId;
--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -15,7 +15,7 @@
 use cranberryvalve_coordination::lease::LeaseRow;
 use cranberryvalve_coordination::lease::LeaseSeeker;
 use cranberryvalve_coordination::lease::LeaseStep;
-use cranberryvalve_coordination::limits::home_of;
+use cranberryvalve_coordination::home::home_of;
 use cranberryvalve_coordination::orders::FencedOrder;
 use cranberryvalve_coordination::orders::ORDER_LIFE;
 use cranberryvalve_coordination::orders::WEIGHT_PERMITS;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -25,6 +25,7 @@
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 
@@ -41,7 +42,6 @@
 pub use event::SendCommand;
 pub use event::SendEnd;
 pub use event::ToldLoad;
-pub use upstream::PeerLoad;
 pub use upstream::UpstreamRecord;
 
 use self::budget::RetryBudget;
@@ -59,6 +59,13 @@
 /// Time after which a caller may come back when no upstream is in service.
 const RETRY_AFTER_FAULT: Duration = Duration::from_millis(500);
 
+/// Prompt tokens from which the homes of upstreams are asked for their load: about 40 ms of
+/// reading, against a few milliseconds for the question.
+const ASK_FROM_TOKENS: u32 = 1_500;
+
+/// Upstreams whose homes are asked about one call.
+const ASKED: usize = 3;
+
 /// Share of an upstream's connections that the VMs use together; the rest is for those that are
 /// being closed and for VMs not counted yet.
 const CONNECTIONS_USED: f64 = 0.8;
@@ -148,6 +155,13 @@
                 self.dispatch_all(now, &mut actions);
             }
             SchedulerEvent::PeerTold { vm, loads } => self.on_peer_told(now, &vm, &loads),
+            SchedulerEvent::HomeTold(loads) => {
+                for load in &loads {
+                    if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
+                        upstream.home_told(now, load);
+                    }
+                }
+            }
             SchedulerEvent::VmsCounted(vms) => {
                 self.vms = vms.max(1);
                 self.budget.set_vms(self.vms);
@@ -168,10 +182,34 @@
     }
 
     /// What the other VMs are told of this VM's work.
-    pub fn loads_for_peers(&self, now: Instant) -> Vec<PeerLoad> {
+    pub fn loads_for_peers(&self, now: Instant) -> Vec<UpstreamLoad> {
         self.upstreams.values().filter_map(|it| it.load_for_peers(now)).collect()
     }
 
+    /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
+    pub fn loads_without(
+        &self,
+        now: Instant,
+        vm: &VmId,
+        upstreams: &[UpstreamId],
+    ) -> Vec<UpstreamLoad> {
+        let known = upstreams.iter().filter_map(|it| self.upstreams.get(it));
+        known.map(|it| it.load_without(now, vm)).collect()
+    }
+
+    /// Upstreams that a call would go to by what is known now, for asking their homes; none when
+    /// the answer would not be worth the question.
+    pub fn worth_asking(&self, now: Instant, call: &Call) -> Vec<UpstreamRecord> {
+        let Some(prompt) = call.prompt.as_ref() else { return Vec::new() };
+        if prompt.input_tokens < ASK_FROM_TOKENS {
+            return Vec::new();
+        }
+        let upstreams = self.pool(&call.pool);
+        let ids = placement::cheapest(&self.around(now, &call.pool), call, &upstreams, ASKED);
+        let known = ids.iter().filter_map(|it| self.upstreams.get(it));
+        known.map(|it| it.record.clone()).collect()
+    }
+
     /// The directory as it is believed to be.
     pub fn directory(&self) -> Vec<UpstreamRecord> {
         self.upstreams.values().map(|it| it.record.clone()).collect()
@@ -309,10 +347,7 @@
         }
     }
 
-    fn on_peer_told(&mut self, now: Instant, vm: &VmId, loads: &[PeerLoad]) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.forget_peer(vm);
-        }
+    fn on_peer_told(&mut self, now: Instant, vm: &VmId, loads: &[UpstreamLoad]) {
         for load in loads {
             if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
                 upstream.peer_told(now, vm, load);
@@ -363,16 +398,22 @@
 
     fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
         let pool = &tracked.call.pool;
-        let upstreams: Vec<&Upstream> =
-            self.upstreams.values().filter(|it| it.record.pool == *pool).collect();
+        placement::place(&self.around(now, pool), &tracked.call, &self.pool(pool), &tracked.tried)
+    }
+
+    /// The upstreams of a pool.
+    fn pool(&self, pool: &PoolId) -> Vec<&Upstream> {
+        self.upstreams.values().filter(|it| it.record.pool == *pool).collect()
+    }
+
+    fn around(&self, now: Instant, pool: &PoolId) -> Surroundings<'_> {
         let connections = self.table.pool(pool).map_or(u32::MAX, |it| it.max_connections);
         let share = f64::from(connections) * CONNECTIONS_USED / f64::from(self.vms);
-        let around = Surroundings {
+        Surroundings {
             now,
             failure_domain: self.settings.failure_domain.as_ref(),
             connection_share: (share as u32).max(1),
-        };
-        placement::place(&around, &tracked.call, &upstreams, &tracked.tried)
+        }
     }
 
     fn send(
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -5,10 +5,10 @@
 use cranberryvalve_core::Attempt;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
 
 use super::Call;
-use super::PeerLoad;
 use super::UpstreamRecord;
 
 /// Something that happened.
@@ -50,9 +50,11 @@
     PeerTold {
         /// The other VM.
         vm: VmId,
-        /// Its work at each upstream.
-        loads: Vec<PeerLoad>,
+        /// Its work at some of the upstreams whose home this VM is.
+        loads: Vec<UpstreamLoad>,
     },
+    /// The homes of upstreams told what all other VMs have in flight there.
+    HomeTold(Vec<UpstreamLoad>),
     /// Number of VMs that share the retry budgets and the upstreams' connections.
     VmsCounted(u32),
     /// Time passed.
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -85,17 +85,10 @@
     upstreams: &[&Upstream],
     tried: &[UpstreamId],
 ) -> Placement {
-    let in_service: Vec<&Upstream> =
-        upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
-    if in_service.is_empty() {
+    let rated = rate(around, call, upstreams, tried);
+    if rated.is_empty() {
         return Placement::NoUpstream;
     }
-    let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
-    let fresh = select(&healthy, |it| !tried.contains(&it.record.id));
-    let lanes = Lanes::new(&in_service);
-    let home = call.prompt.as_ref().and_then(|it| lanes.home(around, it, &healthy));
-    let rated = fresh.iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref()));
-    let rated: Vec<Rated<'_>> = rated.collect();
     let with_room = rated.iter().filter(|it| it.has_room);
     let cheapest = with_room.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
     match cheapest {
@@ -115,6 +108,34 @@
     }
 }
 
+/// The `count` cheapest upstreams for a call, whether or not they have room.
+pub(super) fn cheapest(
+    around: &Surroundings<'_>,
+    call: &Call,
+    upstreams: &[&Upstream],
+    count: usize,
+) -> Vec<UpstreamId> {
+    let mut rated = rate(around, call, upstreams, &[]);
+    rated.sort_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+    rated.iter().take(count).map(|it| it.upstream.record.id.clone()).collect()
+}
+
+/// The upstreams that may be chosen, with their costs.
+fn rate<'a>(
+    around: &Surroundings<'_>,
+    call: &Call,
+    upstreams: &[&'a Upstream],
+    tried: &[UpstreamId],
+) -> Vec<Rated<'a>> {
+    let in_service: Vec<&Upstream> =
+        upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
+    let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
+    let fresh = select(&healthy, |it| !tried.contains(&it.record.id));
+    let lanes = Lanes::new(&in_service);
+    let home = call.prompt.as_ref().and_then(|it| lanes.home(around, it, &healthy));
+    fresh.into_iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref())).collect()
+}
+
 /// Those that `is_wanted`, or all when there are none.
 fn select<'a>(
     upstreams: &[&'a Upstream],
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -9,10 +9,9 @@
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::EngineProfile;
-use serde::Deserialize;
-use serde::Serialize;
 
 use super::Call;
 use super::ToldLoad;
@@ -21,7 +20,7 @@
 use crate::upstream::Circuit;
 
 /// Age at which another VM's figures, or an upstream's own, say nothing any more.
-pub(super) const FIGURES_LIFETIME: Duration = Duration::from_secs(1);
+pub(super) const FIGURES_LIFETIME: Duration = Duration::from_millis(1_200);
 
 /// An upstream in the directory.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,23 +41,11 @@
     pub incarnation: u64,
 }
 
-/// What a VM has in flight at one upstream, as told to the other VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerLoad {
-    /// Upstream.
-    pub upstream: UpstreamId,
-    /// Requests in flight.
-    pub in_flight: u16,
-    /// Estimated time for the prompts that are still to be read, in milliseconds.
-    pub backlog_ms: u16,
-}
-
 /// An attempt under way.
 #[derive(Debug)]
 struct InFlight {
     /// Time to read the prompt.
     read: Duration,
-    sent_at: Instant,
     is_reading: bool,
 }
 
@@ -81,7 +68,10 @@
     /// When a prompt was last seen to be read, or began to be the only one.
     read_progress_at: Instant,
     told: Option<Timed<ToldLoad>>,
+    /// Work of other VMs, when this VM is the upstream's home.
     peers: HashMap<VmId, Timed<PeerFigures>>,
+    /// Work of all other VMs, as the upstream's home told it.
+    others: Option<Timed<PeerFigures>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -102,6 +92,7 @@
             read_progress_at: now,
             told: None,
             peers: HashMap::new(),
+            others: None,
         }
     }
 
@@ -116,7 +107,7 @@
         if !self.in_flight.values().any(|it| it.is_reading) {
             self.read_progress_at = now;
         }
-        let in_flight = InFlight { read, sent_at: now, is_reading: call.prompt.is_some() };
+        let in_flight = InFlight { read, is_reading: call.prompt.is_some() };
         self.in_flight.insert(call.id, in_flight);
         if let Some(prompt) = &call.prompt {
             self.cache.insert(prompt);
@@ -144,17 +135,26 @@
     }
 
     /// Takes what another VM has in flight here.
-    pub(super) fn peer_told(&mut self, now: Instant, vm: &VmId, load: &PeerLoad) {
-        let figure = PeerFigures {
-            in_flight: u32::from(load.in_flight),
-            backlog: Duration::from_millis(u64::from(load.backlog_ms)),
-        };
-        self.peers.insert(vm.clone(), Timed { figure, at: now });
+    pub(super) fn peer_told(&mut self, now: Instant, vm: &VmId, load: &UpstreamLoad) {
+        self.peers.insert(vm.clone(), Timed { figure: PeerFigures::from(load), at: now });
     }
 
-    /// Forgets what `vm` had in flight here.
-    pub(super) fn forget_peer(&mut self, vm: &VmId) {
-        self.peers.remove(vm);
+    /// Takes what the home told of all other VMs.
+    pub(super) fn home_told(&mut self, now: Instant, load: &UpstreamLoad) {
+        self.others = Some(Timed { figure: PeerFigures::from(load), at: now });
+    }
+
+    /// What all VMs but `vm` have in flight, for this VM as the upstream's home to tell.
+    pub(super) fn load_without(&self, now: Instant, vm: &VmId) -> UpstreamLoad {
+        let peers = self.peers.iter().filter(|(it, _)| *it != vm).map(|(_, it)| it);
+        let fresh: Vec<&Timed<PeerFigures>> = peers.filter(|it| it.is_fresh(now)).collect();
+        let in_flight: u32 = fresh.iter().map(|it| it.figure.in_flight).sum();
+        let backlog: Duration = fresh.iter().map(|it| it.backlog(now)).sum();
+        UpstreamLoad {
+            upstream: self.record.id.clone(),
+            in_flight: saturate(u128::from(in_flight + self.own_in_flight())),
+            backlog_ms: saturate((backlog + self.own_backlog(now)).as_millis()),
+        }
     }
 
     /// Requests of this VM in flight.
@@ -164,7 +164,7 @@
 
     /// Requests of all VMs in flight, as far as they are known.
     pub(super) fn in_flight(&self, now: Instant) -> u32 {
-        let peers: u32 = self.fresh_peers(now).map(|it| it.figure.in_flight).sum();
+        let peers: u32 = self.others(now).map(|it| it.figure.in_flight).sum();
         let known = self.own_in_flight() + peers;
         let told = self.told.filter(|it| now.duration_since(it.at) < FIGURES_LIFETIME / 2);
         known.max(told.map_or(0, |it| it.figure.running + it.figure.waiting))
@@ -172,10 +172,7 @@
 
     /// Estimated time until all prompts sent so far are read.
     pub(super) fn backlog(&self, now: Instant) -> Duration {
-        let peers = self.fresh_peers(now).map(|it| {
-            it.figure.backlog.saturating_sub(now.saturating_duration_since(it.at))
-        });
-        self.own_backlog(now) + peers.sum::<Duration>()
+        self.own_backlog(now) + self.others(now).map(|it| it.backlog(now)).sum::<Duration>()
     }
 
     /// Estimated time until all prompts that this VM sent are read.
@@ -191,23 +188,18 @@
 
     /// Age of the oldest figure of another VM that is in use.
     pub(super) fn peer_age(&self, now: Instant) -> Duration {
-        let ages = self.fresh_peers(now).map(|it| now.saturating_duration_since(it.at));
+        let ages = self.others(now).map(|it| now.saturating_duration_since(it.at));
         ages.max().unwrap_or_default()
     }
 
-    /// Time since the oldest prompt was sent that has had no answer.
-    pub(super) fn oldest_wait(&self, now: Instant) -> Duration {
-        let reading = self.in_flight.values().filter(|it| it.is_reading);
-        let waits = reading.map(|it| now.saturating_duration_since(it.sent_at));
-        waits.max().unwrap_or_default()
-    }
-
     /// What the other VMs are told of this VM's work; none when there is none.
-    pub(super) fn load_for_peers(&self, now: Instant) -> Option<PeerLoad> {
-        let in_flight = u16::try_from(self.in_flight.len()).unwrap_or(u16::MAX);
-        let backlog_ms = u16::try_from(self.own_backlog(now).as_millis()).unwrap_or(u16::MAX);
-        let upstream = self.record.id.clone();
-        (in_flight > 0).then_some(PeerLoad { upstream, in_flight, backlog_ms })
+    pub(super) fn load_for_peers(&self, now: Instant) -> Option<UpstreamLoad> {
+        let load = UpstreamLoad {
+            upstream: self.record.id.clone(),
+            in_flight: saturate(u128::from(self.own_in_flight())),
+            backlog_ms: saturate(self.own_backlog(now).as_millis()),
+        };
+        (load.in_flight > 0).then_some(load)
     }
 
     /// Time to read the part of the prompt that is not cached.
@@ -217,9 +209,34 @@
         engine::read_time(prompt.input_tokens, cached_tokens)
     }
 
-    fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &Timed<PeerFigures>> {
-        self.peers
-            .values()
-            .filter(move |it| now.saturating_duration_since(it.at) < FIGURES_LIFETIME)
+    /// Fresh figures of other VMs: their own at the home, and the home's elsewhere.
+    fn others(&self, now: Instant) -> impl Iterator<Item = &Timed<PeerFigures>> {
+        let is_home = self.peers.values().any(|it| it.is_fresh(now));
+        let told = self.others.as_ref().filter(|_| !is_home);
+        self.peers.values().chain(told).filter(move |it| it.is_fresh(now))
+    }
+}
+
+impl Timed<PeerFigures> {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < FIGURES_LIFETIME
+    }
+
+    /// The backlog, less what was read since it was told.
+    fn backlog(&self, now: Instant) -> Duration {
+        self.figure.backlog.saturating_sub(now.saturating_duration_since(self.at))
     }
 }
+
+impl From<&UpstreamLoad> for PeerFigures {
+    fn from(load: &UpstreamLoad) -> Self {
+        Self {
+            in_flight: u32::from(load.in_flight),
+            backlog: Duration::from_millis(u64::from(load.backlog_ms)),
+        }
+    }
+}
+
+fn saturate(figure: u128) -> u16 {
+    u16::try_from(figure).unwrap_or(u16::MAX)
+}
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -12,10 +12,12 @@
 
 use cranberryvalve_core::Attempt;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
+use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::Call;
 use cranberryvalve_policy::scheduler::Conclusion;
-use cranberryvalve_policy::scheduler::PeerLoad;
 use cranberryvalve_policy::scheduler::Scheduler;
 use cranberryvalve_policy::scheduler::SchedulerAction;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
@@ -132,10 +134,20 @@
     }
 
     /// What the other VMs are told.
-    pub(crate) fn loads_for_peers(&self) -> Vec<PeerLoad> {
+    pub(crate) fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
         self.lock().scheduler.loads_for_peers(Instant::now())
     }
 
+    /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
+    pub(crate) fn loads_without(&self, vm: &VmId, upstreams: &[UpstreamId]) -> Vec<UpstreamLoad> {
+        self.lock().scheduler.loads_without(Instant::now(), vm, upstreams)
+    }
+
+    /// Upstreams whose homes are worth asking about a call.
+    pub(crate) fn worth_asking(&self, call: &Call) -> Vec<UpstreamRecord> {
+        self.lock().scheduler.worth_asking(Instant::now(), call)
+    }
+
     /// The directory in force.
     pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
         self.lock().scheduler.directory()
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -60,6 +60,8 @@
     pub(crate) tier: u8,
     pub(crate) is_stream: bool,
     pub(crate) deadline: Instant,
+    /// Whether the other VMs should know of it.
+    pub(crate) is_long: bool,
 }
 
 /// What the caller has received so far.
@@ -146,6 +148,15 @@
         }
     }
 
+    /// Tells the upstream's home of a long prompt that is sent, or has been read.
+    pub(crate) fn report(&self, command: &SendCommand) {
+        if self.is_long
+            && let Some(peers) = self.relay.peers()
+        {
+            peers.report(&command.upstream);
+        }
+    }
+
     /// Makes a connection; none when the upstream cannot be reached.
     fn connect(
         &self,
@@ -313,6 +324,7 @@
                 if !is_answering {
                     is_answering = true;
                     ticket.answering(command.attempt);
+                    self.report(command);
                     delivery.first_part_at.get_or_insert_with(Instant::now);
                 }
                 if !delivery.is_started {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod exchange;
 pub mod health;
 mod lifecycle;
+pub mod peers;
 mod service;
 mod socket;
 pub mod sources;
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,217 @@
+//! What the VMs tell each other: who is there, which routing table is in force, and what they have
+//! in flight at the engines.
+//!
+//! Every engine has a home among the VMs of its failure domain. A VM that sends a long prompt to an
+//! engine reports that to the engine's home, and before it chooses an engine for the next one it
+//! asks the homes of the likely ones. Each request costs a few small messages, however many VMs
+//! there are, and the figures are as old as one round trip.
+
+mod gossip;
+mod questions;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_adapters::links::Links;
+use cranberryvalve_adapters::shared_key::SharedKey;
+use cranberryvalve_adapters::telemetry::unix_ms;
+use cranberryvalve_coordination::home::home_of;
+use cranberryvalve_coordination::membership::Membership;
+use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_core::UpstreamLoad;
+use cranberryvalve_core::VmId;
+use cranberryvalve_policy::scheduler::UpstreamRecord;
+use slog::info;
+use slog::warn;
+
+use self::questions::Questions;
+use crate::sources::SecretRow;
+use crate::sources::TableFeed;
+use crate::state::Relay;
+
+/// Longest time that a call waits for the answers of homes: a round trip between the failure
+/// domains of a region, and the work of two small VMs.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(8);
+
+/// Pause between two reports of all work in flight, well within the time for which it counts.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Pause after a failure to read the key of the links.
+const KEY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Upstreams in one report, at most.
+const MAX_REPORTED: usize = 64;
+
+/// How a VM takes part among its peers.
+#[derive(Debug, Clone)]
+pub struct PeerSettings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Address for peers.
+    pub address: SocketAddr,
+    /// Failure domain of this VM.
+    pub failure_domain: Arc<str>,
+    /// Addresses of some VMs, which may be stale.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// This VM's end of the links to its peers.
+pub(crate) struct Peers {
+    relay: Arc<Relay>,
+    links: Links,
+    membership: Mutex<Membership>,
+    seeds: Vec<SocketAddr>,
+    questions: Questions,
+    tables: Arc<dyn TableFeed>,
+}
+
+/// Joins the peers as soon as the key of the links is known; until then the VM serves alone.
+///
+/// # Errors
+///
+/// Fails when no thread can be had.
+pub fn join(
+    relay: &Arc<Relay>,
+    settings: PeerSettings,
+    secret: Arc<dyn SecretRow>,
+    tables: Arc<dyn TableFeed>,
+) -> io::Result<()> {
+    let relay = relay.clone();
+    thread::Builder::new().name("join".to_owned()).spawn(move || {
+        let key = shared_key(&relay, &*secret);
+        if let Err(error) = start(&relay, settings, key, tables) {
+            warn!(relay.log, "serving without peers"; "error" => error.to_string());
+        }
+    })?;
+    Ok(())
+}
+
+/// Reads the key of the links, or makes it where there is none.
+fn shared_key(relay: &Relay, secret: &dyn SecretRow) -> SharedKey {
+    let mut is_reported = false;
+    loop {
+        match crate::sources::read_or_create(secret) {
+            Ok(bytes) => return SharedKey::new(&bytes),
+            Err(error) if !is_reported => {
+                is_reported = true;
+                warn!(relay.log, "peers wait for the key of the links"; "error" => error.to_string());
+            }
+            Err(_) => {}
+        }
+        thread::sleep(KEY_PAUSE);
+    }
+}
+
+fn start(
+    relay: &Arc<Relay>,
+    settings: PeerSettings,
+    key: SharedKey,
+    tables: Arc<dyn TableFeed>,
+) -> io::Result<()> {
+    let own = PeerAddress {
+        vm: settings.vm,
+        address: settings.address,
+        failure_domain: settings.failure_domain,
+    };
+    let peers = Arc::new(Peers {
+        relay: relay.clone(),
+        links: Links::listen(settings.address, key).map_err(io::Error::other)?,
+        membership: Mutex::new(Membership::new(own, unix_ms())),
+        seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
+        questions: Questions::default(),
+        tables,
+    });
+    relay.set_peers(peers.clone());
+    info!(relay.log, "joining peers"; "seeds" => peers.seeds.len());
+    let receiver = peers.clone();
+    thread::Builder::new().name("peers".to_owned()).spawn(move || receiver.receive())?;
+    let reporter = peers.clone();
+    thread::Builder::new().name("reports".to_owned()).spawn(move || reporter.report_all())?;
+    thread::Builder::new().name("heartbeats".to_owned()).spawn(move || peers.send_heartbeats())?;
+    Ok(())
+}
+
+impl Peers {
+    /// What the other VMs have in flight at `upstreams`, as far as their homes tell in time.
+    pub(crate) fn ask(&self, upstreams: &[UpstreamRecord]) -> Vec<UpstreamLoad> {
+        let by_home = self.by_home(upstreams.iter().map(|it| (it, it.id.clone())));
+        if by_home.is_empty() {
+            return Vec::new();
+        }
+        let (question, from) = (self.questions.open(by_home.len()), self.own());
+        for (home, upstreams) in by_home.into_values() {
+            let message = PeerMessage::LoadsWanted { from: from.clone(), question, upstreams };
+            self.links.send(&home, &message);
+        }
+        self.questions.wait(question, ANSWER_TIMEOUT)
+    }
+
+    /// Tells the home of an upstream what this VM has in flight there.
+    pub(crate) fn report(&self, upstream: &UpstreamRecord) {
+        let loads = self.relay.loads_for_peers();
+        let load = loads.into_iter().find(|it| it.upstream == upstream.id);
+        let Some(load) = load else { return };
+        self.send_reports(self.by_home([(upstream, load)].into_iter()));
+    }
+
+    /// Reports all work in flight again and again, since single reports may be lost.
+    fn report_all(&self) {
+        loop {
+            thread::sleep(REPORT_INTERVAL);
+            let loads = self.relay.loads_for_peers();
+            if loads.is_empty() {
+                continue;
+            }
+            let records = self.relay.directory();
+            let records: HashMap<&str, &UpstreamRecord> =
+                records.iter().map(|it| (&*it.id, it)).collect();
+            let known = loads.into_iter().filter_map(|it| Some((*records.get(&*it.upstream)?, it)));
+            self.send_reports(self.by_home(known.take(MAX_REPORTED)));
+        }
+    }
+
+    fn send_reports(&self, by_home: HashMap<VmId, (PeerAddress, Vec<UpstreamLoad>)>) {
+        let from = self.own();
+        for (home, loads) in by_home.into_values() {
+            let message = PeerMessage::LoadReport { from: from.clone(), loads };
+            self.links.send(&home, &message);
+        }
+    }
+
+    /// Sorts items by the home of their upstream; those whose home is this VM are left out.
+    fn by_home<'a, T>(
+        &self,
+        items: impl Iterator<Item = (&'a UpstreamRecord, T)>,
+    ) -> HashMap<VmId, (PeerAddress, Vec<T>)> {
+        let membership = self.membership();
+        let own = membership.own().vm.clone();
+        let mut names: HashMap<Arc<str>, Vec<VmId>> = HashMap::new();
+        let mut by_home: HashMap<VmId, (PeerAddress, Vec<T>)> = HashMap::new();
+        for (upstream, item) in items {
+            let domain = &upstream.failure_domain;
+            let vms = names
+                .entry(domain.clone())
+                .or_insert_with(|| membership.alive_names_near(domain));
+            let Some(home) = home_of(&upstream.id, vms).filter(|it| **it != own) else { continue };
+            let Some(address) = membership.address_of(home) else { continue };
+            by_home.entry(home.clone()).or_insert_with(|| (address, Vec::new())).1.push(item);
+        }
+        by_home
+    }
+
+    fn own(&self) -> PeerAddress {
+        self.membership().own().clone()
+    }
+
+    fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peers/gossip.rs
@@ -0,0 +1,187 @@
+//! Heartbeats, members and routing tables among peers.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_coordination::peer::Heartbeat;
+use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_core::ConfigVersion;
+use cranberryvalve_core::PressureDigest;
+use cranberryvalve_policy::scheduler::SchedulerEvent;
+use slog::info;
+
+use super::Peers;
+
+/// Pause between two heartbeats to a neighbour.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pause between two heartbeats to the seeds while no other VM is known.
+const INTERVAL_ALONE: Duration = Duration::from_millis(300);
+
+/// Pause between two replies to a VM that is no neighbour.
+const REPLY_PAUSE: Duration = Duration::from_millis(500);
+
+/// VMs that are assumed before any is known, so that a VM that knows nobody yet takes only a
+/// small share of what all VMs share.
+const ASSUMED_VMS: u32 = 8;
+
+impl Peers {
+    /// Sends heartbeats at the interval; does not return.
+    pub(super) fn send_heartbeats(&self) {
+        let mut turn = 0;
+        loop {
+            turn += 1;
+            self.send_round(turn);
+            let is_alone = self.membership().alive() == 1;
+            thread::sleep(if is_alone { INTERVAL_ALONE } else { INTERVAL });
+        }
+    }
+
+    /// Tells the neighbours at once that a new routing table is in force.
+    pub(crate) fn announce(&self) {
+        let neighbours = self.membership().neighbours();
+        neighbours.iter().for_each(|it| self.send_heartbeat(it));
+    }
+
+    /// Tells the neighbours that this VM stops.
+    pub(crate) fn leave(&self) {
+        self.membership().stop();
+        self.announce();
+    }
+
+    fn send_round(&self, turn: usize) {
+        let receivers = {
+            let mut membership = self.membership();
+            membership.on_tick(Instant::now());
+            let mut receivers = membership.neighbours();
+            receivers.extend(membership.probe_target(turn));
+            receivers
+        };
+        receivers.iter().for_each(|it| self.send_heartbeat(it));
+        if self.membership().alive() == 1 {
+            self.seeds.iter().for_each(|it| self.send_heartbeat(&seed(*it)));
+        }
+        for vm in self.links.close_silent(&receivers) {
+            info!(self.relay.log, "link was silent and is dialled anew"; "peer" => &*vm);
+        }
+        self.count_vms();
+    }
+
+    /// Counts all members that are remembered, those thought dead included: VMs that are only cut
+    /// off from this one go on to use their share.
+    fn count_vms(&self) {
+        let known = u32::try_from(self.membership().list().len()).unwrap_or(u32::MAX);
+        let vms = if known == 0 { ASSUMED_VMS } else { known + 1 };
+        self.relay.hear_peer(SchedulerEvent::VmsCounted(vms));
+        metrics::gauge!("cranberryvalve_members_known").set(f64::from(vms));
+    }
+
+    fn send_heartbeat(&self, receiver: &PeerAddress) {
+        let (from, incarnation, members) = {
+            let mut membership = self.membership();
+            let members = membership.news_for(&receiver.vm);
+            (membership.own().clone(), membership.incarnation(), members)
+        };
+        let counters = self.links.next_heartbeat(receiver);
+        let heartbeat = Heartbeat {
+            from,
+            incarnation,
+            sequence: counters.sequence,
+            acknowledged: counters.received,
+            config_version: self.version(),
+            config_fresh: false,
+            pressure: PressureDigest::default(),
+            members,
+        };
+        self.links.send(receiver, &PeerMessage::Heartbeat(heartbeat));
+    }
+
+    /// Version of the routing table in force.
+    fn version(&self) -> ConfigVersion {
+        self.relay.document().map_or(0, |it| it.version)
+    }
+
+    /// Takes messages from peers until the links are closed.
+    pub(super) fn receive(&self) {
+        while let Ok(message) = self.links.receive() {
+            match message {
+                Some(PeerMessage::Heartbeat(heartbeat)) => self.on_heartbeat(heartbeat),
+                Some(PeerMessage::Members { members, .. }) => {
+                    let now = Instant::now();
+                    let mut membership = self.membership();
+                    members.iter().for_each(|it| membership.on_update(now, it));
+                }
+                Some(PeerMessage::DocumentWanted { from, version }) => {
+                    self.send_document(&from, version);
+                }
+                Some(PeerMessage::Document { body, .. }) => self.on_document(body),
+                Some(PeerMessage::LoadReport { from, loads }) => {
+                    self.relay.hear_peer(SchedulerEvent::PeerTold { vm: from.vm, loads });
+                }
+                Some(PeerMessage::LoadsWanted { from, question, upstreams }) => {
+                    let loads = self.relay.loads_without(&from.vm, &upstreams);
+                    let own = self.own();
+                    self.links.send(&from, &PeerMessage::LoadsTold { from: own, question, loads });
+                }
+                Some(PeerMessage::LoadsTold { question, loads, .. }) => {
+                    self.questions.answer(question, loads);
+                }
+                // Limits of customers are not kept by relays.
+                Some(PeerMessage::LimitReport { .. } | PeerMessage::LimitShares { .. }) => {}
+                None => {
+                    metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
+                }
+            }
+        }
+    }
+
+    fn on_heartbeat(&self, heartbeat: Heartbeat) {
+        let now = Instant::now();
+        let from = heartbeat.from;
+        self.links.on_heartbeat(&from, heartbeat.sequence, heartbeat.acknowledged);
+        let (is_new, is_neighbour, all) = {
+            let mut membership = self.membership();
+            let is_new = membership.address_of(&from.vm).is_none();
+            membership.on_heard(now, &from, heartbeat.incarnation);
+            for update in &heartbeat.members {
+                membership.on_update(now, update);
+            }
+            let is_neighbour = membership.neighbours().iter().any(|it| it.vm == from.vm);
+            (is_new, is_neighbour, membership.list())
+        };
+        if is_new {
+            let own = self.own();
+            self.links.send(&from, &PeerMessage::Members { from: own, members: all });
+        }
+        // The pause keeps two VMs that are no neighbours of each other from answering without end.
+        if !is_neighbour && self.links.is_heartbeat_due(&from, REPLY_PAUSE) {
+            self.send_heartbeat(&from);
+        }
+        if heartbeat.config_version > self.version() {
+            let message = PeerMessage::DocumentWanted {
+                from: self.own(),
+                version: heartbeat.config_version,
+            };
+            self.links.send(&from, &message);
+        }
+    }
+
+    fn send_document(&self, to: &PeerAddress, version: ConfigVersion) {
+        let document = self.relay.document().filter(|it| it.version >= version);
+        let Some(document) = document else { return };
+        let body = document.row.value.clone();
+        self.links.send(to, &PeerMessage::Document { from: self.own(), body });
+    }
+
+    fn on_document(&self, body: Vec<u8>) {
+        self.relay.take_row(&*self.tables, &self.tables.row(body), "peer");
+    }
+}
+
+/// A VM of which only the address is known.
+fn seed(address: SocketAddr) -> PeerAddress {
+    PeerAddress { vm: address.to_string().into(), address, failure_domain: "".into() }
+}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -16,6 +16,7 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::Call;
 use cranberryvalve_policy::scheduler::Conclusion;
+use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
 use cranberryvalve_policy::scheduler::SendEnd;
 use slog::info;
@@ -133,6 +134,7 @@
     fn call(&mut self, request: &CallerRequest, facts: &CallFacts, access: &Access) -> Ending {
         let call = self.scheduler_call(request, facts, access);
         let deadline = call.deadline;
+        let is_long = self.ask_homes(&call);
         let mut ticket = self.relay.dispatcher.admit(call, &self.mailbox);
         let exchange = Exchange {
             relay: self.relay,
@@ -143,6 +145,7 @@
             tier: access.tier,
             is_stream: access.route.kind.is_stream(),
             deadline,
+            is_long,
         };
         let mut progress = Progress {
             delivery: Delivery { last_event: facts.last_event, ..Delivery::default() },
@@ -179,6 +182,21 @@
         }
     }
 
+    /// Learns what the other VMs have in flight where the call is likely to go; false when the
+    /// call is too small to matter to them.
+    fn ask_homes(&self, call: &Call) -> bool {
+        let Some(peers) = self.relay.peers() else { return false };
+        let upstreams = self.relay.dispatcher.worth_asking(call);
+        if upstreams.is_empty() {
+            return false;
+        }
+        let loads = peers.ask(&upstreams);
+        if !loads.is_empty() {
+            self.relay.hear_peer(SchedulerEvent::HomeTold(loads));
+        }
+        true
+    }
+
     /// Waits for what to do next.
     fn next_directive(
         &self,
@@ -214,6 +232,7 @@
     ) -> Option<Ending> {
         progress.attempts += 1;
         progress.upstream = Some(command.clone());
+        exchange.report(command);
         let outcome =
             exchange.attempt(command, ticket, &mut self.caller, &mut progress.delivery);
         let (end, ending) = match outcome {
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -6,7 +6,9 @@
 
 mod directory;
 mod follow;
+mod secret;
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +17,8 @@
 
 pub use follow::follow_directory;
 pub use follow::follow_tables;
+pub use secret::SecretRow;
+pub use secret::read_or_create;
 
 /// A row of a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -61,6 +65,17 @@
     Unreachable(String),
 }
 
+impl fmt::Display for FeedError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HistoryGone => f.write_str("the changes are no longer kept"),
+            Self::Unreachable(message) => f.write_str(message),
+        }
+    }
+}
+
+impl std::error::Error for FeedError {}
+
 /// A table with a feed of its changes.
 pub trait Feed: Send + Sync + 'static {
     /// Name for logs.
@@ -85,6 +100,9 @@
 pub trait TableFeed: Feed {
     /// Decodes a row; none when it holds no routing table.
     fn decode(&self, row: &Row) -> Option<Result<RoutingTable, String>>;
+
+    /// The row with a routing table of these bytes, as another VM read it.
+    fn row(&self, value: Vec<u8>) -> Row;
 }
 
 /// A source of upstreams.
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -42,30 +42,13 @@
         let mut follower = Follower::new(relay.clone(), feed.clone());
         loop {
             for row in follower.next(WAIT).into_rows() {
-                put_table(&relay, &*feed, &row);
+                relay.take_row(&*feed, &row, feed.name());
             }
         }
     })?;
     Ok(())
 }
 
-fn put_table(relay: &Relay, feed: &dyn TableFeed, row: &Row) {
-    match feed.decode(row) {
-        None => {}
-        Some(Ok(table)) => {
-            let version = table.version();
-            let routes = table.routes().len();
-            if relay.put_table(Arc::new(table)) {
-                info!(relay.log, "configuration in force"; "config_version" => version,
-                    "routes" => routes);
-            }
-        }
-        Some(Err(message)) => {
-            warn!(relay.log, "configuration left out"; "error" => message);
-        }
-    }
-}
-
 /// Starts to follow a source of upstreams.
 ///
 /// # Errors
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
@@ -17,20 +18,27 @@
 use std::thread;
 use std::time::Duration;
 
+use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamLoad;
+use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
-use cranberryvalve_policy::scheduler::PeerLoad;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SchedulerSettings;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::Logger;
+use slog::info;
+use slog::warn;
 use socket2::SockRef;
 
 use crate::connections::KeptConnections;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::peers::Peers;
 use crate::service::serve;
 use crate::socket::Waker;
+use crate::sources::Row;
+use crate::sources::TableFeed;
 
 /// Stack of a connection's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
@@ -47,6 +55,14 @@
     pub max_connections: usize,
 }
 
+/// A routing table with the row that it came in, for peers that ask for it.
+#[derive(Debug, Clone)]
+pub(crate) struct Document {
+    pub(crate) version: ConfigVersion,
+    pub(crate) table: Arc<RoutingTable>,
+    pub(crate) row: Arc<Row>,
+}
+
 /// Callers, scheduler and upstreams of one VM.
 pub struct Relay {
     pub(crate) settings: RelaySettings,
@@ -57,7 +73,8 @@
     /// Wakes the threads of idle callers when the relay closes.
     pub(crate) closing: Waker,
     listener: Mutex<Option<TcpListener>>,
-    table: RwLock<Option<Arc<RoutingTable>>>,
+    document: RwLock<Option<Document>>,
+    peers: OnceLock<Arc<Peers>>,
     is_draining: AtomicBool,
     connections: AtomicUsize,
     busy: AtomicUsize,
@@ -83,7 +100,8 @@
             kept: KeptConnections::default(),
             closing: Waker::new()?,
             listener: Mutex::default(),
-            table: RwLock::default(),
+            document: RwLock::default(),
+            peers: OnceLock::new(),
             is_draining: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
@@ -105,21 +123,51 @@
         Ok(())
     }
 
-    /// Puts a routing table in force, unless a newer one is; true when it is in force now.
-    pub fn put_table(&self, table: Arc<RoutingTable>) -> bool {
-        let mut current = self.table.write().unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_some_and(|it| it.version() >= table.version()) {
-            return false;
+    /// Decodes a row and puts its routing table in force, unless a newer one is.
+    pub(crate) fn take_row(&self, feed: &dyn TableFeed, row: &Row, source: &'static str) {
+        match feed.decode(row) {
+            None => {}
+            Some(Ok(table)) => self.put_table(Arc::new(table), row, source),
+            Some(Err(message)) => {
+                warn!(self.log, "configuration left out"; "source" => source, "error" => message);
+            }
+        }
+    }
+
+    fn put_table(&self, table: Arc<RoutingTable>, row: &Row, source: &'static str) {
+        let version = table.version();
+        let mut current = self.document.write().unwrap_or_else(PoisonError::into_inner);
+        if current.as_ref().is_some_and(|it| it.version >= version) {
+            return;
         }
-        *current = Some(table.clone());
+        *current = Some(Document { version, table: table.clone(), row: Arc::new(row.clone()) });
         drop(current);
+        info!(self.log, "configuration in force"; "source" => source, "config_version" => version,
+            "routes" => table.routes().len());
         self.dispatcher.put_in_force(table);
-        true
+        if let Some(peers) = self.peers.get() {
+            peers.announce();
+        }
+    }
+
+    /// The routing table in force with the row that it came in; none before the first one.
+    pub(crate) fn document(&self) -> Option<Document> {
+        self.document.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// The routing table in force; none before the first one.
     pub fn table(&self) -> Option<Arc<RoutingTable>> {
-        self.table.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.document().map(|it| it.table)
+    }
+
+    pub(crate) fn set_peers(&self, peers: Arc<Peers>) {
+        // It is set once, when the VM joins.
+        let _ = self.peers.set(peers);
+    }
+
+    /// The peers; none before the VM has joined them.
+    pub(crate) fn peers(&self) -> Option<&Peers> {
+        self.peers.get().map(|it| &**it)
     }
 
     /// Replaces the directory of upstreams.
@@ -136,15 +184,20 @@
     }
 
     /// Takes what another VM has in flight, or how many VMs there are.
-    pub fn hear_peer(&self, event: SchedulerEvent) {
+    pub(crate) fn hear_peer(&self, event: SchedulerEvent) {
         self.dispatcher.handle(event);
     }
 
     /// What the other VMs are told of this VM's work.
-    pub fn loads_for_peers(&self) -> Vec<PeerLoad> {
+    pub(crate) fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
         self.dispatcher.loads_for_peers()
     }
 
+    /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
+    pub(crate) fn loads_without(&self, vm: &VmId, upstreams: &[UpstreamId]) -> Vec<UpstreamLoad> {
+        self.dispatcher.loads_without(vm, upstreams)
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.table().is_some() && !self.directory().is_empty()
@@ -172,6 +225,9 @@
 
     pub(crate) fn start_draining(&self) {
         self.is_draining.store(true, Ordering::SeqCst);
+        if let Some(peers) = self.peers.get() {
+            peers.leave();
+        }
     }
 
     /// Takes no new connection and no new request; those under way go on.
