perf: engines fall into lanes that follow the work

Change: lane sizes follow the arriving work, long prompts keep out of a short-lane engine that has work, and room does not depend on a prompt's own size.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod call;
 mod engine;
 mod event;
+mod lanes;
 mod placement;
 mod queue;
 mod upstream;
@@ -45,6 +46,7 @@
 pub use upstream::UpstreamRecord;
 
 use self::budget::RetryBudget;
+use self::lanes::Demands;
 use self::placement::Placement;
 use self::placement::Surroundings;
 use self::queue::CallQueue;
@@ -100,6 +102,7 @@
     queues: HashMap<PoolId, CallQueue>,
     calls: HashMap<RequestId, Tracked>,
     budget: RetryBudget,
+    demands: Demands,
 }
 
 /// A call between its arrival and its end.
@@ -125,6 +128,7 @@
             upstreams: BTreeMap::new(),
             queues: HashMap::new(),
             calls: HashMap::new(),
+            demands: Demands::default(),
         }
     }
 
@@ -413,6 +417,7 @@
             now,
             failure_domain: self.settings.failure_domain.as_ref(),
             connection_share: (share as u32).max(1),
+            long_share: self.demands.long_share(pool),
         }
     }
 
@@ -428,6 +433,9 @@
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
         }
+        if let Some(prompt) = &tracked.call.prompt {
+            self.demands.add(now, &tracked.call.pool, prompt, choice.reason.cached_tokens);
+        }
         upstream.sent(now, &tracked.call);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -1,13 +1,10 @@
 //! Choice of the upstream for a call.
 //!
 //! Every upstream of the pool that has room gets a cost, in the time that the choice takes away
-//! from others and from the caller; the cheapest one is chosen. Engines fall into two lanes by a
-//! hash that is the same on all VMs: long prompts go to the first lane and short ones to the
-//! second, since a long prompt delays every token of the streams beside it. A prompt's shared
-//! beginning has a home in its lane, again by hash (rendezvous hashing: Thaler and Ravishankar,
-//! 1998), so that the VMs find its cache without telling each other.
+//! from others and from the caller; the cheapest one is chosen. A prompt's shared beginning has a
+//! home in its lane by a hash that is the same on all VMs (rendezvous hashing: Thaler and
+//! Ravishankar, 1998), so that the VMs find its cache without telling each other.
 
-use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,16 +13,13 @@
 
 use super::Call;
 use super::PlacementReason;
+use super::Prompt;
 use super::call::hash_of;
 use super::engine;
+use super::lanes;
+use super::lanes::Lanes;
 use super::upstream::Upstream;
 
-/// Prompt tokens from which a prompt is long: 90 ms of reading at the start speed.
-const LONG_PROMPT_TOKENS: u32 = 3_500;
-
-/// Share of a failure domain's engines in the lane of long prompts.
-const LONG_LANE_SHARE: f64 = 0.6;
-
 /// Cost of a call in the lane of the other kind, in milliseconds.
 const WRONG_LANE_COST_MS: f64 = 150.0;
 
@@ -41,9 +35,12 @@
 /// Share of a shared beginning that its home is believed to have cached through other VMs.
 const HOME_CACHED_SHARE: f64 = 0.7;
 
-/// Share of the target that reading and waiting may take for an upstream to have room.
+/// Share of the target that reading and waiting may take without cost.
 const TARGET_SHARE: f64 = 0.75;
 
+/// Share of the target that the prompts before this one may take for an upstream to have room.
+const ROOM_SHARE: f64 = 0.6;
+
 /// Time for an answer of a plain service, for comparing its load with the way to it, in
 /// milliseconds.
 const SERVICE_TIME_MS: f64 = 20.0;
@@ -58,6 +55,8 @@
     pub(super) failure_domain: Option<&'a FailureDomainId>,
     /// Requests of one VM that an upstream's connections allow.
     pub(super) connection_share: u32,
+    /// Share of the pool's engines that long prompts need.
+    pub(super) long_share: f64,
 }
 
 /// A choice with the figures behind it.
@@ -131,8 +130,8 @@
         upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
     let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
     let fresh = select(&healthy, |it| !tried.contains(&it.record.id));
-    let lanes = Lanes::new(&in_service);
-    let home = call.prompt.as_ref().and_then(|it| lanes.home(around, it, &healthy));
+    let lanes = Lanes::new(&in_service, around.long_share);
+    let home = call.prompt.as_ref().and_then(|it| home(around, it, &lanes, &healthy));
     fresh.into_iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref())).collect()
 }
 
@@ -145,52 +144,21 @@
     if wanted.is_empty() { upstreams.to_vec() } else { wanted }
 }
 
-/// The lanes of a pool's engines.
-struct Lanes {
-    is_long: HashMap<UpstreamId, bool>,
-}
-
-impl Lanes {
-    fn new(upstreams: &[&Upstream]) -> Self {
-        let mut by_domain: HashMap<&str, Vec<&Upstream>> = HashMap::new();
-        for upstream in upstreams.iter().filter(|it| it.is_engine) {
-            by_domain.entry(&upstream.record.failure_domain).or_default().push(upstream);
-        }
-        let mut is_long = HashMap::new();
-        for domain in by_domain.values_mut() {
-            domain.sort_by_cached_key(|it| hash_of(&it.record.id));
-            let long = (domain.len() as f64 * LONG_LANE_SHARE).ceil() as usize;
-            let ranked = domain.iter().enumerate();
-            is_long.extend(ranked.map(|(rank, it)| (it.record.id.clone(), rank < long)));
-        }
-        Self { is_long }
-    }
-
-    fn is_long(&self, upstream: &Upstream) -> bool {
-        self.is_long.get(&upstream.record.id).copied().unwrap_or_default()
-    }
-
-    /// The home of the prompt's shared beginning.
-    ///
-    /// A long prompt has one home in all failure domains, as reading it again costs more than the
-    /// way there; a short one has a home in each.
-    fn home(
-        &self,
-        around: &Surroundings<'_>,
-        prompt: &super::Prompt,
-        upstreams: &[&Upstream],
-    ) -> Option<UpstreamId> {
-        let shared = prompt.shared_hash()?;
-        let is_long = is_long_prompt(prompt);
-        let in_lane = upstreams.iter().filter(|it| self.is_long(it) == is_long);
-        let near = in_lane.filter(|it| is_long || is_near(around, it));
-        let home = near.min_by_key(|it| hash_of(&(shared, &it.record.id)))?;
-        Some(home.record.id.clone())
-    }
-}
-
-fn is_long_prompt(prompt: &super::Prompt) -> bool {
-    prompt.input_tokens >= LONG_PROMPT_TOKENS
+/// The home of a prompt's shared beginning.
+///
+/// A long prompt has one home in all failure domains, as reading it again costs more than the
+/// way there; a short one has a home in each.
+fn home(
+    around: &Surroundings<'_>,
+    prompt: &Prompt,
+    lanes: &Lanes,
+    upstreams: &[&Upstream],
+) -> Option<UpstreamId> {
+    let shared = prompt.shared_hash()?;
+    let in_lane = upstreams.iter().filter(|it| lanes.is_own(it, prompt));
+    let near = in_lane.filter(|it| lanes::is_long(prompt) || is_near(around, it));
+    let home = near.min_by_key(|it| hash_of(&(shared, &it.record.id)))?;
+    Some(home.record.id.clone())
 }
 
 fn is_near(around: &Surroundings<'_>, upstream: &Upstream) -> bool {
@@ -241,8 +209,8 @@
         let until_first = backlog + read;
         let time_to_target = call.target_at().saturating_duration_since(around.now);
         let late = until_first.saturating_sub(time_to_target.mul_f64(TARGET_SHARE));
-        let is_wrong_lane = lanes.is_long(upstream) != is_long_prompt(prompt);
-        let lane_ms = if is_wrong_lane { WRONG_LANE_COST_MS } else { 0.0 };
+        let is_own_lane = lanes.is_own(upstream, prompt);
+        let lane_ms = if is_own_lane { 0.0 } else { WRONG_LANE_COST_MS };
         let fill = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
         let cost_ms = millis(read)
             + WAIT_COST * millis(backlog)
@@ -250,12 +218,15 @@
             + fill * FULL_COST_MS
             + lane_ms
             + way_ms;
-        let room = call.route.target.mul_f64(TARGET_SHARE);
+        // The room does not depend on the prompt's own size, so that large ones find it as often.
+        let most_backlog = call.route.target.mul_f64(ROOM_SHARE);
+        let is_disturbing = lanes::is_long(prompt) && !is_own_lane && in_flight > 0;
         Self {
             upstream,
             has_room: has_connection
                 && in_flight < upstream.record.slots
-                && (backlog.is_zero() || until_first < room),
+                && backlog <= most_backlog
+                && !is_disturbing,
             cost_ms,
             backlog,
             cached_tokens,
