perf: lanes of a fixed size, on which the VMs agree

Change: the border is fixed, slow engines come first into the lane of long prompts, long prompts keep to their lane; waiting costs little until an answer would be late.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod event;
 mod lanes;
+mod pace;
 mod placement;
 mod queue;
 mod upstream;
@@ -46,7 +47,7 @@
 pub use upstream::UpstreamRecord;
 
 use self::budget::RetryBudget;
-use self::lanes::Demands;
+use self::lanes::ArrivedKinds;
 use self::placement::Placement;
 use self::placement::Surroundings;
 use self::queue::CallQueue;
@@ -102,7 +103,7 @@
     queues: HashMap<PoolId, CallQueue>,
     calls: HashMap<RequestId, Tracked>,
     budget: RetryBudget,
-    demands: Demands,
+    kinds: ArrivedKinds,
 }
 
 /// A call between its arrival and its end.
@@ -128,7 +129,7 @@
             upstreams: BTreeMap::new(),
             queues: HashMap::new(),
             calls: HashMap::new(),
-            demands: Demands::default(),
+            kinds: ArrivedKinds::default(),
         }
     }
 
@@ -145,6 +146,11 @@
             SchedulerEvent::Answering { id, attempt } => {
                 self.on_answering(now, id, attempt, &mut actions);
             }
+            SchedulerEvent::Paced { upstream, shortest_gap } => {
+                if let Some(it) = self.upstreams.get_mut(&upstream) {
+                    it.pace.record(shortest_gap);
+                }
+            }
             SchedulerEvent::LoadTold { upstream, load } => {
                 if let Some(it) = self.upstreams.get_mut(&upstream) {
                     it.told(now, load);
@@ -222,6 +228,9 @@
     fn on_arrived(&mut self, now: Instant, call: Call, actions: &mut Vec<SchedulerAction>) {
         let pool = call.pool.clone();
         self.budget.credit(&pool);
+        if let Some(prompt) = &call.prompt {
+            self.kinds.note(now, &pool, prompt);
+        }
         let give_up_at = (call.arrived_at + call.route.target.mul_f64(WAIT_SHARE)).min(call.deadline);
         let (id, tier) = (call.id, call.tier);
         let tracked = Tracked {
@@ -417,7 +426,7 @@
             now,
             failure_domain: self.settings.failure_domain.as_ref(),
             connection_share: (share as u32).max(1),
-            long_share: self.demands.long_share(pool),
+            long_share: self.kinds.long_share(now, pool),
         }
     }
 
@@ -433,9 +442,6 @@
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
         }
-        if let Some(prompt) = &tracked.call.prompt {
-            self.demands.add(now, &tracked.call.pool, prompt, choice.reason.cached_tokens);
-        }
         upstream.sent(now, &tracked.call);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -27,13 +27,13 @@
 const CROSS_DOMAIN_COST_MS_PER_KB: f64 = 1.0;
 
 /// Cost of a millisecond of waiting that leaves the answer on time.
-const WAIT_COST: f64 = 0.4;
+const WAIT_COST: f64 = 0.1;
 
 /// Cost of a millisecond of waiting beyond the target.
 const LATE_COST: f64 = 4.0;
 
 /// Share of a shared beginning that its home is believed to have cached through other VMs.
-const HOME_CACHED_SHARE: f64 = 0.7;
+const HOME_CACHED_SHARE: f64 = 0.9;
 
 /// Share of the target that reading and waiting may take without cost.
 const TARGET_SHARE: f64 = 0.75;
@@ -129,8 +129,12 @@
     let in_service: Vec<&Upstream> =
         upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
     let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
-    let fresh = select(&healthy, |it| !tried.contains(&it.record.id));
     let lanes = Lanes::new(&in_service, around.long_share);
+    let allowed = match call.prompt.as_ref().filter(|it| lanes::is_long(it)) {
+        Some(prompt) => select(&healthy, |it| lanes.is_own(it, prompt)),
+        None => healthy.clone(),
+    };
+    let fresh = select(&allowed, |it| !tried.contains(&it.record.id));
     let home = call.prompt.as_ref().and_then(|it| home(around, it, &lanes, &healthy));
     fresh.into_iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref())).collect()
 }
@@ -220,13 +224,11 @@
             + way_ms;
         // The room does not depend on the prompt's own size, so that large ones find it as often.
         let most_backlog = call.route.target.mul_f64(ROOM_SHARE);
-        let is_disturbing = lanes::is_long(prompt) && !is_own_lane && in_flight > 0;
         Self {
             upstream,
             has_room: has_connection
                 && in_flight < upstream.record.slots
-                && backlog <= most_backlog
-                && !is_disturbing,
+                && backlog <= most_backlog,
             cost_ms,
             backlog,
             cached_tokens,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -73,6 +73,23 @@
     pub(crate) last_event: Option<EventId>,
     /// When the first part of the answer was there.
     pub(crate) first_part_at: Option<Instant>,
+    /// When the last event was passed on.
+    pub(crate) last_part_at: Option<Instant>,
+    /// Longest time between two events.
+    pub(crate) longest_gap: Duration,
+    /// Events passed on.
+    pub(crate) events: u32,
+}
+
+impl Delivery {
+    /// Notes events that were passed on together, and returns the time since the ones before.
+    fn passed_on(&mut self, now: Instant) -> Option<Duration> {
+        self.first_part_at.get_or_insert(now);
+        self.events += 1;
+        let gap = now.saturating_duration_since(self.last_part_at.replace(now)?);
+        self.longest_gap = self.longest_gap.max(gap);
+        Some(gap)
+    }
 }
 
 /// A whole answer of an upstream.
@@ -101,6 +118,21 @@
     TimeOver,
 }
 
+impl AttemptOutcome {
+    /// Name of a failure in logs; none for an attempt that did not fail.
+    pub(crate) const fn failure(&self) -> Option<&'static str> {
+        match self {
+            Self::NotSent => Some("not_connected"),
+            Self::NotRun { misdirected: true } => Some("misdirected"),
+            Self::NotRun { misdirected: false } => Some("refused"),
+            Self::Whole(answer) if answer.head.status >= 500 => Some("failed"),
+            Self::Broken => Some("broken"),
+            Self::TimeOver => Some("time_over"),
+            Self::Whole(_) | Self::Delivered | Self::CallerGone => None,
+        }
+    }
+}
+
 /// Why an attempt goes no further.
 #[derive(Debug)]
 enum Halt {
@@ -317,6 +349,7 @@
         stream: &mut Streaming<'_>,
     ) -> Result<(), Halt> {
         let mut is_answering = false;
+        let mut pace = StreamPace::default();
         loop {
             let decoded = stream.decoder.decode(&mut connection.input, stream.reader.buffer());
             let events = stream.reader.take_whole().map_err(|_| Halt::Broken)?;
@@ -325,13 +358,13 @@
                     is_answering = true;
                     ticket.answering(command.attempt);
                     self.report(command);
-                    delivery.first_part_at.get_or_insert_with(Instant::now);
                 }
                 if !delivery.is_started {
                     delivery.is_started = true;
                     caller.start_stream(stream.head, self.deadline)?;
                 }
                 caller.send_piece(&events, self.deadline)?;
+                pace.gaps.extend(delivery.passed_on(Instant::now()));
                 delivery.last_event = stream.reader.last_id();
             }
             decoded.map_err(|_| Halt::Broken)?;
@@ -353,6 +386,10 @@
             caller.start_stream(stream.head, self.deadline)?;
         }
         caller.end_stream(self.deadline)?;
+        if let Some(shortest_gap) = pace.shortest_gap() {
+            let upstream = command.upstream.id.clone();
+            self.relay.dispatcher.handle(SchedulerEvent::Paced { upstream, shortest_gap });
+        }
         Ok(())
     }
 
@@ -410,6 +447,26 @@
     }
 }
 
+/// Times between the events of a stream.
+#[derive(Debug, Default)]
+struct StreamPace {
+    gaps: Vec<Duration>,
+}
+
+impl StreamPace {
+    /// The gap that a quarter of the gaps stay below; none for a stream of a few events.
+    ///
+    /// The very shortest gaps come from events that were held up together.
+    fn shortest_gap(mut self) -> Option<Duration> {
+        self.gaps.sort_unstable();
+        let is_long_enough = self.gaps.len() >= MIN_GAPS;
+        self.gaps.get(self.gaps.len() / 4).copied().filter(|_| is_long_enough)
+    }
+}
+
+/// Gaps that a stream must have to tell a pace.
+const MIN_GAPS: usize = 8;
+
 /// A stream that is passed on.
 struct Streaming<'a> {
     decoder: BodyDecoder,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 mod lifecycle;
 pub mod peers;
+mod record;
 mod service;
 mod socket;
 pub mod sources;
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::Tier;
@@ -16,6 +17,7 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::Call;
 use cranberryvalve_policy::scheduler::Conclusion;
+use cranberryvalve_policy::scheduler::Prompt;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
 use cranberryvalve_policy::scheduler::SendEnd;
@@ -33,6 +35,7 @@
 use crate::exchange::Delivery;
 use crate::exchange::Exchange;
 use crate::exchange::WholeAnswer;
+use crate::record::log_ending;
 use crate::socket::Connection;
 use crate::socket::Waits;
 use crate::socket::wait;
@@ -61,15 +64,16 @@
 }
 
 /// Who asks for what.
-struct Access {
-    route: Arc<RouteRule>,
-    customer: Option<CustomerId>,
-    tier: Tier,
+pub(crate) struct Access {
+    pub(crate) route: Arc<RouteRule>,
+    pub(crate) customer: Option<CustomerId>,
+    pub(crate) tier: Tier,
+    pub(crate) config_version: ConfigVersion,
     pool: PoolId,
 }
 
 /// What a call ends with.
-enum Ending {
+pub(crate) enum Ending {
     /// An upstream's answer.
     Answer(WholeAnswer),
     /// An answer of the relay's own.
@@ -82,6 +86,47 @@
     CallerGone,
 }
 
+impl Ending {
+    /// Name in logs and metrics.
+    pub(crate) const fn outcome(&self) -> &'static str {
+        match self {
+            Self::Answer(answer) if answer.head.status >= 500 => "upstream_failed",
+            Self::Answer(_) | Self::Delivered => "completed",
+            Self::Refusal(refusal) if refusal.status == 502 || refusal.status == 504 => "unknown",
+            Self::Refusal(_) => "not_run",
+            Self::Partial => "partial",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+
+    /// Status that the caller was sent; none when no answer was begun.
+    pub(crate) const fn status(&self) -> Option<u16> {
+        match self {
+            Self::Answer(answer) => Some(answer.head.status),
+            Self::Refusal(refusal) => Some(refusal.status),
+            Self::Delivered | Self::Partial => Some(200),
+            Self::CallerGone => None,
+        }
+    }
+
+    /// What the caller was told of a refusal.
+    pub(crate) fn reason(&self) -> Option<&str> {
+        self.refusal().map(|it| &*it.message)
+    }
+
+    /// When the caller was told to come back.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        self.refusal().and_then(|it| it.retry_after)
+    }
+
+    const fn refusal(&self) -> Option<&Refusal> {
+        match self {
+            Self::Refusal(refusal) => Some(refusal),
+            _ => None,
+        }
+    }
+}
+
 impl Service<'_> {
     /// Serves one request; false when the connection must be closed.
     fn serve_one(&mut self) -> bool {
@@ -102,10 +147,14 @@
             self.caller.keeps_alive = false;
         }
         let ending = match self.prepare(&request) {
-            Ok((facts, access)) => self.call(&request, &facts, &access),
-            Err(refusal) => Ending::Refusal(refusal),
+            Ok((facts, access)) => self.call(&request, facts, &access),
+            Err(refusal) => {
+                info!(self.relay.log, "call refused"; "path" => request.head.path(),
+                    "status" => refusal.status, "reason" => &*refusal.message);
+                Ending::Refusal(refusal)
+            }
         };
-        self.finish(&request, ending)
+        self.finish(&ending)
     }
 
     fn limits(&self) -> CallerLimits {
@@ -130,31 +179,47 @@
         Ok((facts, access))
     }
 
+    /// Exchanges a call and logs how it ended.
+    fn call(&mut self, request: &CallerRequest, facts: CallFacts, access: &Access) -> Ending {
+        let mut progress = Progress {
+            delivery: Delivery { last_event: facts.last_event, ..Delivery::default() },
+            input_tokens: facts.prompt.as_ref().map_or(0, |it| it.input_tokens),
+            caller_id: facts.id,
+            ..Progress::default()
+        };
+        let call = scheduler_call(request, facts.time_limit, facts.prompt, access);
+        let ending = self.exchange(request, access, call, &mut progress);
+        log_ending(&self.relay.log, request, access, &progress, &ending);
+        ending
+    }
+
     /// Waits for the scheduler and exchanges the call until it has an ending.
-    fn call(&mut self, request: &CallerRequest, facts: &CallFacts, access: &Access) -> Ending {
-        let call = self.scheduler_call(request, facts, access);
+    fn exchange(
+        &mut self,
+        request: &CallerRequest,
+        access: &Access,
+        call: Call,
+        progress: &mut Progress,
+    ) -> Ending {
         let deadline = call.deadline;
         let is_long = self.ask_homes(&call);
         let mut ticket = self.relay.dispatcher.admit(call, &self.mailbox);
+        let caller_id = progress.caller_id.clone();
         let exchange = Exchange {
             relay: self.relay,
             head: &request.head,
             body: &request.body,
-            caller_id: facts.id.as_deref(),
+            caller_id: caller_id.as_deref(),
             customer: access.customer.as_deref(),
             tier: access.tier,
             is_stream: access.route.kind.is_stream(),
             deadline,
             is_long,
         };
-        let mut progress = Progress {
-            delivery: Delivery { last_event: facts.last_event, ..Delivery::default() },
-            ..Progress::default()
-        };
         loop {
             let ending = match self.next_directive(&ticket, deadline) {
                 Ok(Directive::Send(command)) => {
-                    self.attempt(&exchange, &command, &mut ticket, &mut progress)
+                    self.attempt(&exchange, command, &mut ticket, progress)
                 }
                 Ok(Directive::Conclude(conclusion)) => Some(progress.conclude(&conclusion)),
                 Err(Interruption::CallerGone) => Some(Ending::CallerGone),
@@ -166,22 +231,6 @@
         }
     }
 
-    fn scheduler_call(&self, request: &CallerRequest, facts: &CallFacts, access: &Access) -> Call {
-        let route = access.route.clone();
-        let time_limit = facts.time_limit.map_or(route.time_limit, |it| it.min(route.time_limit));
-        Call {
-            id: 0,
-            pool: access.pool.clone(),
-            customer: access.customer.clone(),
-            tier: access.tier,
-            arrived_at: request.arrived_at,
-            deadline: request.arrived_at + time_limit,
-            prompt: facts.prompt.clone(),
-            body_bytes: request.body.len(),
-            route,
-        }
-    }
-
     /// Learns what the other VMs have in flight where the call is likely to go; false when the
     /// call is too small to matter to them.
     fn ask_homes(&self, call: &Call) -> bool {
@@ -226,15 +275,17 @@
     fn attempt(
         &mut self,
         exchange: &Exchange<'_>,
-        command: &SendCommand,
+        command: SendCommand,
         ticket: &mut Ticket,
         progress: &mut Progress,
     ) -> Option<Ending> {
         progress.attempts += 1;
-        progress.upstream = Some(command.clone());
-        exchange.report(command);
+        progress.sent_at.get_or_insert_with(Instant::now);
+        exchange.report(&command);
         let outcome =
-            exchange.attempt(command, ticket, &mut self.caller, &mut progress.delivery);
+            exchange.attempt(&command, ticket, &mut self.caller, &mut progress.delivery);
+        let attempt = command.attempt;
+        progress.note_attempt(command, &outcome);
         let (end, ending) = match outcome {
             AttemptOutcome::NotSent => (SendEnd::NotSent, None),
             AttemptOutcome::NotRun { misdirected } => (SendEnd::Refused { misdirected }, None),
@@ -254,27 +305,18 @@
                 (SendEnd::Abandoned, Some(progress.time_over()))
             }
         };
-        ticket.ended(command.attempt, end);
+        ticket.ended(attempt, end);
         ending
     }
 
     /// Gives the caller its final answer; false when the connection must be closed.
-    fn finish(&mut self, request: &CallerRequest, ending: Ending) -> bool {
-        let sent = match &ending {
+    fn finish(&mut self, ending: &Ending) -> bool {
+        let sent = match ending {
             Ending::Answer(answer) => self.caller.send_whole(answer).is_ok(),
             Ending::Refusal(refusal) => self.caller.send_refusal(refusal).is_ok(),
             Ending::Delivered => true,
             Ending::Partial | Ending::CallerGone => false,
         };
-        let outcome = match &ending {
-            Ending::Answer(answer) => answer.head.status,
-            Ending::Refusal(refusal) => refusal.status,
-            Ending::Delivered => 200,
-            Ending::Partial => 0,
-            Ending::CallerGone => 499,
-        };
-        info!(self.relay.log, "call ended"; "path" => request.head.path(), "status" => outcome,
-            "time_ms" => u64::try_from(request.arrived_at.elapsed().as_millis()).unwrap_or(0));
         sent && self.caller.keeps_alive
     }
 }
@@ -287,10 +329,19 @@
 
 /// What has become of a call so far.
 #[derive(Debug, Default)]
-struct Progress {
-    delivery: Delivery,
-    attempts: u32,
-    upstream: Option<SendCommand>,
+pub(crate) struct Progress {
+    pub(crate) delivery: Delivery,
+    pub(crate) attempts: u32,
+    /// The last attempt.
+    pub(crate) command: Option<SendCommand>,
+    /// When the first attempt was sent.
+    pub(crate) sent_at: Option<Instant>,
+    /// Upstreams of the attempts that failed, with what failed.
+    pub(crate) failures: String,
+    /// Identifier that the caller chose.
+    pub(crate) caller_id: Option<Box<str>>,
+    /// Tokens of the prompt.
+    pub(crate) input_tokens: u32,
     /// Whether an upstream may have begun to run it.
     may_have_run: bool,
     /// The last answer of an upstream that failed.
@@ -298,6 +349,19 @@
 }
 
 impl Progress {
+    /// Notes an attempt that ended.
+    fn note_attempt(&mut self, command: SendCommand, outcome: &AttemptOutcome) {
+        if let Some(failure) = outcome.failure() {
+            if !self.failures.is_empty() {
+                self.failures.push(' ');
+            }
+            self.failures.push_str(&command.upstream.id);
+            self.failures.push(':');
+            self.failures.push_str(failure);
+        }
+        self.command = Some(command);
+    }
+
     /// The ending when no further attempt is made.
     fn conclude(&mut self, conclusion: &Conclusion) -> Ending {
         if self.delivery.is_started {
@@ -328,6 +392,27 @@
     }
 }
 
+fn scheduler_call(
+    request: &CallerRequest,
+    time_limit: Option<Duration>,
+    prompt: Option<Prompt>,
+    access: &Access,
+) -> Call {
+    let route = access.route.clone();
+    let time_limit = time_limit.map_or(route.time_limit, |it| it.min(route.time_limit));
+    Call {
+        id: 0,
+        pool: access.pool.clone(),
+        customer: access.customer.clone(),
+        tier: access.tier,
+        arrived_at: request.arrived_at,
+        deadline: request.arrived_at + time_limit,
+        prompt,
+        body_bytes: request.body.len(),
+        route,
+    }
+}
+
 /// Finds the route and the customer of a request.
 fn access(
     table: &RoutingTable,
@@ -350,6 +435,7 @@
     Ok(Access {
         customer: customer.map(|it| it.id.clone()),
         tier: customer.and_then(|it| it.tier).unwrap_or(route.tier),
+        config_version: table.version(),
         pool: pool.clone(),
         route: route.clone(),
     })
