perf: lanes by hash only

Change: the learned pace is taken out again.

Conclusion: agreement between the VMs is worth more than each one's better knowledge.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -11,7 +11,6 @@
 mod engine;
 mod event;
 mod lanes;
-mod pace;
 mod placement;
 mod queue;
 mod upstream;
@@ -146,11 +145,6 @@
             SchedulerEvent::Answering { id, attempt } => {
                 self.on_answering(now, id, attempt, &mut actions);
             }
-            SchedulerEvent::Paced { upstream, shortest_gap } => {
-                if let Some(it) = self.upstreams.get_mut(&upstream) {
-                    it.pace.record(shortest_gap);
-                }
-            }
             SchedulerEvent::LoadTold { upstream, load } => {
                 if let Some(it) = self.upstreams.get_mut(&upstream) {
                     it.told(now, load);
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -23,13 +23,6 @@
         /// Attempt.
         attempt: Attempt,
     },
-    /// A stream ended whose events tell the upstream's pace.
-    Paced {
-        /// Upstream.
-        upstream: UpstreamId,
-        /// Shortest time between two of its events.
-        shortest_gap: Duration,
-    },
     /// An upstream told its load along with an answer.
     LoadTold {
         /// Upstream.
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -1,9 +1,8 @@
 //! Engines for long prompts and engines for short ones.
 //!
 //! While an engine reads a long prompt, every token of the streams beside it is late. A pool's
-//! engines therefore fall into two lanes. The slow ones come first into the lane of long prompts,
-//! as streams beside any prompt suffer most there. Among equals the order is by a hash that is the
-//! same on all VMs, so that the VMs agree without talking.
+//! engines therefore fall into two lanes, by a hash that is the same on all VMs, so that the VMs
+//! agree without talking.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -79,10 +78,9 @@
         for upstream in upstreams.iter().filter(|it| it.is_engine) {
             by_domain.entry(&upstream.record.failure_domain).or_default().push(upstream);
         }
-        let best = upstreams.iter().filter_map(|it| it.pace.shortest()).min();
         let mut long = HashSet::new();
         for engines in by_domain.values_mut() {
-            engines.sort_by_cached_key(|it| (!it.pace.is_slow(best), hash_of(&it.record.id)));
+            engines.sort_by_cached_key(|it| hash_of(&it.record.id));
             let count = (engines.len() as f64 * long_share).round() as usize;
             long.extend(engines.iter().take(count).map(|it| it.record.id.clone()));
         }
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -17,7 +17,6 @@
 use super::ToldLoad;
 use super::cache::PrefixCache;
 use super::engine;
-use super::pace::EnginePace;
 use crate::upstream::Circuit;
 
 /// Age at which another VM's figures, or an upstream's own, say nothing any more.
@@ -65,7 +64,6 @@
     pub(super) circuit: Circuit,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
-    pub(super) pace: EnginePace,
     in_flight: HashMap<RequestId, InFlight>,
     /// When a prompt was last seen to be read, or began to be the only one.
     read_progress_at: Instant,
@@ -90,7 +88,6 @@
             circuit: Circuit::new(),
             cache: PrefixCache::new(engine.map_or(0, |it| it.memory_tokens)),
             is_engine: engine.is_some(),
-            pace: EnginePace::default(),
             in_flight: HashMap::new(),
             read_progress_at: now,
             told: None,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -82,13 +82,13 @@
 }
 
 impl Delivery {
-    /// Notes events that were passed on together, and returns the time since the ones before.
-    fn passed_on(&mut self, now: Instant) -> Option<Duration> {
+    /// Notes events that were passed on together.
+    fn passed_on(&mut self, now: Instant) {
         self.first_part_at.get_or_insert(now);
         self.events += 1;
-        let gap = now.saturating_duration_since(self.last_part_at.replace(now)?);
-        self.longest_gap = self.longest_gap.max(gap);
-        Some(gap)
+        if let Some(last_at) = self.last_part_at.replace(now) {
+            self.longest_gap = self.longest_gap.max(now.saturating_duration_since(last_at));
+        }
     }
 }
 
@@ -349,7 +349,6 @@
         stream: &mut Streaming<'_>,
     ) -> Result<(), Halt> {
         let mut is_answering = false;
-        let mut pace = StreamPace::default();
         loop {
             let decoded = stream.decoder.decode(&mut connection.input, stream.reader.buffer());
             let events = stream.reader.take_whole().map_err(|_| Halt::Broken)?;
@@ -364,7 +363,7 @@
                     caller.start_stream(stream.head, self.deadline)?;
                 }
                 caller.send_piece(&events, self.deadline)?;
-                pace.gaps.extend(delivery.passed_on(Instant::now()));
+                delivery.passed_on(Instant::now());
                 delivery.last_event = stream.reader.last_id();
             }
             decoded.map_err(|_| Halt::Broken)?;
@@ -386,10 +385,6 @@
             caller.start_stream(stream.head, self.deadline)?;
         }
         caller.end_stream(self.deadline)?;
-        if let Some(shortest_gap) = pace.shortest_gap() {
-            let upstream = command.upstream.id.clone();
-            self.relay.dispatcher.handle(SchedulerEvent::Paced { upstream, shortest_gap });
-        }
         Ok(())
     }
 
@@ -447,26 +442,6 @@
     }
 }
 
-/// Times between the events of a stream.
-#[derive(Debug, Default)]
-struct StreamPace {
-    gaps: Vec<Duration>,
-}
-
-impl StreamPace {
-    /// The gap that a quarter of the gaps stay below; none for a stream of a few events.
-    ///
-    /// The very shortest gaps come from events that were held up together.
-    fn shortest_gap(mut self) -> Option<Duration> {
-        self.gaps.sort_unstable();
-        let is_long_enough = self.gaps.len() >= MIN_GAPS;
-        self.gaps.get(self.gaps.len() / 4).copied().filter(|_| is_long_enough)
-    }
-}
-
-/// Gaps that a stream must have to tell a pace.
-const MIN_GAPS: usize = 8;
-
 /// A stream that is passed on.
 struct Streaming<'a> {
     decoder: BodyDecoder,
