perf: changes gather, and calls that wait do so longer

Change: a client with keepalive probes on its sockets instead of ureq, waits of 10 s, and 250 ms in which further changes gather.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod body;
 mod caller;
+pub mod client;
 mod connections;
 mod dialect;
 mod dispatch;
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -21,9 +21,12 @@
 use super::directory::Directory;
 use crate::state::Relay;
 
-/// Longest time for which a call waits for changes. A connection that has gone silent is noticed
-/// when this and the margin of the call are over.
-const WAIT: Duration = Duration::from_secs(3);
+/// Longest time for which a call waits for changes: within the time for which sources keep their
+/// history. A connection that has gone silent is noticed earlier, by keepalive probes.
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after changes, in which more of them gather: most come in bursts, and each call costs.
+const GATHER: Duration = Duration::from_millis(250);
 
 /// Pause after the first failure of a source.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
@@ -142,6 +145,15 @@
 }
 
 impl News {
+    /// Whether anything is new.
+    const fn is_change(&self) -> bool {
+        match self {
+            Self::Nothing => false,
+            Self::Snapshot(_) => true,
+            Self::Changes(changes) => !changes.changes.is_empty(),
+        }
+    }
+
     /// All rows that are new or have changed.
     fn into_rows(self) -> Vec<Row> {
         match self {
@@ -165,15 +177,20 @@
     version: Option<u64>,
     failures: u32,
     recovered_at: Option<Instant>,
+    /// Whether the next call waits a little first, so that changes gather.
+    gathers: bool,
 }
 
 impl<F: Feed + ?Sized> Follower<F> {
     fn new(relay: Arc<Relay>, feed: Arc<F>) -> Self {
-        Self { relay, feed, version: None, failures: 0, recovered_at: None }
+        Self { relay, feed, version: None, failures: 0, recovered_at: None, gathers: false }
     }
 
     /// Waits for news, for `wait` at most while the source is well.
     fn next(&mut self, wait: Duration) -> News {
+        if std::mem::take(&mut self.gathers) {
+            thread::sleep(GATHER);
+        }
         let result = match self.version {
             None => self.feed.read().map(|it| (it.version, News::Snapshot(it))),
             Some(version) => {
@@ -184,6 +201,7 @@
             Ok((version, news)) => {
                 self.version = Some(version);
                 self.succeeded();
+                self.gathers = news.is_change();
                 news
             }
             Err(FeedError::HistoryGone) => {
