--- a/crates/adapters/src/telemetry.rs
+++ b/crates/adapters/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Logs and metrics.
 
+mod lines;
+
 use std::io;
 use std::sync::Mutex;
 
@@ -15,13 +17,20 @@
 use slog::Logger;
 use slog::o;
 
+pub use self::lines::LogGuard;
+
+use self::lines::LineQueue;
+
 /// Upper bounds of the histograms of times, in seconds.
 const TIME_BUCKETS_S: [f64; 14] =
     [0.001, 0.005, 0.01, 0.02, 0.039, 0.08, 0.15, 0.3, 0.6, 1.0, 1.5, 3.0, 10.0, 30.0];
 
-/// Creates a logger that writes JSON lines to standard error.
-pub fn logger(vm: &VmId, level: Level) -> Logger {
-    let json = slog_json::Json::new(io::stderr())
+/// Creates a logger that writes JSON lines to standard output without ever waiting for it.
+///
+/// Dropping the guard waits a little until the last lines are written.
+pub fn logger(vm: &VmId, level: Level) -> (Logger, LogGuard) {
+    let (queue, guard) = LineQueue::start(io::stdout());
+    let json = slog_json::Json::new(queue)
         .set_newlines(true)
         .add_key_value(o!(
             "time_unix_ms" => FnValue(|_| unix_ms()),
@@ -30,7 +39,7 @@
         ))
         .build();
     let drain = LevelFilter::new(Mutex::new(json).fuse(), level).fuse();
-    Logger::root(drain, o!("vm" => vm.to_string()))
+    (Logger::root(drain, o!("vm" => vm.to_string())), guard)
 }
 
 /// Installs the metrics recorder of the process.
--- /dev/null
+++ b/crates/adapters/src/telemetry/lines/tests.rs
@@ -0,0 +1,50 @@
+//! A blocked output stops nobody.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use super::LineQueue;
+use super::QUEUED_LINES;
+
+/// Output that takes nothing until it is released.
+#[derive(Clone, Default)]
+struct Blocked(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Blocked {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_beyond_the_queue_are_dropped_without_waiting() {
+    let output = Blocked::default();
+    let held = output.0.lock().expect("nobody panicked");
+    let (mut queue, guard) = LineQueue::start(output.clone());
+    // Would wait for good if a line waited for its output.
+    for _ in 0..QUEUED_LINES * 3 {
+        queue.write_all(b"line\n").expect("never fails");
+    }
+    drop(held);
+    // One more flush than the queue holds lines shows that the writer goes on.
+    drop(guard);
+    let written = output.0.lock().expect("nobody panicked");
+    assert!(written.starts_with(b"line\nline\n"));
+}
+
+#[test]
+fn guard_waits_until_lines_are_written() {
+    let output = Blocked::default();
+    let (mut queue, guard) = LineQueue::start(output.clone());
+    queue.write_all(b"first\n").expect("never fails");
+    drop(guard);
+    assert_eq!(&**output.0.lock().expect("nobody panicked"), b"first\n");
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -26,7 +26,7 @@
         Ok(None) => return ExitCode::SUCCESS,
         Err(report) => return settings::print_error(&report),
     };
-    let log = telemetry::logger(&settings.vm, settings.log_level);
+    let (log, _guard) = telemetry::logger(&settings.vm, settings.log_level);
     match run(settings, log.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -13,6 +13,7 @@
 mod lanes;
 mod placement;
 mod queue;
+mod snapshot;
 mod upstream;
 
 use std::collections::BTreeMap;
@@ -37,12 +38,15 @@
 pub use call::PromptPrefix;
 pub use event::Conclusion;
 pub use event::ConclusionReason;
+pub use event::Judgement;
 pub use event::PlacementReason;
 pub use event::SchedulerAction;
 pub use event::SchedulerEvent;
 pub use event::SendCommand;
 pub use event::SendEnd;
 pub use event::ToldLoad;
+pub use snapshot::SchedulerSnapshot;
+pub use snapshot::UpstreamState;
 pub use upstream::UpstreamRecord;
 
 use self::budget::RetryBudget;
@@ -270,7 +274,13 @@
         tracked.may_have_run |= matches!(end, SendEnd::Failed | SendEnd::Broken { .. });
         if let Some(upstream) = tracked.at.take().and_then(|it| self.upstreams.get_mut(&it)) {
             upstream.ended(id);
+            let took_work = upstream.takes_work(now);
             record_health(now, upstream, end);
+            let takes_work = upstream.takes_work(now);
+            if took_work != takes_work {
+                let upstream = upstream.record.id.clone();
+                actions.push(SchedulerAction::Judged(Judgement { upstream, takes_work, cause: end }));
+            }
         }
         match end {
             SendEnd::Complete | SendEnd::Abandoned => {
--- a/crates/policy/src/scheduler/budget.rs
+++ b/crates/policy/src/scheduler/budget.rs
@@ -4,6 +4,8 @@
 
 use cranberryvalve_core::PoolId;
 
+use super::snapshot::PoolRetries;
+
 /// Share of the permitted retries for each request that is used; the rest covers requests whose
 /// first arrival other VMs count differently.
 const RATIO_USED: f64 = 0.75;
@@ -64,6 +66,12 @@
         true
     }
 
+    /// Retries that each pool has left.
+    pub(super) fn left(&self) -> Vec<PoolRetries> {
+        let pools = self.tokens.iter();
+        pools.map(|(pool, retries)| PoolRetries { pool: pool.clone(), retries: *retries }).collect()
+    }
+
     fn capacity(&self) -> f64 {
         (self.limits.slack * SLACK_USED / f64::from(self.vms)).max(1.0)
     }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -95,6 +95,21 @@
     Abandoned,
 }
 
+impl SendEnd {
+    /// Name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::NotSent => "not_connected",
+            Self::Refused { misdirected: true } => "misdirected",
+            Self::Refused { misdirected: false } => "refused",
+            Self::Failed => "failed",
+            Self::Broken { .. } => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
 /// Something that must be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SchedulerAction {
@@ -102,6 +117,19 @@
     Send(SendCommand),
     /// No further attempt is made.
     Conclude(Conclusion),
+    /// An upstream is given work again, or no longer; for logs.
+    Judged(Judgement),
+}
+
+/// A change of what is believed of an upstream's health.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Judgement {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Whether it takes work.
+    pub takes_work: bool,
+    /// End of the attempt that decided.
+    pub cause: SendEnd,
 }
 
 /// An attempt to send.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -22,9 +22,12 @@
 use cranberryvalve_policy::scheduler::SchedulerAction;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SchedulerSettings;
+use cranberryvalve_policy::scheduler::SchedulerSnapshot;
 use cranberryvalve_policy::scheduler::SendCommand;
 use cranberryvalve_policy::scheduler::SendEnd;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
+use slog::Logger;
+use slog::info;
 
 use crate::socket::Waker;
 
@@ -85,12 +88,13 @@
     scheduler: Scheduler,
     mailboxes: HashMap<RequestId, Arc<Mailbox>>,
     last_id: RequestId,
+    log: Logger,
 }
 
 impl Dispatcher {
-    pub(crate) fn new(settings: SchedulerSettings) -> Self {
-        let state =
-            State { scheduler: Scheduler::new(settings), mailboxes: HashMap::new(), last_id: 0 };
+    pub(crate) fn new(settings: SchedulerSettings, log: Logger) -> Self {
+        let scheduler = Scheduler::new(settings);
+        let state = State { scheduler, mailboxes: HashMap::new(), last_id: 0, log };
         Self { state: Mutex::new(state), waiting: Condvar::new() }
     }
 
@@ -148,6 +152,11 @@
         self.lock().scheduler.worth_asking(Instant::now(), call)
     }
 
+    /// What the scheduler believes.
+    pub(crate) fn snapshot(&self) -> SchedulerSnapshot {
+        self.lock().scheduler.snapshot(Instant::now())
+    }
+
     /// The directory in force.
     pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
         self.lock().scheduler.directory()
@@ -179,6 +188,11 @@
             let (id, directive) = match action {
                 SchedulerAction::Send(it) => (it.id, Directive::Send(it)),
                 SchedulerAction::Conclude(it) => (it.id, Directive::Conclude(it)),
+                SchedulerAction::Judged(it) => {
+                    info!(self.log, "upstream judged"; "upstream" => &*it.upstream,
+                        "takes_work" => it.takes_work, "cause" => it.cause.name());
+                    continue;
+                }
             };
             if let Some(mailbox) = self.mailboxes.get(&id) {
                 mailbox.put(id, directive);
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -1,4 +1,4 @@
-//! Tells the balancer whether callers should be sent here.
+//! What a relay tells of itself: readiness, metrics and its state.
 
 use std::io;
 use std::net::SocketAddr;
@@ -10,26 +10,58 @@
 use cranberryvalve_adapters::caller::CallerServer;
 use cranberryvalve_adapters::caller::Limits;
 use cranberryvalve_adapters::caller::Responder;
+use cranberryvalve_policy::scheduler::SchedulerSnapshot;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
 
 use crate::state::Relay;
 
+/// Path of the metrics, in Prometheus' text format.
+const METRICS_PATH: &str = "/metrics";
+
+/// Path of the dump of the state, in JSON.
+const STATE_PATH: &str = "/state";
+
+/// Media type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// Answers `GET path` at `address` with 200 while the relay is ready, else with 503.
 ///
 /// # Errors
 ///
 /// Fails when the address is in use or not this VM's.
-pub fn serve(relay: &Arc<Relay>, address: SocketAddr, path: &'static str) -> io::Result<()> {
-    let handler = Arc::new(Health { relay: relay.clone(), path });
+pub fn serve_readiness(
+    relay: &Arc<Relay>,
+    address: SocketAddr,
+    path: &'static str,
+) -> io::Result<()> {
+    serve(address, Readiness { relay: relay.clone(), path })
+}
+
+/// Serves `/metrics` and `/state` at `address`.
+///
+/// # Errors
+///
+/// Fails when the address is in use or not this VM's.
+pub fn serve_insight(
+    relay: &Arc<Relay>,
+    address: SocketAddr,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    serve(address, Insight { relay: relay.clone(), metrics })
+}
+
+fn serve(address: SocketAddr, handler: impl CallerHandler) -> io::Result<()> {
     // The accepting thread lives on without the server's handle.
-    CallerServer::start(address, Limits::default(), handler).map(drop)
+    CallerServer::start(address, Limits::default(), Arc::new(handler)).map(drop)
 }
 
-struct Health {
+struct Readiness {
     relay: Arc<Relay>,
     path: &'static str,
 }
 
-impl CallerHandler for Health {
+impl CallerHandler for Readiness {
     fn handle(&self, request: CallerRequest, _stream: &TcpStream, responder: &mut Responder<'_>) {
         let status = match request.head.path() {
             path if path != self.path => 404,
@@ -44,3 +76,57 @@
         let _ = responder.respond(status, &[], message.as_bytes());
     }
 }
+
+struct Insight {
+    relay: Arc<Relay>,
+    metrics: PrometheusHandle,
+}
+
+impl CallerHandler for Insight {
+    fn handle(&self, request: CallerRequest, _stream: &TcpStream, responder: &mut Responder<'_>) {
+        let (status, media_type, body) = match request.head.path() {
+            METRICS_PATH => (200, METRICS_TYPE, self.metrics.render().into_bytes()),
+            STATE_PATH => match serde_json::to_vec_pretty(&StateDump::new(&self.relay)) {
+                Ok(body) => (200, "application/json", body),
+                Err(error) => (500, "text/plain", error.to_string().into_bytes()),
+            },
+            _ => (404, "text/plain", b"try /metrics or /state".to_vec()),
+        };
+        // An error means that nobody waits for the answer any longer.
+        let _ = responder.respond(status, &[("content-type", media_type)], &body);
+    }
+
+    fn on_refused(&self, status: u16, message: &str, responder: &mut Responder<'_>) {
+        let _ = responder.respond(status, &[], message.as_bytes());
+    }
+}
+
+/// A dump of a relay's state.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct StateDump {
+    is_ready: bool,
+    is_draining: bool,
+    config_version: u64,
+    routes: usize,
+    caller_connections: usize,
+    busy_callers: usize,
+    members: Vec<String>,
+    scheduler: SchedulerSnapshot,
+}
+
+impl StateDump {
+    fn new(relay: &Relay) -> Self {
+        let table = relay.table();
+        Self {
+            is_ready: relay.is_ready(),
+            is_draining: relay.is_draining(),
+            config_version: table.as_ref().map_or(0, |it| it.version()),
+            routes: table.as_ref().map_or(0, |it| it.routes().len()),
+            caller_connections: relay.connections(),
+            busy_callers: relay.busy_callers(),
+            members: relay.peers().map(|it| it.alive_names()).unwrap_or_default(),
+            scheduler: relay.dispatcher.snapshot(),
+        }
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -207,6 +207,11 @@
         by_home
     }
 
+    /// Names of the VMs that are alive, this one included.
+    pub(crate) fn alive_names(&self) -> Vec<String> {
+        self.membership().alive_names().iter().map(ToString::to_string).collect()
+    }
+
     fn own(&self) -> PeerAddress {
         self.membership().own().clone()
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -36,6 +36,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::WholeAnswer;
 use crate::record::log_ending;
+use crate::record::millis;
 use crate::socket::Connection;
 use crate::socket::Waits;
 use crate::socket::wait;
@@ -189,7 +190,7 @@
         };
         let call = scheduler_call(request, facts.time_limit, facts.prompt, access);
         let ending = self.exchange(request, access, call, &mut progress);
-        log_ending(&self.relay.log, request, access, &progress, &ending);
+        log_ending(&self.relay.log, &self.relay.call_lines, request, access, &progress, &ending);
         ending
     }
 
@@ -285,6 +286,15 @@
         let outcome =
             exchange.attempt(&command, ticket, &mut self.caller, &mut progress.delivery);
         let attempt = command.attempt;
+        if let Some(failure) = outcome.failure() {
+            info!(self.relay.log, "attempt failed";
+                "request" => progress.caller_id.as_deref().unwrap_or("-"),
+                "upstream" => &*command.upstream.id, "attempt" => attempt, "failure" => failure,
+                "events" => progress.delivery.events,
+                "candidates" => command.reason.candidates,
+                "backlog_ms" => millis(command.reason.backlog),
+                "peer_age_ms" => millis(command.reason.peer_age));
+        }
         progress.note_attempt(command, &outcome);
         let (end, ending) = match outcome {
             AttemptOutcome::NotSent => (SendEnd::NotSent, None),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::UpstreamId;
@@ -35,6 +36,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::peers::Peers;
+use crate::record::LineQuota;
 use crate::service::serve;
 use crate::socket::Waker;
 use crate::sources::Row;
@@ -70,6 +72,8 @@
     pub(crate) log: Logger,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) kept: KeptConnections,
+    /// Bounds the lines of calls that went well.
+    pub(crate) call_lines: LineQuota,
     /// Wakes the threads of idle callers when the relay closes.
     pub(crate) closing: Waker,
     listener: Mutex<Option<TcpListener>>,
@@ -91,13 +95,14 @@
         dialect: Arc<dyn Dialect>,
         log: Logger,
     ) -> io::Result<Arc<Self>> {
-        let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone()));
+        let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone(), log.clone()));
         Ok(Arc::new(Self {
             settings,
             dialect,
             log,
             dispatcher,
             kept: KeptConnections::default(),
+            call_lines: LineQuota::new(Instant::now()),
             closing: Waker::new()?,
             listener: Mutex::default(),
             document: RwLock::default(),
--- a/crates/standins/src/vm.rs
+++ b/crates/standins/src/vm.rs
@@ -89,8 +89,8 @@
             .env("CRANBERRYVALVE_OPERATOR_TOKEN", OPERATOR_TOKEN)
             .env("CRANBERRYVALVE_SHARED_SECRET", SHARED_SECRET)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(File::create(&log)?)
+            .stdout(File::create(&log)?)
+            .stderr(Stdio::null())
             .spawn()?;
         Ok(Self { settings, callers, operators, peers, log, child })
     }
