fix: a tier is the customer's priority, and among equal customers the route's

Cause: the customer's priority replaced the route's, so that all requests of customers of one priority were equal to the engines. Besides, the figures of several VMs shrank each by the time that passed, so that an engine's backlog looked small when many VMs used it.

Change: tiers rank the pairs of priorities; VMs tell backlog by tier, and only what engines read first counts; all VMs' figures shrink together by the time that passes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,6 +53,7 @@
 pub use ids::Tier;
 pub use ids::UpstreamId;
 pub use ids::VmId;
+pub use load::TierBacklog;
 pub use load::UpstreamLoad;
 pub use outcome::NotRunReason;
 pub use outcome::Outcome;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Tier;
 use crate::UpstreamId;
 
 /// Work at one upstream, as VMs tell it to each other.
@@ -13,6 +14,16 @@
     pub upstream: UpstreamId,
     /// Requests in flight.
     pub in_flight: u16,
-    /// Estimated time until the prompts among them are read, in milliseconds.
-    pub backlog_ms: u16,
+    /// Estimated time to read the prompts among them, by tier.
+    pub backlog: Vec<TierBacklog>,
+}
+
+/// Time to read the prompts of one tier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TierBacklog {
+    /// Tier.
+    pub tier: Tier,
+    /// Time, in milliseconds.
+    pub read_ms: u16,
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod pool;
 mod route;
+mod tier;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -22,6 +23,9 @@
 
 use crate::ConfigVersion;
 use crate::PoolId;
+use crate::Tier;
+
+use self::tier::TierRanks;
 
 /// A version of the routing table with the indexes that lookups need.
 ///
@@ -38,6 +42,7 @@
     pools: HashMap<PoolId, PoolProfile>,
     customers: Vec<CustomerKeys>,
     limits: CallerLimits,
+    tiers: TierRanks,
     /// Indexes into `routes` for each host, longest prefix first.
     by_host: HashMap<Arc<str>, Vec<usize>>,
     /// Index into `customers` for each API key.
@@ -63,8 +68,10 @@
         let by_key = customers.iter().enumerate().flat_map(|(index, customer)| {
             customer.api_keys.iter().map(move |key| (key.clone(), index))
         });
+        let tiers = TierRanks::new(&routes, &customers);
         Self {
             version,
+            tiers,
             by_key: by_key.collect(),
             by_host,
             routes: routes.into_iter().map(Arc::new).collect(),
@@ -99,6 +106,13 @@
         self.by_key.get(key).map(|it| &self.customers[*it])
     }
 
+    /// Tier of a customer's requests on a route.
+    ///
+    /// The customer's priority decides, and among equal customers the route's.
+    pub fn tier(&self, route: &RouteRule, customer: Option<&CustomerKeys>) -> Tier {
+        self.tiers.tier(route, customer)
+    }
+
     /// Whether routes that are not public need an API key.
     pub fn has_customers(&self) -> bool {
         !self.customers.is_empty()
--- a/crates/core/src/table/customer.rs
+++ b/crates/core/src/table/customer.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use crate::CustomerId;
-use crate::Tier;
 
 /// Secret by which a caller shows which customer it belongs to.
 pub type ApiKey = Arc<str>;
@@ -15,6 +14,6 @@
     pub id: CustomerId,
     /// Keys that are accepted.
     pub api_keys: Vec<ApiKey>,
-    /// Tier of the customer's requests, in place of the route's.
-    pub tier: Option<Tier>,
+    /// Priority of the customer's requests, 0 is the highest; it goes before the route's.
+    pub priority: Option<u8>,
 }
--- a/crates/core/src/table/route.rs
+++ b/crates/core/src/table/route.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::PoolId;
-use crate::Tier;
 
 /// How often a request may be run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -57,8 +56,8 @@
     pub target: Duration,
     /// Longest pause between two events of a stream that is on time.
     pub event_gap: Option<Duration>,
-    /// Tier, unless the customer has one of its own.
-    pub tier: Tier,
+    /// Priority among the requests of equal customers, 0 is the highest.
+    pub priority: u8,
     /// Upstreams to which one request may be sent.
     pub max_attempts: u32,
     /// Whether no API key is needed.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -190,8 +190,8 @@
     }
 
     /// What the other VMs are told of this VM's work.
-    pub fn loads_for_peers(&self, now: Instant) -> Vec<UpstreamLoad> {
-        self.upstreams.values().filter_map(|it| it.load_for_peers(now)).collect()
+    pub fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
+        self.upstreams.values().filter_map(Upstream::load_for_peers).collect()
     }
 
     /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -87,8 +87,13 @@
         Self { long }
     }
 
+    /// Whether `upstream` is for long prompts.
+    pub(super) fn is_long(&self, upstream: &Upstream) -> bool {
+        self.long.contains(&upstream.record.id)
+    }
+
     /// Whether `upstream` is in the lane of `prompt`.
     pub(super) fn is_own(&self, upstream: &Upstream, prompt: &Prompt) -> bool {
-        self.long.contains(&upstream.record.id) == is_long(prompt)
+        self.is_long(upstream) == is_long(prompt)
     }
 }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 
 use super::Call;
@@ -136,7 +137,15 @@
     };
     let fresh = select(&allowed, |it| !tried.contains(&it.record.id));
     let home = call.prompt.as_ref().and_then(|it| home(around, it, &lanes, &healthy));
-    fresh.into_iter().map(|it| Rated::new(around, call, it, &lanes, home.as_ref())).collect()
+    let expected = Expected {
+        home: home.as_ref(),
+        lanes: &lanes,
+        others_backlog: [true, false].map(|is_long| {
+            let in_lane = in_service.iter().filter(|it| lanes.is_long(it) == is_long);
+            mean_told_backlog(around.now, call.tier, in_lane)
+        }),
+    };
+    fresh.into_iter().map(|it| Rated::new(around, call, it, &expected)).collect()
 }
 
 /// Those that `is_wanted`, or all when there are none.
@@ -169,6 +178,26 @@
     around.failure_domain.is_none_or(|it| *it == upstream.record.failure_domain)
 }
 
+/// Mean of what other VMs are known to have at engines, for engines whose homes did not tell.
+fn mean_told_backlog<'a>(
+    now: Instant,
+    tier: Tier,
+    upstreams: impl Iterator<Item = &'a &'a Upstream>,
+) -> Duration {
+    let told: Vec<Duration> = upstreams.filter_map(|it| it.told_backlog(now, tier)).collect();
+    let count = u32::try_from(told.len()).unwrap_or(u32::MAX).max(1);
+    told.iter().sum::<Duration>() / count
+}
+
+/// What is expected of all upstreams for one call.
+struct Expected<'a> {
+    home: Option<&'a UpstreamId>,
+    lanes: &'a Lanes,
+    /// Backlog of the other VMs at an engine of which nobody told: for long prompts, for short
+    /// ones.
+    others_backlog: [Duration; 2],
+}
+
 /// An upstream with its cost for a call.
 struct Rated<'a> {
     upstream: &'a Upstream,
@@ -183,8 +212,7 @@
         around: &Surroundings<'_>,
         call: &Call,
         upstream: &'a Upstream,
-        lanes: &Lanes,
-        home: Option<&UpstreamId>,
+        expected: &Expected<'_>,
     ) -> Self {
         let way_ms = if is_near(around, upstream) {
             0.0
@@ -204,16 +232,21 @@
             };
         };
         let mut cached_tokens = upstream.cache.cached_tokens(prompt);
-        if home == Some(&upstream.record.id) {
+        if expected.home == Some(&upstream.record.id) {
             let shared = f64::from(prompt.shared_tokens()) * HOME_CACHED_SHARE;
             cached_tokens = cached_tokens.max(shared as u32);
         }
         let read = engine::read_time(prompt.input_tokens, cached_tokens);
-        let backlog = upstream.backlog(around.now);
+        let untold = match upstream.told_backlog(around.now, call.tier) {
+            Some(_) => Duration::ZERO,
+            None if expected.lanes.is_long(upstream) => expected.others_backlog[0],
+            None => expected.others_backlog[1],
+        };
+        let backlog = upstream.backlog(around.now, call.tier) + untold;
         let until_first = backlog + read;
         let time_to_target = call.target_at().saturating_duration_since(around.now);
         let late = until_first.saturating_sub(time_to_target.mul_f64(TARGET_SHARE));
-        let is_own_lane = lanes.is_own(upstream, prompt);
+        let is_own_lane = expected.lanes.is_own(upstream, prompt);
         let lane_ms = if is_own_lane { 0.0 } else { WRONG_LANE_COST_MS };
         let fill = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
         let cost_ms = millis(read)
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -4,6 +4,7 @@
 
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
+use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use serde::Serialize;
 
@@ -89,7 +90,7 @@
             circuit: self.circuit.state(now),
             own_in_flight: self.own_in_flight(),
             in_flight: self.in_flight(now),
-            backlog_ms: millis(self.backlog(now)),
+            backlog_ms: millis(self.backlog(now, Tier::MAX)),
             peer_age_ms: millis(self.peer_age(now)),
         }
     }
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -1,5 +1,6 @@
 //! State of one upstream as this VM believes it to be.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +9,8 @@
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::Tier;
+use cranberryvalve_core::TierBacklog;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
@@ -44,12 +47,13 @@
 /// An attempt under way.
 #[derive(Debug)]
 struct InFlight {
+    tier: Tier,
     /// Time to read the prompt.
     read: Duration,
     is_reading: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Timed<T> {
     figure: T,
     at: Instant,
@@ -74,10 +78,18 @@
     others: Option<Timed<PeerFigures>>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct PeerFigures {
     in_flight: u32,
-    backlog: Duration,
+    backlog: Vec<TierBacklog>,
+}
+
+impl PeerFigures {
+    /// Time to read the prompts of `tier` and above.
+    fn backlog(&self, tier: Tier) -> Duration {
+        let counted = self.backlog.iter().filter(|it| it.tier <= tier);
+        counted.map(|it| Duration::from_millis(u64::from(it.read_ms))).sum()
+    }
 }
 
 impl Upstream {
@@ -107,7 +119,8 @@
         if !self.in_flight.values().any(|it| it.is_reading) {
             self.read_progress_at = now;
         }
-        let in_flight = InFlight { read, is_reading: call.prompt.is_some() };
+        let is_reading = call.prompt.is_some();
+        let in_flight = InFlight { tier: call.tier, read, is_reading };
         self.in_flight.insert(call.id, in_flight);
         if let Some(prompt) = &call.prompt {
             self.cache.insert(prompt);
@@ -149,11 +162,14 @@
         let peers = self.peers.iter().filter(|(it, _)| *it != vm).map(|(_, it)| it);
         let fresh: Vec<&Timed<PeerFigures>> = peers.filter(|it| it.is_fresh(now)).collect();
         let in_flight: u32 = fresh.iter().map(|it| it.figure.in_flight).sum();
-        let backlog: Duration = fresh.iter().map(|it| it.backlog(now)).sum();
+        let mut backlog = self.unread_by_tier();
+        for told in fresh.iter().flat_map(|it| &it.figure.backlog) {
+            *backlog.entry(told.tier).or_default() += Duration::from_millis(told.read_ms.into());
+        }
         UpstreamLoad {
             upstream: self.record.id.clone(),
             in_flight: saturate(u128::from(in_flight + self.own_in_flight())),
-            backlog_ms: saturate((backlog + self.own_backlog(now)).as_millis()),
+            backlog: tier_backlogs(&backlog),
         }
     }
 
@@ -166,24 +182,57 @@
     pub(super) fn in_flight(&self, now: Instant) -> u32 {
         let peers: u32 = self.others(now).map(|it| it.figure.in_flight).sum();
         let known = self.own_in_flight() + peers;
-        let told = self.told.filter(|it| now.duration_since(it.at) < FIGURES_LIFETIME / 2);
+        let told = self.told.as_ref().filter(|it| now.duration_since(it.at) < FIGURES_LIFETIME / 2);
         known.max(told.map_or(0, |it| it.figure.running + it.figure.waiting))
     }
 
-    /// Estimated time until all prompts sent so far are read.
-    pub(super) fn backlog(&self, now: Instant) -> Duration {
-        self.own_backlog(now) + self.others(now).map(|it| it.backlog(now)).sum::<Duration>()
+    /// Estimated time until all prompts of `tier` and above that were sent so far are read; engines
+    /// let them pass those below.
+    ///
+    /// The engine reads one prompt after the other, so what was read of all of them since the last
+    /// one was done is at most one of them.
+    pub(super) fn backlog(&self, now: Instant, tier: Tier) -> Duration {
+        let (own, longest) = self.unread(tier);
+        let progress = now.saturating_duration_since(self.read_progress_at);
+        own.saturating_sub(progress.min(longest)) + self.others_backlog(now, tier)
     }
 
-    /// Estimated time until all prompts that this VM sent are read.
-    pub(super) fn own_backlog(&self, now: Instant) -> Duration {
-        let reading = self.in_flight.values().filter(|it| it.is_reading);
-        let (total, longest) =
-            reading.fold((Duration::ZERO, Duration::ZERO), |(total, longest), it| {
-                (total + it.read, longest.max(it.read))
-            });
-        let progress = now.saturating_duration_since(self.read_progress_at);
-        total.saturating_sub(progress.min(longest))
+    /// Estimated time until the prompts of the other VMs of `tier` and above are read; none when
+    /// nobody told.
+    pub(super) fn told_backlog(&self, now: Instant, tier: Tier) -> Option<Duration> {
+        self.others(now).next().map(|_| self.others_backlog(now, tier))
+    }
+
+    fn unread_by_tier(&self) -> BTreeMap<Tier, Duration> {
+        let mut by_tier = BTreeMap::new();
+        for reading in self.in_flight.values().filter(|it| it.is_reading) {
+            *by_tier.entry(reading.tier).or_insert(Duration::ZERO) += reading.read;
+        }
+        by_tier
+    }
+
+    /// Time to read the prompts of `tier` and above that this VM sent and that are not answered
+    /// yet, and the longest of them.
+    fn unread(&self, tier: Tier) -> (Duration, Duration) {
+        let reading = self.in_flight.values().filter(|it| it.is_reading && it.tier <= tier);
+        reading.fold((Duration::ZERO, Duration::ZERO), |(total, longest), it| {
+            (total + it.read, longest.max(it.read))
+        })
+    }
+
+    /// What the other VMs told, less the time since then: the engine shares itself among them, so
+    /// that all of their figures together shrink by no more than the time that passes.
+    fn others_backlog(&self, now: Instant, tier: Tier) -> Duration {
+        let total: Duration = self.others(now).map(|it| it.figure.backlog(tier)).sum();
+        let weighted_age_s: f64 = self
+            .others(now)
+            .map(|it| {
+                let age = now.saturating_duration_since(it.at);
+                it.figure.backlog(tier).as_secs_f64() * age.as_secs_f64()
+            })
+            .sum();
+        let age_s = weighted_age_s / total.as_secs_f64().max(f64::MIN_POSITIVE);
+        total.saturating_sub(Duration::from_secs_f64(age_s.min(total.as_secs_f64())))
     }
 
     /// Age of the oldest figure of another VM that is in use.
@@ -193,11 +242,11 @@
     }
 
     /// What the other VMs are told of this VM's work; none when there is none.
-    pub(super) fn load_for_peers(&self, now: Instant) -> Option<UpstreamLoad> {
+    pub(super) fn load_for_peers(&self) -> Option<UpstreamLoad> {
         let load = UpstreamLoad {
             upstream: self.record.id.clone(),
             in_flight: saturate(u128::from(self.own_in_flight())),
-            backlog_ms: saturate(self.own_backlog(now).as_millis()),
+            backlog: tier_backlogs(&self.unread_by_tier()),
         };
         (load.in_flight > 0).then_some(load)
     }
@@ -222,21 +271,22 @@
         now.saturating_duration_since(self.at) < FIGURES_LIFETIME
     }
 
-    /// The backlog, less what was read since it was told.
-    fn backlog(&self, now: Instant) -> Duration {
-        self.figure.backlog.saturating_sub(now.saturating_duration_since(self.at))
-    }
 }
 
 impl From<&UpstreamLoad> for PeerFigures {
     fn from(load: &UpstreamLoad) -> Self {
         Self {
             in_flight: u32::from(load.in_flight),
-            backlog: Duration::from_millis(u64::from(load.backlog_ms)),
+            backlog: load.backlog.clone(),
         }
     }
 }
 
+fn tier_backlogs(by_tier: &BTreeMap<Tier, Duration>) -> Vec<TierBacklog> {
+    let tiers = by_tier.iter();
+    tiers.map(|(tier, read)| TierBacklog { tier: *tier, read_ms: saturate(read.as_millis()) }).collect()
+}
+
 fn saturate(figure: u128) -> u16 {
     u16::try_from(figure).unwrap_or(u16::MAX)
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -139,7 +139,7 @@
 
     /// What the other VMs are told.
     pub(crate) fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
-        self.lock().scheduler.loads_for_peers(Instant::now())
+        self.lock().scheduler.loads_for_peers()
     }
 
     /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -444,7 +444,7 @@
     };
     Ok(Access {
         customer: customer.map(|it| it.id.clone()),
-        tier: customer.and_then(|it| it.tier).unwrap_or(route.tier),
+        tier: table.tier(route, customer),
         config_version: table.version(),
         pool: pool.clone(),
         route: route.clone(),
