perf: a long prompt goes to one of two homes only

Change: the first two engines by the hash of the shared beginning are the only ones; a prompt is long from 4,500 tokens; an engine has room up to half of the target.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -73,6 +73,16 @@
     clock: u64,
     pub(crate) read_tokens: u64,
     pub(crate) cached_tokens: u64,
+    /// Prefixes of the prompts admitted since they were taken last.
+    pub(crate) used: Vec<UsedPart>,
+}
+
+/// A prefix of a prompt that was admitted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UsedPart {
+    pub(crate) hash: u64,
+    pub(crate) tokens: u32,
+    pub(crate) is_hit: bool,
 }
 
 #[derive(Debug)]
@@ -94,6 +104,7 @@
             clock: 0,
             read_tokens: 0,
             cached_tokens: 0,
+            used: Vec::new(),
         }
     }
 
@@ -194,6 +205,7 @@
                 cached += prefix.part_tokens;
             }
             let tokens = prefix.part_tokens;
+            self.used.push(UsedPart { hash: prefix.hash, tokens, is_hit });
             let part = self.cache.entry(prefix.hash).or_insert_with(|| {
                 self.cache_tokens += u64::from(tokens);
                 CachedPart { tokens, used_at: 0 }
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -31,6 +31,8 @@
     pub read_tokens: u64,
     /// Prompt tokens that engines found in their caches.
     pub cached_tokens: u64,
+    /// Tokens of prefixes read again within seconds after some engine had them.
+    pub read_again_tokens: u64,
     /// Bytes of bodies that crossed failure domains.
     pub crossed_bytes: u64,
     /// Messages between VMs.
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -60,6 +60,9 @@
 /// Time of a refused connection.
 const REFUSED: Duration = Duration::from_millis(1);
 
+/// Time within which reading a prefix again counts as waste.
+const READ_AGAIN_WINDOW: Duration = Duration::from_secs(8);
+
 /// Tokens in one event of a stream.
 const TOKENS_PER_EVENT: f64 = 4.0;
 
@@ -130,6 +133,9 @@
     messages: u64,
     crossed_bytes: u64,
     repeated: u32,
+    /// When each prefix was used last, at any engine.
+    last_use: HashMap<u64, Duration>,
+    read_again_tokens: u64,
 }
 
 impl<'a> Simulation<'a> {
@@ -162,6 +168,8 @@
             messages: 0,
             crossed_bytes: 0,
             repeated: 0,
+            last_use: HashMap::new(),
+            read_again_tokens: 0,
         };
         simulation.schedule_all();
         simulation
@@ -344,12 +352,24 @@
             return;
         }
         let (time, outputs) = self.engines[engine].step();
+        self.count_read_again(engine);
         self.steps[engine] = Some(outputs);
         self.step_numbers[engine] += 1;
         let number = self.step_numbers[engine];
         self.schedule(self.now + time, Happening::Step { engine, number });
     }
 
+    /// Counts prefixes that are read though some engine had them a short while ago.
+    fn count_read_again(&mut self, engine: usize) {
+        for part in std::mem::take(&mut self.engines[engine].used) {
+            let last = self.last_use.insert(part.hash, self.now);
+            let is_recent = last.is_some_and(|it| self.now - it < READ_AGAIN_WINDOW);
+            if !part.is_hit && is_recent {
+                self.read_again_tokens += u64::from(part.tokens);
+            }
+        }
+    }
+
     fn on_step_end(&mut self, engine: usize) {
         let outputs = self.steps[engine].take().unwrap_or_default();
         for output in outputs {
@@ -460,6 +480,7 @@
             crossed_bytes: self.crossed_bytes,
             messages: self.messages,
             repeated: self.repeated,
+            read_again_tokens: self.read_again_tokens,
             ..Report::default()
         };
         for (kind, traffic) in self.load.traffic.iter().enumerate() {
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -16,8 +16,9 @@
 use super::call::hash_of;
 use super::upstream::Upstream;
 
-/// Prompt tokens from which a prompt is long: about 100 ms of reading.
-const LONG_PROMPT_TOKENS: u32 = 3_500;
+/// Prompt tokens from which a prompt is long: more than four chunks of reading, so that all tokens of
+/// an event of a stream beside it wait for a chunk.
+const LONG_PROMPT_TOKENS: u32 = 4_500;
 
 /// Share of a failure domain's engines for long prompts, where both kinds arrive.
 ///
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -1,9 +1,11 @@
 //! Choice of the upstream for a call.
 //!
 //! Every upstream of the pool that has room gets a cost, in the time that the choice takes away
-//! from others and from the caller; the cheapest one is chosen. A prompt's shared beginning has a
-//! home in its lane by a hash that is the same on all VMs (rendezvous hashing: Thaler and
-//! Ravishankar, 1998), so that the VMs find its cache without telling each other.
+//! from others and from the caller; the cheapest one is chosen. A prompt's shared beginning has
+//! homes in its lane by a hash that is the same on all VMs (rendezvous hashing: Thaler and
+//! Ravishankar, 1998), so that the VMs find its cache without telling each other. A long prompt goes
+//! to one of its two homes only: two are enough to level the load (Mitzenmacher, 2001), and each
+//! further engine would read the shared beginning once more, which costs most under load.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -36,11 +38,14 @@
 /// Share of a shared beginning that its home is believed to have cached through other VMs.
 const HOME_CACHED_SHARE: f64 = 0.9;
 
+/// Engines that a long prompt may go to.
+const LONG_PROMPT_HOMES: usize = 2;
+
 /// Share of the target that reading and waiting may take without cost.
 const TARGET_SHARE: f64 = 0.75;
 
 /// Share of the target that the prompts before this one may take for an upstream to have room.
-const ROOM_SHARE: f64 = 0.6;
+const ROOM_SHARE: f64 = 0.5;
 
 /// Time for an answer of a plain service, for comparing its load with the way to it, in
 /// milliseconds.
@@ -131,14 +136,14 @@
         upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
     let healthy: Vec<&Upstream> = select(&in_service, |it| it.takes_work(around.now));
     let lanes = Lanes::new(&in_service, around.long_share);
-    let allowed = match call.prompt.as_ref().filter(|it| lanes::is_long(it)) {
-        Some(prompt) => select(&healthy, |it| lanes.is_own(it, prompt)),
+    let ranked = match &call.prompt {
+        Some(prompt) => by_home(around, prompt, &lanes, &healthy),
         None => healthy.clone(),
     };
-    let fresh = select(&allowed, |it| !tried.contains(&it.record.id));
-    let home = call.prompt.as_ref().and_then(|it| home(around, it, &lanes, &healthy));
+    let home = ranked.first().filter(|_| call.prompt.is_some()).map(|it| &it.record.id);
+    let fresh = select(&ranked, |it| !tried.contains(&it.record.id));
     let expected = Expected {
-        home: home.as_ref(),
+        home,
         lanes: &lanes,
         others_backlog: [true, false].map(|is_long| {
             let in_lane = in_service.iter().filter(|it| lanes.is_long(it) == is_long);
@@ -157,21 +162,31 @@
     if wanted.is_empty() { upstreams.to_vec() } else { wanted }
 }
 
-/// The home of a prompt's shared beginning.
+/// The engines that a prompt may go to, the homes of its shared beginning first.
 ///
-/// A long prompt has one home in all failure domains, as reading it again costs more than the
-/// way there; a short one has a home in each.
-fn home(
+/// A long prompt has the same homes in all failure domains, as reading it again costs more than
+/// the way there, and may only go to them; a short one has a home in each, and may go anywhere.
+fn by_home<'a>(
     around: &Surroundings<'_>,
     prompt: &Prompt,
     lanes: &Lanes,
-    upstreams: &[&Upstream],
-) -> Option<UpstreamId> {
-    let shared = prompt.shared_hash()?;
-    let in_lane = upstreams.iter().filter(|it| lanes.is_own(it, prompt));
-    let near = in_lane.filter(|it| lanes::is_long(prompt) || is_near(around, it));
-    let home = near.min_by_key(|it| hash_of(&(shared, &it.record.id)))?;
-    Some(home.record.id.clone())
+    upstreams: &[&'a Upstream],
+) -> Vec<&'a Upstream> {
+    let shared = prompt.shared_hash();
+    let is_long = lanes::is_long(prompt);
+    let mut ranked = if is_long {
+        select(upstreams, |it| lanes.is_own(it, prompt))
+    } else {
+        upstreams.to_vec()
+    };
+    ranked.sort_by_cached_key(|it| {
+        let is_away = !is_long && !(is_near(around, it) && lanes.is_own(it, prompt));
+        (is_away, hash_of(&(shared, &it.record.id)))
+    });
+    if is_long && shared.is_some() {
+        ranked.truncate(LONG_PROMPT_HOMES);
+    }
+    ranked
 }
 
 fn is_near(around: &Surroundings<'_>, upstream: &Upstream) -> bool {
