--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -7,8 +7,7 @@
 use crate::UpstreamId;
 
 /// Work at one upstream, as VMs tell it to each other.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamLoad {
     /// Upstream.
     pub upstream: UpstreamId,
@@ -19,8 +18,7 @@
 }
 
 /// Time to read the prompts of one tier.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TierBacklog {
     /// Tier.
     pub tier: Tier,
--- a/crates/daemon/src/control/limits.rs
+++ b/crates/daemon/src/control/limits.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::home::home_of;
 use cranberryvalve_coordination::limits::LimitDemand;
 use cranberryvalve_coordination::limits::LimitShare;
-use cranberryvalve_coordination::home::home_of;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_core::VmId;
--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -156,8 +156,8 @@
         for running in self.running.iter_mut().filter(|it| it.unread > 0) {
             let tokens = running.unread.min(chunk);
             let pairs = f64::from(tokens) * f64::from(running.context + tokens / 2);
-            time_ms += f64::from(tokens) / READ_TOKENS_PER_MS
-                + pairs / 1.0e6 * PAIRS_MS_PER_MILLION;
+            time_ms +=
+                f64::from(tokens) / READ_TOKENS_PER_MS + pairs / 1.0e6 * PAIRS_MS_PER_MILLION;
             running.unread -= tokens;
             running.context += tokens;
             self.read_tokens += u64::from(tokens);
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -409,11 +409,8 @@
         let (vm, attempt) = (request.vm, request.attempt);
         let now = self.instant();
         let (running, waiting) = self.engines[engine].load();
-        let load = ToldLoad {
-            running: running as u32,
-            waiting: waiting as u32,
-            slots: SLOTS as u32,
-        };
+        let load =
+            ToldLoad { running: running as u32, waiting: waiting as u32, slots: SLOTS as u32 };
         let told = SchedulerEvent::LoadTold { upstream: engine_name(engine), load };
         self.vms[vm].handle(now, told);
         let wishes = self.vms[vm].ended(now, number as RequestId, attempt, SendEnd::Complete);
@@ -502,8 +499,8 @@
     tally.asked += 1;
     let wait = request.first_event.map(|it| it - request.arrived);
     tally.longest_wait = tally.longest_wait.max(wait.unwrap_or_default());
-    let is_on_time = wait.is_some_and(|it| it <= traffic.target)
-        && request.longest_gap <= traffic.event_gap;
+    let is_on_time =
+        wait.is_some_and(|it| it <= traffic.target) && request.longest_gap <= traffic.event_gap;
     match request.end {
         Some(End::Whole) if is_on_time => tally.on_time += 1,
         Some(End::Whole) => tally.late += 1,
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -229,7 +229,8 @@
         if let Some(prompt) = &call.prompt {
             self.kinds.note(now, &pool, prompt);
         }
-        let give_up_at = (call.arrived_at + call.route.target.mul_f64(WAIT_SHARE)).min(call.deadline);
+        let give_up_at =
+            (call.arrived_at + call.route.target.mul_f64(WAIT_SHARE)).min(call.deadline);
         let (id, tier) = (call.id, call.tier);
         let tracked = Tracked {
             call,
@@ -279,7 +280,11 @@
             let takes_work = upstream.takes_work(now);
             if took_work != takes_work {
                 let upstream = upstream.record.id.clone();
-                actions.push(SchedulerAction::Judged(Judgement { upstream, takes_work, cause: end }));
+                actions.push(SchedulerAction::Judged(Judgement {
+                    upstream,
+                    takes_work,
+                    cause: end,
+                }));
             }
         }
         match end {
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -47,8 +47,8 @@
 /// Share of the target that the prompts before this one may take for an upstream to have room.
 const ROOM_SHARE: f64 = 0.5;
 
-/// Time for an answer of a plain service, for comparing its load with the way to it, in
-/// milliseconds.
+/// Time that a call waits at a plain service whose slots are all taken, for comparing its load with
+/// the way to it, in milliseconds; with fewer taken it grows with the square.
 const SERVICE_TIME_MS: f64 = 20.0;
 
 /// Requests in flight at a plain service, relative to its slots, up to which it has room.
@@ -174,14 +174,11 @@
 ) -> Vec<&'a Upstream> {
     let shared = prompt.shared_hash();
     let is_long = lanes::is_long(prompt);
-    let mut ranked = if is_long {
-        select(upstreams, |it| lanes.is_own(it, prompt))
-    } else {
-        upstreams.to_vec()
-    };
+    let mut ranked =
+        if is_long { select(upstreams, |it| lanes.is_own(it, prompt)) } else { upstreams.to_vec() };
     ranked.sort_by_cached_key(|it| {
-        let is_away = !is_long && !(is_near(around, it) && lanes.is_own(it, prompt));
-        (is_away, hash_of(&(shared, &it.record.id)))
+        let is_eligible = is_long || (is_near(around, it) && lanes.is_own(it, prompt));
+        (!is_eligible, hash_of(&(shared, &it.record.id)))
     });
     if is_long && shared.is_some() {
         ranked.truncate(LONG_PROMPT_HOMES);
@@ -241,7 +238,7 @@
             return Self {
                 upstream,
                 has_room: has_connection && in_flight < upstream.record.slots * SERVICE_FILL,
-                cost_ms: load * SERVICE_TIME_MS + way_ms,
+                cost_ms: load * load * SERVICE_TIME_MS + way_ms,
                 backlog: Duration::ZERO,
                 cached_tokens: 0,
             };
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -14,8 +14,7 @@
 use crate::CircuitState;
 
 /// A copy of what the scheduler believes.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct SchedulerSnapshot {
     /// VMs that share budgets and connections.
     pub vms: u32,
@@ -30,8 +29,7 @@
 }
 
 /// Retries that a pool has left on this VM.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct PoolRetries {
     /// Pool.
     pub pool: PoolId,
@@ -40,8 +38,7 @@
 }
 
 /// What is believed of an upstream.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct UpstreamState {
     /// Upstream.
     pub id: UpstreamId,
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -93,7 +93,11 @@
 }
 
 impl Upstream {
-    pub(super) fn new(record: UpstreamRecord, engine: Option<&EngineProfile>, now: Instant) -> Self {
+    pub(super) fn new(
+        record: UpstreamRecord,
+        engine: Option<&EngineProfile>,
+        now: Instant,
+    ) -> Self {
         Self {
             record,
             is_gone: false,
@@ -270,21 +274,19 @@
     fn is_fresh(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) < FIGURES_LIFETIME
     }
-
 }
 
 impl From<&UpstreamLoad> for PeerFigures {
     fn from(load: &UpstreamLoad) -> Self {
-        Self {
-            in_flight: u32::from(load.in_flight),
-            backlog: load.backlog.clone(),
-        }
+        Self { in_flight: u32::from(load.in_flight), backlog: load.backlog.clone() }
     }
 }
 
 fn tier_backlogs(by_tier: &BTreeMap<Tier, Duration>) -> Vec<TierBacklog> {
     let tiers = by_tier.iter();
-    tiers.map(|(tier, read)| TierBacklog { tier: *tier, read_ms: saturate(read.as_millis()) }).collect()
+    tiers
+        .map(|(tier, read)| TierBacklog { tier: *tier, read_ms: saturate(read.as_millis()) })
+        .collect()
 }
 
 fn saturate(figure: u128) -> u16 {
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -74,11 +74,7 @@
     }
 
     /// Takes one piece and returns its size; none when more input is needed.
-    fn step(
-        &mut self,
-        input: &[u8],
-        output: &mut Vec<u8>,
-    ) -> Result<Option<usize>, MalformedBody> {
+    fn step(&mut self, input: &[u8], output: &mut Vec<u8>) -> Result<Option<usize>, MalformedBody> {
         match &mut self.0 {
             State::Complete => Ok(None),
             _ if input.is_empty() => Ok(None),
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -143,11 +143,7 @@
         }
     }
 
-    fn read_body(
-        &mut self,
-        framing: Framing,
-        limits: &CallerLimits,
-    ) -> Result<Vec<u8>, ReadError> {
+    fn read_body(&mut self, framing: Framing, limits: &CallerLimits) -> Result<Vec<u8>, ReadError> {
         let until = Instant::now() + BODY_TIME;
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
@@ -168,7 +164,8 @@
     }
 
     fn fill(&mut self, until: Instant) -> Result<Filled, ReadError> {
-        let waits = Waits { caller: Some(&self.connection), caller_input: true, ..Waits::default() };
+        let waits =
+            Waits { caller: Some(&self.connection), caller_input: true, ..Waits::default() };
         wait(waits, until).map_err(|_| ReadError::Gone)?;
         match self.connection.fill() {
             Ok(Filled::Closed) | Err(_) => Err(ReadError::Gone),
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -192,8 +192,7 @@
 }
 
 fn wait_for(connection: &Connection, output: bool, until: Instant) -> Result<(), HttpError> {
-    let waits =
-        Waits { upstream: Some(connection), upstream_output: output, ..Waits::default() };
+    let waits = Waits { upstream: Some(connection), upstream_output: output, ..Waits::default() };
     let ready = wait(waits, until)?;
     if ready.timed_out { Err(HttpError::TimedOut) } else { Ok(()) }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -190,11 +190,7 @@
     }
 
     /// Makes a connection; none when the upstream cannot be reached.
-    fn connect(
-        &self,
-        command: &SendCommand,
-        caller: &Caller,
-    ) -> Result<Option<Connection>, Halt> {
+    fn connect(&self, command: &SendCommand, caller: &Caller) -> Result<Option<Connection>, Halt> {
         metrics::counter!("cranberryvalve_upstream_connections_total").increment(1);
         let Ok(connection) = Connection::start(command.upstream.address) else { return Ok(None) };
         let until = (Instant::now() + CONNECT_TIMEOUT).min(self.deadline);
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -14,6 +14,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 
+use crate::peers::Peers;
 use crate::state::Relay;
 
 /// Path of the metrics, in Prometheus' text format.
@@ -102,8 +103,7 @@
 }
 
 /// A dump of a relay's state.
-#[derive(Debug)]
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 struct StateDump {
     is_ready: bool,
     is_draining: bool,
@@ -125,7 +125,7 @@
             routes: table.as_ref().map_or(0, |it| it.routes().len()),
             caller_connections: relay.connections(),
             busy_callers: relay.busy_callers(),
-            members: relay.peers().map(|it| it.alive_names()).unwrap_or_default(),
+            members: relay.peers().map(Peers::alive_names).unwrap_or_default(),
             scheduler: relay.dispatcher.snapshot(),
         }
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -197,9 +197,8 @@
         let mut by_home: HashMap<VmId, (PeerAddress, Vec<T>)> = HashMap::new();
         for (upstream, item) in items {
             let domain = &upstream.failure_domain;
-            let vms = names
-                .entry(domain.clone())
-                .or_insert_with(|| membership.alive_names_near(domain));
+            let vms =
+                names.entry(domain.clone()).or_insert_with(|| membership.alive_names_near(domain));
             let Some(home) = home_of(&upstream.id, vms).filter(|it| **it != own) else { continue };
             let Some(address) = membership.address_of(home) else { continue };
             by_home.entry(home.clone()).or_insert_with(|| (address, Vec::new())).1.push(item);
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -161,10 +161,8 @@
             self.send_heartbeat(&from);
         }
         if heartbeat.config_version > self.version() {
-            let message = PeerMessage::DocumentWanted {
-                from: self.own(),
-                version: heartbeat.config_version,
-            };
+            let message =
+                PeerMessage::DocumentWanted { from: self.own(), version: heartbeat.config_version };
             self.links.send(&from, &message);
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -50,7 +50,8 @@
     let Ok(connection) = Connection::accepted(stream) else { return };
     // Without a mailbox there are no more files to be had, and nothing can be served.
     let Ok(mailbox) = Mailbox::new() else { return };
-    let mut service = Service { relay, mailbox: Arc::new(mailbox), caller: Caller::new(connection) };
+    let mut service =
+        Service { relay, mailbox: Arc::new(mailbox), caller: Caller::new(connection) };
     if relay.connections() > relay.settings.max_connections {
         service.refuse(&refusal(503, Some(RETRY_AFTER_START), "too many connections"));
         return;
@@ -283,8 +284,7 @@
         progress.attempts += 1;
         progress.sent_at.get_or_insert_with(Instant::now);
         exchange.report(&command);
-        let outcome =
-            exchange.attempt(&command, ticket, &mut self.caller, &mut progress.delivery);
+        let outcome = exchange.attempt(&command, ticket, &mut self.caller, &mut progress.delivery);
         let attempt = command.attempt;
         if let Some(failure) = outcome.failure() {
             info!(self.relay.log, "attempt failed";
