--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 use std::fs;
+use std::io::BufReader;
 use std::io::Read;
 
 use cranberryvalve_coordination::plan::ConfirmOutcome;
@@ -14,6 +15,7 @@
 
 use crate::exit::Exit;
 use crate::exit::Failure;
+use crate::explain;
 use crate::options::Cli;
 use crate::options::Command;
 use crate::options::ConfirmOptions;
@@ -37,10 +39,36 @@
         Command::History(_) => history(cli),
         Command::Status(_) => status(cli),
         Command::Dump(_) => dump(cli),
+        Command::Explain(options) => explain(cli, &options.arguments),
         Command::HashKey(_) => hash_key(),
     }
 }
 
+/// Tells the story of a request from files, or from standard input when none are given.
+fn explain(cli: &Cli, arguments: &[String]) -> Result<Exit, Failure> {
+    let Some((request, files)) = arguments.split_first() else {
+        return Err(Failure::new(Exit::Usage, "explain needs the identifier of a request"));
+    };
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        lines.extend(explain::read_lines(std::io::stdin().lock())?);
+    }
+    for file in files {
+        let opened = fs::File::open(file)
+            .map_err(|error| Failure::new(Exit::Usage, format!("{file}: {error}")))?;
+        lines.extend(explain::read_lines(BufReader::new(opened))?);
+    }
+    let Some(story) = explain::tell(request, &lines) else {
+        return Err(Failure::new(Exit::Failed, format!("no line is about request {request}")));
+    };
+    if cli.json {
+        print(&format!("{}\n", serde_json::to_string_pretty(&story)?));
+    } else {
+        print(&explain::render(&story));
+    }
+    Ok(Exit::Done)
+}
+
 fn help() -> String {
     let commands = Cli::command_list().unwrap_or_default();
     format!(
--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,175 @@
+//! The story of one request, from the log lines of all VMs.
+
+use std::collections::BTreeSet;
+use std::io::BufRead;
+
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+/// Time before and after a request within which what a VM believed is part of its story.
+const CONTEXT_MS: u64 = 3_000;
+
+/// Lines that tell what a VM believes, rather than what it did for one request.
+const BELIEFS: [&str; 8] = [
+    "configuration in force",
+    "directory changed",
+    "upstream judged",
+    "source lost",
+    "source is back",
+    "feed lost its history",
+    "draining",
+    "started",
+];
+
+/// Fields that are the same in all lines and shown at their beginning.
+const COMMON_FIELDS: [&str; 5] = ["message", "time_unix_ms", "vm", "level", "request"];
+
+/// A log line.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub(crate) struct Line {
+    pub(crate) time_unix_ms: u64,
+    pub(crate) vm: String,
+    pub(crate) message: String,
+    /// Whether it is about the request itself.
+    pub(crate) is_own: bool,
+    /// All other fields.
+    pub(crate) fields: Map<String, Value>,
+}
+
+/// Everything that is known of a request.
+#[derive(Debug, PartialEq, Serialize)]
+pub(crate) struct Story {
+    pub(crate) request: String,
+    pub(crate) lines: Vec<Line>,
+    /// What the lines come down to.
+    pub(crate) summary: String,
+}
+
+/// Reads log lines; whatever precedes the JSON of a line is passed over.
+pub(crate) fn read_lines(source: impl BufRead) -> std::io::Result<Vec<Line>> {
+    let mut lines = Vec::new();
+    for line in source.lines() {
+        lines.extend(parse(&line?));
+    }
+    Ok(lines)
+}
+
+fn parse(text: &str) -> Option<Line> {
+    let json = &text[text.find('{')?..];
+    let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).map(ToOwned::to_owned);
+    Some(Line {
+        time_unix_ms: fields.get("time_unix_ms")?.as_u64()?,
+        vm: text("vm")?,
+        message: text("message")?,
+        is_own: false,
+        fields,
+    })
+}
+
+/// Joins the lines about a request with what its VMs believed at the time; none when no line is
+/// about it.
+pub(crate) fn tell(request: &str, lines: &[Line]) -> Option<Story> {
+    let is_own = |it: &Line| it.fields.get("request").and_then(Value::as_str) == Some(request);
+    let own: Vec<&Line> = lines.iter().filter(|it| is_own(it)).collect();
+    let vms: BTreeSet<String> = own.iter().map(|it| it.vm.clone()).collect();
+    let total_ms = own.iter().filter_map(|it| it.fields.get("total_ms")?.as_u64()).max();
+    let last_ms = own.iter().map(|it| it.time_unix_ms).max()?;
+    let first_ms = own.iter().map(|it| it.time_unix_ms).min()?;
+    let from_ms = first_ms.min(last_ms.saturating_sub(total_ms.unwrap_or(0)));
+    let period = from_ms.saturating_sub(CONTEXT_MS)..=last_ms + CONTEXT_MS;
+    let upstreams: BTreeSet<String> =
+        own.iter().filter_map(|it| Some(it.fields.get("upstream")?.as_str()?.to_owned())).collect();
+    let summary = summarize(&own);
+    let mut story: Vec<Line> = lines
+        .iter()
+        .filter(|it| {
+            is_own(it)
+                || (vms.contains(&it.vm)
+                    && period.contains(&it.time_unix_ms)
+                    && is_belief(it, &upstreams))
+        })
+        .map(|it| Line { is_own: is_own(it), ..it.clone() })
+        .collect();
+    story.sort_by_key(|it| it.time_unix_ms);
+    Some(Story { request: request.to_owned(), lines: story, summary })
+}
+
+fn is_belief(line: &Line, upstreams: &BTreeSet<String>) -> bool {
+    let upstream = line.fields.get("upstream").and_then(Value::as_str);
+    BELIEFS.contains(&&*line.message) && upstream.is_none_or(|it| upstreams.contains(it))
+}
+
+/// What the last line of a request says, in a sentence.
+fn summarize(own: &[&Line]) -> String {
+    let ending = own.iter().rev().find(|it| it.message == "call ended");
+    let Some(ending) = ending else {
+        return "it has not ended, or the line of its end is missing".to_owned();
+    };
+    let number = |name: &str| ending.fields.get(name).and_then(Value::as_u64).unwrap_or(0);
+    let text = |name: &str| ending.fields.get(name).and_then(Value::as_str).unwrap_or("-");
+    let upstream = text("upstream");
+    match text("outcome") {
+        "not_run" => format!(
+            "it was not run: {}; told to come back in {} ms",
+            text("reason"),
+            number("retry_after_ms")
+        ),
+        "unknown" => format!(
+            "no whole answer came back from {upstream} after {} ms, and it may have been run: {}",
+            number("total_ms"),
+            text("failures")
+        ),
+        "partial" => format!(
+            "the stream from {upstream} broke off after {} events: {}",
+            number("events"),
+            text("failures")
+        ),
+        "upstream_failed" => format!(
+            "{upstream} answered with status {} after {} attempts: {}",
+            number("status"),
+            number("attempts"),
+            text("failures")
+        ),
+        "caller_gone" => format!(
+            "the caller left after {} ms; {} events had come from {upstream}",
+            number("total_ms"),
+            number("events")
+        ),
+        _ if ending.fields.get("late") == Some(&Value::Bool(true)) => late(&number, upstream),
+        _ => format!("{upstream} answered in {} ms", number("total_ms")),
+    }
+}
+
+/// Where the time of a late answer went.
+fn late(number: &dyn Fn(&str) -> u64, upstream: &str) -> String {
+    let (queue_ms, first_ms) = (number("queue_ms"), number("first_part_ms"));
+    let at_upstream_ms = first_ms.saturating_sub(queue_ms);
+    format!(
+        "it was late: {queue_ms} ms in the queue, {at_upstream_ms} ms until {upstream} sent its \
+         first event (expected backlog {} ms, {} of {} prompt tokens cached), longest pause {} ms",
+        number("backlog_ms"),
+        number("cached_tokens"),
+        number("input_tokens"),
+        number("longest_gap_ms")
+    )
+}
+
+/// The story for people.
+pub(crate) fn render(story: &Story) -> String {
+    let start_ms = story.lines.first().map_or(0, |it| it.time_unix_ms);
+    let mut text = format!("request {}: {}\n", story.request, story.summary);
+    for line in &story.lines {
+        let mark = if line.is_own { '*' } else { ' ' };
+        let at_ms = line.time_unix_ms - start_ms;
+        text.push_str(&format!("{mark} {at_ms:>7} ms  {}  {}", line.vm, line.message));
+        for (name, value) in &line.fields {
+            if !COMMON_FIELDS.contains(&&**name) && !value.is_null() {
+                text.push_str(&format!("  {name}={value}"));
+            }
+        }
+        text.push('\n');
+    }
+    text
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod exit;
+mod explain;
 mod options;
 mod remote;
 mod text;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -50,10 +50,20 @@
     Status(NoOptions),
     #[options(help = "print the state of each VM")]
     Dump(NoOptions),
+    #[options(help = "tell what became of a request, from log lines of all VMs")]
+    Explain(ExplainOptions),
     #[options(help = "print the SHA-256 of an API key read from standard input")]
     HashKey(NoOptions),
 }
 
+#[derive(Debug, Options)]
+pub(crate) struct ExplainOptions {
+    #[options(no_short, help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "identifier of the request, then files with log lines")]
+    pub(crate) arguments: Vec<String>,
+}
+
 #[derive(Debug, Options)]
 pub(crate) struct PlanOptions {
     #[options(no_short, help = "print this help")]
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -149,3 +149,6 @@
     }
     u64::from_str_radix(digits, 16).map_err(|_| MalformedBody)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -10,6 +10,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EventTooLarge;
 
+/// Whole events that were taken together.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Events {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) count: u32,
+}
+
 /// Cuts whole events out of a body and leaves out those that the caller has already.
 #[derive(Debug, Default)]
 pub(crate) struct EventReader {
@@ -43,15 +50,16 @@
     /// # Errors
     ///
     /// Fails when an event is larger than is accepted.
-    pub(crate) fn take_whole(&mut self) -> Result<Vec<u8>, EventTooLarge> {
-        let mut whole = Vec::new();
+    pub(crate) fn take_whole(&mut self) -> Result<Events, EventTooLarge> {
+        let mut whole = Events::default();
         let mut start = 0;
         while let Some(len) = event_len(&self.pending[start..]) {
             let event = &self.pending[start..start + len];
             let id = event_id(event);
             let is_new = id.is_none() || self.last_id.is_none() || id > self.last_id;
             if is_new {
-                whole.extend_from_slice(event);
+                whole.bytes.extend_from_slice(event);
+                whole.count += 1;
                 self.last_id = id.or(self.last_id);
             }
             start += len;
@@ -78,3 +86,6 @@
     let line = event.split(|it| *it == b'\n').find_map(|it| it.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -83,9 +83,9 @@
 
 impl Delivery {
     /// Notes events that were passed on together.
-    fn passed_on(&mut self, now: Instant) {
+    fn passed_on(&mut self, events: u32, now: Instant) {
         self.first_part_at.get_or_insert(now);
-        self.events += 1;
+        self.events += events;
         if let Some(last_at) = self.last_part_at.replace(now) {
             self.longest_gap = self.longest_gap.max(now.saturating_duration_since(last_at));
         }
@@ -348,7 +348,7 @@
         loop {
             let decoded = stream.decoder.decode(&mut connection.input, stream.reader.buffer());
             let events = stream.reader.take_whole().map_err(|_| Halt::Broken)?;
-            if !events.is_empty() {
+            if events.count > 0 {
                 if !is_answering {
                     is_answering = true;
                     ticket.answering(command.attempt);
@@ -358,8 +358,8 @@
                     delivery.is_started = true;
                     caller.start_stream(stream.head, self.deadline)?;
                 }
-                caller.send_piece(&events, self.deadline)?;
-                delivery.passed_on(Instant::now());
+                caller.send_piece(&events.bytes, self.deadline)?;
+                delivery.passed_on(events.count, Instant::now());
                 delivery.last_event = stream.reader.last_id();
             }
             decoded.map_err(|_| Halt::Broken)?;
--- a/crates/relay/src/sources/directory.rs
+++ b/crates/relay/src/sources/directory.rs
@@ -79,3 +79,6 @@
         self.recovered_at.is_some_and(|it| now < it + LAPSE_GRACE)
     }
 }
+
+#[cfg(test)]
+mod tests;
