--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod campaign;
 mod demo;
+mod fleet;
 mod measure;
 mod programs;
 mod report;
@@ -28,6 +29,8 @@
     Bench(bench::BenchOptions),
     #[options(help = "compare the decisions with a naive router, in virtual time")]
     Measure(measure::MeasureOptions),
+    #[options(help = "play loads on a model of engines and many VMs, in virtual time")]
+    Fleet(fleet::FleetOptions),
     #[options(help = "run seeded pairs of faults and check what must always hold")]
     Campaign(campaign::CampaignOptions),
 }
@@ -38,6 +41,7 @@
         Some(Command::Demo(options)) => demo::run(options),
         Some(Command::Bench(options)) => bench::run(options),
         Some(Command::Measure(options)) => measure::run(options),
+        Some(Command::Fleet(options)) => fleet::run(options),
         Some(Command::Campaign(options)) => campaign::run(options),
         None => Ok(Held::Yes),
     };
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -29,6 +29,8 @@
     Bench(Passed),
     #[options(help = "compare the decisions with a naive router, in virtual time")]
     Measure(Passed),
+    #[options(help = "play loads on a model of engines and many VMs, in virtual time")]
+    Fleet(Passed),
     #[options(help = "run the fault campaign: --seed N --rounds N")]
     Campaign(Passed),
 }
@@ -66,6 +68,7 @@
         Task::Demo(_) => checks::lab("demo", passed),
         Task::Bench(_) => checks::lab("bench", passed),
         Task::Measure(_) => checks::lab("measure", passed),
+        Task::Fleet(_) => checks::lab("fleet", passed),
         Task::Campaign(_) => checks::lab("campaign", passed),
     }
 }
