perf: slow engines take the long prompts, by a pace that the VMs agree on

A pace that each VM learned by itself made the VMs disagree.

Change: an engine's pace is the least of all streams' median times between events, which only falls and travels with the figures to and from the engines' homes.

--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -63,6 +63,9 @@
 /// Time within which reading a prefix again counts as waste.
 const READ_AGAIN_WINDOW: Duration = Duration::from_secs(8);
 
+/// Times between events that a stream must have to tell its engine's pace.
+const MIN_GAPS: usize = 8;
+
 /// Tokens in one event of a stream.
 const TOKENS_PER_EVENT: f64 = 4.0;
 
@@ -102,6 +105,7 @@
     first_event: Option<Duration>,
     last_event: Option<Duration>,
     longest_gap: Duration,
+    gaps: Vec<Duration>,
     end: Option<End>,
 }
 
@@ -389,6 +393,7 @@
         }
         if let Some(last) = request.last_event.replace(now) {
             request.longest_gap = request.longest_gap.max(now - last);
+            request.gaps.push(now - last);
         }
         if request.first_event.is_none() {
             request.first_event = Some(now);
@@ -407,7 +412,14 @@
         }
         request.end = Some(End::Whole);
         let (vm, attempt) = (request.vm, request.attempt);
-        let now = self.instant();
+        let now = self.start + self.now;
+        let gaps = &mut request.gaps;
+        if gaps.len() >= MIN_GAPS {
+            let middle = gaps.len() / 2;
+            let event_gap = *gaps.select_nth_unstable(middle).1;
+            let paced = SchedulerEvent::Paced { upstream: engine_name(engine), event_gap };
+            self.vms[vm].handle(now, paced);
+        }
         let (running, waiting) = self.engines[engine].load();
         let load =
             ToldLoad { running: running as u32, waiting: waiting as u32, slots: SLOTS as u32 };
@@ -622,6 +634,7 @@
                 first_event: None,
                 last_event: None,
                 longest_gap: Duration::ZERO,
+                gaps: Vec::new(),
                 end: None,
             });
         }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod event;
 mod lanes;
+mod pace;
 mod placement;
 mod queue;
 mod snapshot;
@@ -149,6 +150,11 @@
             SchedulerEvent::Answering { id, attempt } => {
                 self.on_answering(now, id, attempt, &mut actions);
             }
+            SchedulerEvent::Paced { upstream, event_gap } => {
+                if let Some(it) = self.upstreams.get_mut(&upstream) {
+                    it.pace.record(event_gap);
+                }
+            }
             SchedulerEvent::LoadTold { upstream, load } => {
                 if let Some(it) = self.upstreams.get_mut(&upstream) {
                     it.told(now, load);
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -23,6 +23,13 @@
         /// Attempt.
         attempt: Attempt,
     },
+    /// A stream ended whose events tell the upstream's pace.
+    Paced {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Median time between two of its events.
+        event_gap: Duration,
+    },
     /// An upstream told its load along with an answer.
     LoadTold {
         /// Upstream.
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -1,8 +1,9 @@
 //! Engines for long prompts and engines for short ones.
 //!
 //! While an engine reads a long prompt, every token of the streams beside it is late. A pool's
-//! engines therefore fall into two lanes, by a hash that is the same on all VMs, so that the VMs
-//! agree without talking.
+//! engines therefore fall into two lanes. Slow engines come first into the lane of long prompts, as
+//! streams beside any prompt suffer most there; among equals a hash that is the same on all VMs
+//! decides, so that the VMs agree.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -14,6 +15,7 @@
 
 use super::Prompt;
 use super::call::hash_of;
+use super::pace;
 use super::upstream::Upstream;
 
 /// Prompt tokens from which a prompt is long: more than four chunks of reading, so that all tokens of
@@ -79,9 +81,10 @@
         for upstream in upstreams.iter().filter(|it| it.is_engine) {
             by_domain.entry(&upstream.record.failure_domain).or_default().push(upstream);
         }
+        let fast = pace::fast_gap(upstreams.iter().map(|it| it.pace));
         let mut long = HashSet::new();
         for engines in by_domain.values_mut() {
-            engines.sort_by_cached_key(|it| hash_of(&it.record.id));
+            engines.sort_by_cached_key(|it| (!it.pace.is_slow(fast), hash_of(&it.record.id)));
             let count = (engines.len() as f64 * long_share).round() as usize;
             long.extend(engines.iter().take(count).map(|it| it.record.id.clone()));
         }
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -20,6 +20,7 @@
 use super::ToldLoad;
 use super::cache::PrefixCache;
 use super::engine;
+use super::pace::EnginePace;
 use crate::upstream::Circuit;
 
 /// Age at which another VM's figures, or an upstream's own, say nothing any more.
@@ -68,6 +69,7 @@
     pub(super) circuit: Circuit,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
+    pub(super) pace: EnginePace,
     in_flight: HashMap<RequestId, InFlight>,
     /// When a prompt was last seen to be read, or began to be the only one.
     read_progress_at: Instant,
@@ -104,6 +106,7 @@
             circuit: Circuit::new(),
             cache: PrefixCache::new(engine.map_or(0, |it| it.memory_tokens)),
             is_engine: engine.is_some(),
+            pace: EnginePace::default(),
             in_flight: HashMap::new(),
             read_progress_at: now,
             told: None,
@@ -153,11 +156,13 @@
 
     /// Takes what another VM has in flight here.
     pub(super) fn peer_told(&mut self, now: Instant, vm: &VmId, load: &UpstreamLoad) {
+        self.learn_pace(load);
         self.peers.insert(vm.clone(), Timed { figure: PeerFigures::from(load), at: now });
     }
 
     /// Takes what the home told of all other VMs.
     pub(super) fn home_told(&mut self, now: Instant, load: &UpstreamLoad) {
+        self.learn_pace(load);
         self.others = Some(Timed { figure: PeerFigures::from(load), at: now });
     }
 
@@ -174,6 +179,7 @@
             upstream: self.record.id.clone(),
             in_flight: saturate(u128::from(in_flight + self.own_in_flight())),
             backlog: tier_backlogs(&backlog),
+            event_gap_us: self.event_gap_us(),
         }
     }
 
@@ -207,6 +213,16 @@
         self.others(now).next().map(|_| self.others_backlog(now, tier))
     }
 
+    fn learn_pace(&mut self, load: &UpstreamLoad) {
+        if load.event_gap_us > 0 {
+            self.pace.record(Duration::from_micros(load.event_gap_us.into()));
+        }
+    }
+
+    fn event_gap_us(&self) -> u32 {
+        self.pace.gap().map_or(0, |it| u32::try_from(it.as_micros()).unwrap_or(u32::MAX))
+    }
+
     fn unread_by_tier(&self) -> BTreeMap<Tier, Duration> {
         let mut by_tier = BTreeMap::new();
         for reading in self.in_flight.values().filter(|it| it.is_reading) {
@@ -251,6 +267,7 @@
             upstream: self.record.id.clone(),
             in_flight: saturate(u128::from(self.own_in_flight())),
             backlog: tier_backlogs(&self.unread_by_tier()),
+            event_gap_us: self.event_gap_us(),
         };
         (load.in_flight > 0).then_some(load)
     }
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -83,7 +83,8 @@
     /// Other VMs have this much to read at an engine, of tier 2.
     fn told(&mut self, upstream: &str, read_ms: u16) {
         let backlog = vec![TierBacklog { tier: 2, read_ms }];
-        let load = UpstreamLoad { upstream: upstream.into(), in_flight: 3, backlog };
+        let load =
+            UpstreamLoad { upstream: upstream.into(), in_flight: 3, backlog, event_gap_us: 0 };
         self.scheduler.handle(self.now, SchedulerEvent::HomeTold(vec![load]));
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -34,6 +34,9 @@
 /// Largest head of an answer, in bytes.
 const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
+/// Times between events that a stream must have to tell its engine's pace.
+const MIN_GAPS: usize = 8;
+
 /// Headers that concern one connection only (RFC 9110, section 7.6.1) or that frame the body.
 const CONNECTION_HEADERS: [&str; 11] = [
     "connection",
@@ -77,6 +80,8 @@
     pub(crate) last_part_at: Option<Instant>,
     /// Longest time between two events.
     pub(crate) longest_gap: Duration,
+    /// Times between events.
+    pub(crate) gaps: Vec<Duration>,
     /// Events passed on.
     pub(crate) events: u32,
 }
@@ -87,9 +92,18 @@
         self.first_part_at.get_or_insert(now);
         self.events += events;
         if let Some(last_at) = self.last_part_at.replace(now) {
-            self.longest_gap = self.longest_gap.max(now.saturating_duration_since(last_at));
+            let gap = now.saturating_duration_since(last_at);
+            self.longest_gap = self.longest_gap.max(gap);
+            self.gaps.push(gap);
         }
     }
+
+    /// Median time between two events; none for a stream of a few.
+    fn median_gap(&mut self) -> Option<Duration> {
+        let middle = self.gaps.len() / 2;
+        let is_long_enough = self.gaps.len() >= MIN_GAPS;
+        is_long_enough.then(|| *self.gaps.select_nth_unstable(middle).1)
+    }
 }
 
 /// A whole answer of an upstream.
@@ -381,6 +395,10 @@
             caller.start_stream(stream.head, self.deadline)?;
         }
         caller.end_stream(self.deadline)?;
+        if let Some(event_gap) = delivery.median_gap() {
+            let upstream = command.upstream.id.clone();
+            self.relay.dispatcher.handle(SchedulerEvent::Paced { upstream, event_gap });
+        }
         Ok(())
     }
 
