fix: entries that lapsed in an outage go in time

The VM dated the outage's end up to 0.8 s late, kept missing entries 2.5 s from then, and looked at them 0.25 s after that, so it used the worker 3.5 s after its removal (DRAIN, bound 2 s from 3 s after the outage).

Change: entries stay 2.0 s, as the pages say; the end of an outage is seen within 0.4 s; nothing gathers while an entry waits to go; and missing entries are used only when most of their pool is missing. Nothing is dropped while the source is away again.

--- a/crates/relay/src/sources/directory.rs
+++ b/crates/relay/src/sources/directory.rs
@@ -5,15 +5,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::PoolId;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
-/// Time after the end of an outage within which entries that lapsed meanwhile are back.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+/// Time after the end of an outage within which entries that lapsed meanwhile are back, as the
+/// platform's pages say.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// Upstreams by the key of their row.
 ///
 /// Entries also lapse because the source was down and took no sign of life. One that is missing
-/// just after an outage therefore stays for a while, and goes if it is not back by then.
+/// just after an outage therefore stays for a while, and goes if it is not back by then. While most
+/// entries of a pool are there, the missing ones are more likely gone, and are not used.
 #[derive(Debug, Default)]
 pub(super) struct Directory {
     entries: HashMap<Arc<str>, Entry>,
@@ -70,9 +73,16 @@
         self.recovered_at.filter(|_| has_missing).map(|it| it + LAPSE_GRACE)
     }
 
-    /// All upstreams.
+    /// All upstreams that are to be used.
     pub(super) fn records(&self) -> Vec<UpstreamRecord> {
-        self.entries.values().map(|it| it.record.clone()).collect()
+        let mut balance: HashMap<&PoolId, i64> = HashMap::new();
+        for entry in self.entries.values() {
+            *balance.entry(&entry.record.pool).or_default() +=
+                if entry.is_missing { -1 } else { 1 };
+        }
+        let has_lapsed = |it: &Entry| balance.get(&it.record.pool).is_some_and(|it| *it < 0);
+        let used = self.entries.values().filter(|it| !it.is_missing || has_lapsed(it));
+        used.map(|it| it.record.clone()).collect()
     }
 
     fn is_in_grace(&self, now: Instant) -> bool {
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -32,7 +32,7 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest pause between two tries while a source fails.
-const MAX_PAUSE: Duration = Duration::from_millis(800);
+const MAX_PAUSE: Duration = Duration::from_millis(400);
 
 /// Starts to follow a source of routing tables.
 ///
@@ -68,11 +68,12 @@
         };
         let mut follower = Follower::new(relay, feed);
         loop {
-            let now = Instant::now();
             let expires_at = reader.directory.expires_at();
-            let wait = expires_at.map_or(WAIT, |it| it.saturating_duration_since(now).min(WAIT));
-            let news = follower.next(wait.max(MIN_PAUSE));
-            reader.take(news, follower.recovered_at);
+            let wait = expires_at.map_or(WAIT, |it| it.saturating_duration_since(Instant::now()));
+            // Entries that lapsed for good must go in time.
+            follower.gathers &= expires_at.is_none();
+            let news = follower.next(wait.min(WAIT));
+            reader.take(news, follower.recovered_at, follower.failures == 0);
         }
     })?;
     Ok(())
@@ -87,7 +88,7 @@
 }
 
 impl DirectoryReader {
-    fn take(&mut self, news: News, recovered_at: Option<Instant>) {
+    fn take(&mut self, news: News, recovered_at: Option<Instant>, is_well: bool) {
         let now = Instant::now();
         if let Some(at) = recovered_at {
             self.directory.recovered(at);
@@ -111,7 +112,8 @@
                 }
             }
         }
-        is_changed |= self.directory.expire(now);
+        // While the source is away again, nothing can come back.
+        is_changed |= is_well && self.directory.expire(now);
         if is_changed {
             let records = self.directory.records();
             info!(self.relay.log, "directory changed"; "upstreams" => records.len(),
