--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -24,9 +24,11 @@
 use std::time::Instant;
 
 use cranberryvalve_core::Attempt;
+use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
@@ -406,8 +408,7 @@
     /// Within a tier a call that finds no room lets those behind it try, since what fits one may
     /// not fit the other; the tiers below wait.
     fn dispatch(&mut self, now: Instant, pool: &PoolId, actions: &mut Vec<SchedulerAction>) {
-        let Some(queue) = self.queues.get(pool) else { return };
-        let waiting: Vec<(cranberryvalve_core::Tier, RequestId)> = queue.entries().collect();
+        let waiting = self.waiting_in_order(pool);
         let mut blocked_tier = None;
         for (tier, id) in waiting {
             if blocked_tier.is_some_and(|it| it < tier) {
@@ -424,6 +425,35 @@
         }
     }
 
+    /// Calls that wait for `pool` in the order of their turns: by tier, then those that were sent
+    /// before, then those of the customers with the fewest calls in flight, then first come.
+    ///
+    /// A customer that sends many times its usual thus waits behind the others, not before them
+    /// (least attained service first).
+    fn waiting_in_order(&self, pool: &PoolId) -> Vec<(Tier, RequestId)> {
+        let Some(queue) = self.queues.get(pool) else { return Vec::new() };
+        let mut waiting: Vec<(Tier, RequestId)> = queue.entries().collect();
+        if waiting.len() > 1 {
+            let in_flight = self.in_flight_by_customer(pool);
+            // The sort is stable, so equal ones keep their order of arrival.
+            waiting.sort_by_key(|(tier, id)| {
+                let tracked = self.calls.get(id);
+                let is_new = tracked.is_none_or(|it| it.attempts == 0);
+                let customer = tracked.map(|it| &it.call.customer);
+                (*tier, is_new, customer.and_then(|it| in_flight.get(it)).copied().unwrap_or(0))
+            });
+        }
+        waiting
+    }
+
+    fn in_flight_by_customer(&self, pool: &PoolId) -> HashMap<&Option<CustomerId>, u32> {
+        let mut in_flight = HashMap::new();
+        for tracked in self.calls.values().filter(|it| it.at.is_some() && it.call.pool == *pool) {
+            *in_flight.entry(&tracked.call.customer).or_default() += 1;
+        }
+        in_flight
+    }
+
     fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
         let pool = &tracked.call.pool;
         placement::place(&self.around(now, pool), &tracked.call, &self.pool(pool), &tracked.tried)
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -287,6 +287,32 @@
     assert!(low < high);
 }
 
+#[test]
+fn busy_customer_waits_behind_the_others() {
+    let mut bench = Bench::new(vec![upstream("p-near", PLAIN, "near")]);
+    let mut arrive = |customer: &str| -> (u64, Reaction) {
+        bench.next_id += 1;
+        let mut call = call(bench.next_id, bench.now, CallKind::Once, PLAIN, 0, None);
+        call.customer = Some(customer.into());
+        let id = call.id;
+        let event = SchedulerEvent::Arrived(Box::new(call));
+        (id, reaction(&bench.scheduler.handle(bench.now, event)))
+    };
+    let mut waiting = arrive("busy");
+    while waiting.1 != Reaction::Waits {
+        waiting = arrive("busy");
+    }
+    let (other, waits) = arrive("other");
+    assert_eq!(waits, Reaction::Waits);
+    let event = SchedulerEvent::Ended { id: 1, attempt: 1, end: SendEnd::Complete };
+    let actions = bench.scheduler.handle(bench.now, event);
+    let sent = actions.iter().find_map(|it| match it {
+        SchedulerAction::Send(it) => Some(it.id),
+        _ => None,
+    });
+    assert_eq!(sent, Some(other));
+}
+
 quickcheck! {
     /// Whatever happens, each call is sent to one upstream at a time and concluded once at most,
     /// and one that may run once is never sent after it may have run.
