refactor: an attempt is a type, and one hash is shared

An attempt's six arguments stood in each of its functions; the hash on which VMs agree stood four times. A kept connection is tried with the whole call instead of one byte. A caller's last event counts on routes whose streams may be resumed only: elsewhere it would have left out first events.

--- a/crates/coordination/src/home.rs
+++ b/crates/coordination/src/home.rs
@@ -1,10 +1,7 @@
 //! The VM that keeps the common knowledge of something.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
-
 use cranberryvalve_core::VmId;
+use cranberryvalve_core::shared_hash;
 
 /// The home of `thing` among `vms`.
 ///
@@ -19,10 +16,5 @@
 /// assert_eq!(home_of("engine-1", &[]), None);
 /// ```
 pub fn home_of<'a>(thing: &str, vms: &'a [VmId]) -> Option<&'a VmId> {
-    vms.iter().max_by_key(|vm| {
-        let mut hasher = DefaultHasher::new();
-        thing.hash(&mut hasher);
-        vm.hash(&mut hasher);
-        hasher.finish()
-    })
+    vms.iter().max_by_key(|vm| shared_hash((thing, vm)))
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod config;
 mod digest;
+mod hash;
 mod ids;
 mod load;
 mod outcome;
@@ -39,6 +40,7 @@
 pub use config::UpstreamKind;
 pub use config::UpstreamSpec;
 pub use digest::Digest;
+pub use hash::shared_hash;
 pub use ids::Attempt;
 pub use ids::ClassId;
 pub use ids::ConfigVersion;
--- a/crates/policy/src/router/placement.rs
+++ b/crates/policy/src/router/placement.rs
@@ -1,9 +1,6 @@
 //! Choice of the upstream for a request.
 
 use std::collections::BTreeMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,6 +10,7 @@
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamSpec;
+use cranberryvalve_core::shared_hash;
 use rand::RngExt;
 
 use super::Router;
@@ -147,7 +145,7 @@
         let in_service = self.upstreams.pool(pool).filter(|it| !it.is_withdrawn());
         let mut ids: Vec<UpstreamId> = in_service.map(|it| it.spec.id.clone()).collect();
         if ids.len() > self.settings.subset_size {
-            ids.sort_by_cached_key(|id| hash_pair(&*self.settings.vm, &**id));
+            ids.sort_by_cached_key(|id| shared_hash((&*self.settings.vm, &**id)));
             ids.truncate(self.settings.subset_size);
         }
         ids
@@ -174,7 +172,7 @@
     let count = u32::try_from(candidates.len()).map_or(f64::MAX, f64::from);
     let bound = AFFINITY_LOAD_BOUND * total / count;
     let bounded = candidates.iter().filter(|it| it.cost <= bound);
-    let first = bounded.min_by_key(|it| hash_pair(prefix_hash, &*it.upstream.spec.id))?;
+    let first = bounded.min_by_key(|it| shared_hash((prefix_hash, &*it.upstream.spec.id)))?;
     Some(first.upstream.spec.id.clone())
 }
 
@@ -186,10 +184,3 @@
     let better = if second.cost < first.cost { second } else { first };
     Some(better.upstream.spec.id.clone())
 }
-
-fn hash_pair(a: impl Hash, b: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    a.hash(&mut hasher);
-    b.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -1,7 +1,5 @@
 //! What the scheduler knows of a call.
 
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,6 +8,7 @@
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::Tier;
+use cranberryvalve_core::shared_hash;
 use cranberryvalve_core::table::RouteRule;
 
 /// A request that waits for, or has, an upstream.
@@ -81,7 +80,7 @@
     pub fn prefixes(&self) -> impl Iterator<Item = PromptPrefix> + '_ {
         let mut hash = 0;
         self.parts.iter().map(move |part| {
-            hash = hash_of(&(hash, part.id));
+            hash = shared_hash((hash, part.id));
             PromptPrefix { hash, part_tokens: part.tokens }
         })
     }
@@ -98,10 +97,3 @@
         self.parts.iter().map(|it| it.tokens).sum::<u32>() - own
     }
 }
-
-/// A hash that is the same on all VMs.
-pub(super) fn hash_of(value: &impl Hash) -> u64 {
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -12,9 +12,9 @@
 
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::shared_hash;
 
 use super::Prompt;
-use super::call::hash_of;
 use super::pace;
 use super::upstream::Upstream;
 
@@ -84,7 +84,7 @@
         let fast = pace::fast_gap(upstreams.iter().map(|it| it.pace));
         let mut long = HashSet::new();
         for engines in by_domain.values_mut() {
-            engines.sort_by_cached_key(|it| (!it.pace.is_slow(fast), hash_of(&it.record.id)));
+            engines.sort_by_cached_key(|it| (!it.pace.is_slow(fast), shared_hash(&it.record.id)));
             let count = (engines.len() as f64 * long_share).round() as usize;
             long.extend(engines.iter().take(count).map(|it| it.record.id.clone()));
         }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -13,11 +13,11 @@
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::shared_hash;
 
 use super::Call;
 use super::PlacementReason;
 use super::Prompt;
-use super::call::hash_of;
 use super::engine;
 use super::lanes;
 use super::lanes::Lanes;
@@ -178,7 +178,7 @@
         if is_long { select(upstreams, |it| lanes.is_own(it, prompt)) } else { upstreams.to_vec() };
     ranked.sort_by_cached_key(|it| {
         let is_eligible = is_long || (is_near(around, it) && lanes.is_own(it, prompt));
-        (!is_eligible, hash_of(&(shared, &it.record.id)))
+        (!is_eligible, shared_hash((shared, &it.record.id)))
     });
     if is_long && shared.is_some() {
         ranked.truncate(LONG_PROMPT_HOMES);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,39 +1,32 @@
 //! One attempt: a call goes to an upstream and its answer comes back.
 
+mod attempt;
+
 use std::fmt::Write as _;
 use std::io;
 use std::time::Duration;
 use std::time::Instant;
 
 use cranberryvalve_adapters::caller::RequestHead;
-use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
 
 use crate::answer::AnswerHead;
-use crate::answer::parse_answer_head;
-use crate::body::BodyDecoder;
 use crate::caller::Caller;
 use crate::dialect::OutgoingCall;
-use crate::dialect::Verdict;
 use crate::dispatch::Ticket;
 use crate::events::EventId;
-use crate::events::EventReader;
 use crate::socket::Connection;
-use crate::socket::Filled;
 use crate::socket::Waits;
 use crate::socket::wait;
 use crate::state::Relay;
 
+use self::attempt::Attempt;
+use self::attempt::Upload;
+
 /// Longest time for a connection to an upstream to be made: several round trips between failure
 /// domains, with one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Largest answer that is not an event stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
-
-/// Largest head of an answer, in bytes.
-const MAX_ANSWER_HEAD_BYTES: usize = 64 * 1024;
-
 /// Times between events that a stream must have to tell its engine's pace.
 const MIN_GAPS: usize = 8;
 
@@ -176,22 +169,28 @@
     ) -> AttemptOutcome {
         let upstream = &command.upstream;
         let kept = self.relay.kept.take(&upstream.id, upstream.incarnation);
-        if let Some(connection) = kept {
-            let bytes = self.outgoing(command, delivery.last_event);
-            if connection.write_some(&bytes[..1]).is_ok_and(|it| it == 1) {
-                let upload = Upload { bytes, sent: 1 };
-                return self.run(command, ticket, caller, delivery, connection, upload);
-            }
-        }
-        match self.connect(command, caller) {
-            Ok(Some(connection)) => {
-                let bytes = self.outgoing(command, delivery.last_event);
-                let upload = Upload { bytes, sent: 0 };
-                self.run(command, ticket, caller, delivery, connection, upload)
+        let is_kept = kept.is_some();
+        let connection = match kept {
+            Some(connection) => Ok(Some(connection)),
+            None => self.connect(command, caller),
+        };
+        let connection = match connection {
+            Ok(Some(connection)) => connection,
+            Ok(None) => return AttemptOutcome::NotSent,
+            Err(halt) => return halt.into(),
+        };
+        let upload = Upload::new(self.outgoing(command, delivery.last_event));
+        let mut attempt =
+            Attempt { exchange: self, command, ticket, caller, delivery, connection, upload };
+        if is_kept && !attempt.starts_upload() {
+            // The upstream has closed it meanwhile, and not a byte was taken.
+            match self.connect(command, attempt.caller) {
+                Ok(Some(connection)) => attempt.connection = connection,
+                Ok(None) => return AttemptOutcome::NotSent,
+                Err(halt) => return halt.into(),
             }
-            Ok(None) => AttemptOutcome::NotSent,
-            Err(halt) => halt.into(),
         }
+        attempt.run()
     }
 
     /// Tells the upstream's home of a long prompt that is sent, or has been read.
@@ -231,203 +230,6 @@
         }
     }
 
-    fn run(
-        &self,
-        command: &SendCommand,
-        ticket: &Ticket,
-        caller: &mut Caller,
-        delivery: &mut Delivery,
-        mut connection: Connection,
-        mut upload: Upload,
-    ) -> AttemptOutcome {
-        let result = self.receive(command, ticket, caller, delivery, &mut connection, &mut upload);
-        let (outcome, head) = match result {
-            Ok(it) => it,
-            Err(halt) => return halt.into(),
-        };
-        if upload.is_complete()
-            && let Some(head) = head
-        {
-            let upstream = &command.upstream;
-            self.relay.kept.keep(&upstream.id, upstream.incarnation, connection, &head);
-        }
-        outcome
-    }
-
-    /// Receives the answer; the head is returned when the connection may be kept after it.
-    fn receive(
-        &self,
-        command: &SendCommand,
-        ticket: &Ticket,
-        caller: &mut Caller,
-        delivery: &mut Delivery,
-        connection: &mut Connection,
-        upload: &mut Upload,
-    ) -> Result<(AttemptOutcome, Option<AnswerHead>), Halt> {
-        loop {
-            let head = self.receive_head(caller, connection, upload)?;
-            let framing = head.framing(&self.head.method).map_err(|_| Halt::Broken)?;
-            let mut decoder = BodyDecoder::new(framing);
-            let verdict = self.relay.dialect.judge(&head, self.caller_id);
-            if let Some(load) = self.relay.dialect.told_load(&head) {
-                let upstream = command.upstream.id.clone();
-                self.relay.dispatcher.handle(SchedulerEvent::LoadTold { upstream, load });
-            }
-            match verdict {
-                Verdict::Answer if self.is_stream && head.is_success() => {
-                    let reader = EventReader::after(delivery.last_event);
-                    let mut stream = Streaming { decoder, reader, head: &head };
-                    self.relay_stream(command, ticket, caller, delivery, connection, &mut stream)?;
-                    return Ok((AttemptOutcome::Delivered, Some(head)));
-                }
-                Verdict::Answer => {
-                    let body = self.receive_whole(caller, connection, &mut decoder)?;
-                    let keep = head.clone();
-                    return Ok((AttemptOutcome::Whole(WholeAnswer { head, body }), Some(keep)));
-                }
-                Verdict::NotRun { misdirected } => {
-                    // The attestation is in the head; the body only matters to the connection.
-                    let whole = self.receive_whole(caller, connection, &mut decoder);
-                    let keep = whole.is_ok().then_some(head);
-                    return Ok((AttemptOutcome::NotRun { misdirected }, keep));
-                }
-                Verdict::Stray => {
-                    self.receive_whole(caller, connection, &mut decoder)?;
-                }
-                Verdict::Invalid => return Err(Halt::Broken),
-            }
-        }
-    }
-
-    /// Uploads the call and receives the head of the next answer that is not an interim one.
-    fn receive_head(
-        &self,
-        caller: &Caller,
-        connection: &mut Connection,
-        upload: &mut Upload,
-    ) -> Result<AnswerHead, Halt> {
-        loop {
-            match parse_answer_head(&connection.input) {
-                Ok(Some((head, len))) => {
-                    connection.input.drain(..len);
-                    if head.status >= 200 {
-                        return Ok(head);
-                    }
-                    continue;
-                }
-                Ok(None) if connection.input.len() > MAX_ANSWER_HEAD_BYTES => {
-                    return Err(Halt::Broken);
-                }
-                Ok(None) => {}
-                Err(_) => return Err(Halt::Broken),
-            }
-            upload.push(connection).map_err(|_| Halt::Broken)?;
-            if self.fill(caller, connection, !upload.is_complete())? == Filled::Closed {
-                return Err(Halt::Broken);
-            }
-        }
-    }
-
-    fn receive_whole(
-        &self,
-        caller: &Caller,
-        connection: &mut Connection,
-        decoder: &mut BodyDecoder,
-    ) -> Result<Vec<u8>, Halt> {
-        let mut body = Vec::new();
-        loop {
-            decoder.decode(&mut connection.input, &mut body).map_err(|_| Halt::Broken)?;
-            if decoder.is_complete() {
-                return Ok(body);
-            }
-            if body.len() > MAX_ANSWER_BYTES {
-                return Err(Halt::Broken);
-            }
-            if self.fill(caller, connection, false)? == Filled::Closed {
-                return if decoder.ends_with_connection() { Ok(body) } else { Err(Halt::Broken) };
-            }
-        }
-    }
-
-    fn relay_stream(
-        &self,
-        command: &SendCommand,
-        ticket: &Ticket,
-        caller: &mut Caller,
-        delivery: &mut Delivery,
-        connection: &mut Connection,
-        stream: &mut Streaming<'_>,
-    ) -> Result<(), Halt> {
-        let mut is_answering = false;
-        loop {
-            let decoded = stream.decoder.decode(&mut connection.input, stream.reader.buffer());
-            let events = stream.reader.take_whole().map_err(|_| Halt::Broken)?;
-            if events.count > 0 {
-                if !is_answering {
-                    is_answering = true;
-                    ticket.answering(command.attempt);
-                    self.report(command);
-                }
-                if !delivery.is_started {
-                    delivery.is_started = true;
-                    caller.start_stream(stream.head, self.deadline)?;
-                }
-                caller.send_piece(&events.bytes, self.deadline)?;
-                delivery.passed_on(events.count, Instant::now());
-                delivery.last_event = stream.reader.last_id();
-            }
-            decoded.map_err(|_| Halt::Broken)?;
-            if stream.decoder.is_complete() {
-                break;
-            }
-            if self.fill(caller, connection, false)? == Filled::Closed {
-                if stream.decoder.ends_with_connection() {
-                    break;
-                }
-                return Err(Halt::Broken);
-            }
-        }
-        if stream.reader.has_partial() {
-            return Err(Halt::Broken);
-        }
-        if !delivery.is_started {
-            delivery.is_started = true;
-            caller.start_stream(stream.head, self.deadline)?;
-        }
-        caller.end_stream(self.deadline)?;
-        if let Some(event_gap) = delivery.median_gap() {
-            let upstream = command.upstream.id.clone();
-            self.relay.dispatcher.handle(SchedulerEvent::Paced { upstream, event_gap });
-        }
-        Ok(())
-    }
-
-    /// Waits for input from the upstream and reads it.
-    fn fill(
-        &self,
-        caller: &Caller,
-        connection: &mut Connection,
-        upstream_output: bool,
-    ) -> Result<Filled, Halt> {
-        let waits = Waits {
-            caller: Some(&caller.connection),
-            upstream: Some(connection),
-            upstream_output,
-            ..Waits::default()
-        };
-        let ready = wait(waits, self.deadline).map_err(|_| Halt::Broken)?;
-        if ready.caller_gone {
-            return Err(Halt::CallerGone);
-        }
-        if ready.timed_out {
-            return Err(Halt::TimeOver);
-        }
-        if !ready.upstream {
-            return Ok(Filled::Nothing);
-        }
-        connection.fill().map_err(|_| Halt::Broken)
-    }
-
     /// The head and body of the call as they go out.
     fn outgoing(&self, command: &SendCommand, last_event: Option<EventId>) -> Vec<u8> {
         let call = OutgoingCall {
@@ -456,36 +258,6 @@
     }
 }
 
-/// A stream that is passed on.
-struct Streaming<'a> {
-    decoder: BodyDecoder,
-    reader: EventReader,
-    head: &'a AnswerHead,
-}
-
-/// The bytes of a call on their way out.
-struct Upload {
-    bytes: Vec<u8>,
-    sent: usize,
-}
-
-impl Upload {
-    fn push(&mut self, connection: &Connection) -> io::Result<()> {
-        while !self.is_complete() {
-            let amount = connection.write_some(&self.bytes[self.sent..])?;
-            if amount == 0 {
-                return Ok(());
-            }
-            self.sent += amount;
-        }
-        Ok(())
-    }
-
-    const fn is_complete(&self) -> bool {
-        self.sent == self.bytes.len()
-    }
-}
-
 impl From<io::Error> for Halt {
     /// An error on the caller's connection.
     fn from(_: io::Error) -> Self {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,8 +1,5 @@
 //! From a caller's request to its answer.
 
-use std::hash::BuildHasher;
-use std::hash::BuildHasherDefault;
-use std::hash::DefaultHasher;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +9,7 @@
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::Tier;
+use cranberryvalve_core::shared_hash;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_core::table::RoutingTable;
@@ -184,7 +182,10 @@
     /// Exchanges a call and logs how it ended.
     fn call(&mut self, request: &CallerRequest, facts: CallFacts, access: &Access) -> Ending {
         let mut progress = Progress {
-            delivery: Delivery { last_event: facts.last_event, ..Delivery::default() },
+            delivery: Delivery {
+                last_event: facts.last_event.filter(|_| access.route.kind.is_repeatable()),
+                ..Delivery::default()
+            },
             input_tokens: facts.prompt.as_ref().map_or(0, |it| it.input_tokens),
             caller_id: facts.id,
             ..Progress::default()
@@ -438,7 +439,7 @@
     if customer.is_none() && table.has_customers() && !route.is_public {
         return Err(refusal(401, None, "the API key is missing or unknown"));
     }
-    let draw = draw(facts.id.as_deref().unwrap_or_else(|| request.head.path()));
+    let draw = shared_hash(facts.id.as_deref().unwrap_or_else(|| request.head.path()));
     let Some(pool) = route.pool(draw) else {
         return Err(refusal(503, Some(RETRY_AFTER_START), "the route has no upstreams"));
     };
@@ -451,11 +452,6 @@
     })
 }
 
-/// A number for `text` that is the same on all VMs.
-fn draw(text: &str) -> u64 {
-    BuildHasherDefault::<DefaultHasher>::default().hash_one(text)
-}
-
 fn refusal(status: u16, retry_after: Option<Duration>, message: impl Into<Box<str>>) -> Refusal {
     Refusal { status, retry_after, message: message.into() }
 }
