feat: refused calls carry their id; counters of sources, queues and refusals

Cause: a call that was refused before it was placed (route, key) could not be found by its id, and the calls to the store and the time in the queue were not on the metrics address.

Change: their lines carry the id and the configuration's version, explain reads them, and the metrics are served.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -104,6 +104,10 @@
 /// What the last line of a request says, in a sentence.
 fn summarize(own: &[&Line]) -> String {
     let ending = own.iter().rev().find(|it| it.message == "call ended");
+    let refused = own.iter().find(|it| it.message == "call refused");
+    if let Some(reason) = refused.and_then(|it| it.fields.get("reason")?.as_str()) {
+        return format!("it was refused before it was placed: {reason}");
+    }
     let Some(ending) = ending else {
         return "it has not ended, or the line of its end is missing".to_owned();
     };
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -64,7 +64,7 @@
     let outcome = ending.outcome();
     let total = request.arrived_at.elapsed();
     let first_part = progress.delivery.first_part_at.map(|it| since(request.arrived_at, it));
-    count(access, outcome, total, first_part, progress);
+    count(access, outcome, request.arrived_at, first_part, progress);
     let late = is_late(access, total, first_part, progress);
     let went_well = outcome == "completed" && !late && progress.attempts == 1;
     let left_out = if went_well { quota.take(Instant::now()) } else { Some(0) };
@@ -115,10 +115,11 @@
 fn count(
     access: &Access,
     outcome: &'static str,
-    total: Duration,
+    arrived_at: Instant,
     first_part: Option<Duration>,
     progress: &Progress,
 ) {
+    let total = arrived_at.elapsed();
     let route = access.route.id.to_string();
     metrics::counter!("cranberryvalve_calls_total", "route" => route.clone(), "outcome" => outcome)
         .increment(1);
@@ -126,6 +127,11 @@
         .increment(u64::from(progress.attempts));
     metrics::histogram!("cranberryvalve_call_seconds", "route" => route.clone())
         .record(total.as_secs_f64());
+    if let Some(sent_at) = progress.sent_at {
+        let queued = since(arrived_at, sent_at).as_secs_f64();
+        metrics::histogram!("cranberryvalve_queue_seconds", "route" => route.clone())
+            .record(queued);
+    }
     if let Some(first_part) = first_part {
         metrics::histogram!("cranberryvalve_first_part_seconds", "route" => route.clone())
             .record(first_part.as_secs_f64());
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -149,8 +149,7 @@
         let ending = match self.prepare(&request) {
             Ok((facts, access)) => self.call(&request, facts, &access),
             Err(refusal) => {
-                info!(self.relay.log, "call refused"; "path" => request.head.path(),
-                    "status" => refusal.status, "reason" => &*refusal.message);
+                self.log_refusal(&request, &refusal);
                 Ending::Refusal(refusal)
             }
         };
@@ -169,6 +168,19 @@
         }
     }
 
+    /// Logs and counts a call that was refused before it was placed.
+    fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
+        let id = self.relay.dialect.read_call(&request.head).ok().and_then(|it| it.id);
+        info!(self.relay.log, "call refused";
+            "request" => id.as_deref().unwrap_or("-"),
+            "path" => request.head.path(),
+            "config_version" => self.relay.table().map(|it| it.version()),
+            "status" => refusal.status,
+            "reason" => &*refusal.message);
+        let status = refusal.status.to_string();
+        metrics::counter!("cranberryvalve_calls_refused_total", "status" => status).increment(1);
+    }
+
     /// Finds out what is asked for and whether it is allowed.
     fn prepare(&self, request: &CallerRequest) -> Result<(CallFacts, Access), Refusal> {
         let Some(table) = self.relay.table() else {
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -118,6 +118,7 @@
             let records = self.directory.records();
             info!(self.relay.log, "directory changed"; "upstreams" => records.len(),
                 "leaving" => records.iter().filter(|it| it.is_leaving).count());
+            metrics::gauge!("cranberryvalve_upstreams").set(records.len() as f64);
             self.relay.put_directory(records);
         }
     }
@@ -201,23 +202,32 @@
         };
         match result {
             Ok((version, news)) => {
+                self.count("well");
                 self.version = Some(version);
                 self.succeeded();
                 self.gathers = news.is_change();
                 news
             }
             Err(FeedError::HistoryGone) => {
+                self.count("history_gone");
                 info!(self.relay.log, "feed lost its history"; "source" => self.feed.name());
                 self.version = None;
                 News::Nothing
             }
             Err(FeedError::Unreachable(error)) => {
+                self.count("unreachable");
                 self.failed(&error);
                 News::Nothing
             }
         }
     }
 
+    fn count(&self, result: &'static str) {
+        let source = self.feed.name();
+        metrics::counter!("cranberryvalve_source_calls_total", "source" => source, "result" => result)
+            .increment(1);
+    }
+
     fn succeeded(&mut self) {
         if self.failures > 0 {
             info!(self.relay.log, "source is back"; "source" => self.feed.name(),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -149,6 +149,7 @@
         drop(current);
         info!(self.log, "configuration in force"; "source" => source, "config_version" => version,
             "routes" => table.routes().len());
+        metrics::gauge!("cranberryvalve_config_version").set(version as f64);
         self.dispatcher.put_in_force(table);
         if let Some(peers) = self.peers.get() {
             peers.announce();
