--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod queue;
 mod snapshot;
+mod turns;
 mod upstream;
 
 use std::collections::BTreeMap;
@@ -24,11 +25,9 @@
 use std::time::Instant;
 
 use cranberryvalve_core::Attempt;
-use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
-use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
@@ -54,17 +53,12 @@
 
 use self::budget::RetryBudget;
 use self::lanes::ArrivedKinds;
-use self::placement::Placement;
-use self::placement::Surroundings;
 use self::queue::CallQueue;
 use self::upstream::Upstream;
 
 /// Share of a route's target for which a call waits for room before it is refused.
 const WAIT_SHARE: f64 = 0.12;
 
-/// Shortest time after which a refused caller may come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Time after which a caller may come back when no upstream is in service.
 const RETRY_AFTER_FAULT: Duration = Duration::from_millis(500);
 
@@ -75,9 +69,11 @@
 /// Upstreams whose homes are asked about one call.
 const ASKED: usize = 3;
 
-/// Share of an upstream's connections that the VMs use together; the rest is for those that are
-/// being closed and for VMs not counted yet.
-const CONNECTIONS_USED: f64 = 0.8;
+/// Tries at one call, those that reached no upstream included.
+const MAX_TRIES: u32 = 6;
+
+/// Time for which a call that is sent again waits for room.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
 
 /// Fixed properties of a scheduler.
 #[derive(Debug, Clone, Default)]
@@ -318,7 +314,7 @@
         let pool = tracked.call.pool.clone();
         if end == SendEnd::NotSent {
             // Nothing arrived anywhere, so neither the route's attempts nor the budget count it.
-            tracked.attempts_unsent();
+            tracked.unsend();
         }
         let may_repeat = tracked.call.route.kind.is_repeatable() || !tracked.may_have_run;
         let reason = if !may_repeat {
@@ -395,142 +391,8 @@
             self.refuse(now, id, actions);
         }
     }
-
-    fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
-        let pools: Vec<PoolId> = self.queues.keys().cloned().collect();
-        for pool in pools {
-            self.dispatch(now, &pool, actions);
-        }
-    }
-
-    /// Sends the calls that wait for `pool`, highest tier first, until one finds no room.
-    ///
-    /// Within a tier a call that finds no room lets those behind it try, since what fits one may
-    /// not fit the other; the tiers below wait.
-    fn dispatch(&mut self, now: Instant, pool: &PoolId, actions: &mut Vec<SchedulerAction>) {
-        let waiting = self.waiting_in_order(pool);
-        let mut blocked_tier = None;
-        for (tier, id) in waiting {
-            if blocked_tier.is_some_and(|it| it < tier) {
-                return;
-            }
-            let Some(tracked) = self.calls.get(&id) else { continue };
-            match self.place(now, tracked) {
-                Placement::Chosen(choice) => self.send(now, id, &choice, actions),
-                Placement::Full(_) => blocked_tier = Some(tier),
-                Placement::NoUpstream => {
-                    self.conclude(id, ConclusionReason::NoUpstream, RETRY_AFTER_FAULT, actions);
-                }
-            }
-        }
-    }
-
-    /// Calls that wait for `pool` in the order of their turns: by tier, then those that were sent
-    /// before, then those of the customers with the fewest calls in flight, then first come.
-    ///
-    /// A customer that sends many times its usual thus waits behind the others, not before them
-    /// (least attained service first).
-    fn waiting_in_order(&self, pool: &PoolId) -> Vec<(Tier, RequestId)> {
-        let Some(queue) = self.queues.get(pool) else { return Vec::new() };
-        let mut waiting: Vec<(Tier, RequestId)> = queue.entries().collect();
-        if waiting.len() > 1 {
-            let in_flight = self.in_flight_by_customer(pool);
-            // The sort is stable, so equal ones keep their order of arrival.
-            waiting.sort_by_key(|(tier, id)| {
-                let tracked = self.calls.get(id);
-                let is_new = tracked.is_none_or(|it| it.attempts == 0);
-                let customer = tracked.map(|it| &it.call.customer);
-                (*tier, is_new, customer.and_then(|it| in_flight.get(it)).copied().unwrap_or(0))
-            });
-        }
-        waiting
-    }
-
-    fn in_flight_by_customer(&self, pool: &PoolId) -> HashMap<&Option<CustomerId>, u32> {
-        let mut in_flight = HashMap::new();
-        for tracked in self.calls.values().filter(|it| it.at.is_some() && it.call.pool == *pool) {
-            *in_flight.entry(&tracked.call.customer).or_default() += 1;
-        }
-        in_flight
-    }
-
-    fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
-        let pool = &tracked.call.pool;
-        placement::place(&self.around(now, pool), &tracked.call, &self.pool(pool), &tracked.tried)
-    }
-
-    /// The upstreams of a pool.
-    fn pool(&self, pool: &PoolId) -> Vec<&Upstream> {
-        self.upstreams.values().filter(|it| it.record.pool == *pool).collect()
-    }
-
-    fn around(&self, now: Instant, pool: &PoolId) -> Surroundings<'_> {
-        let connections = self.table.pool(pool).map_or(u32::MAX, |it| it.max_connections);
-        let share = f64::from(connections) * CONNECTIONS_USED / f64::from(self.vms);
-        Surroundings {
-            now,
-            failure_domain: self.settings.failure_domain.as_ref(),
-            connection_share: (share as u32).max(1),
-            long_share: self.kinds.long_share(now, pool),
-        }
-    }
-
-    fn send(
-        &mut self,
-        now: Instant,
-        id: RequestId,
-        choice: &placement::Choice,
-        actions: &mut Vec<SchedulerAction>,
-    ) {
-        let Some(tracked) = self.calls.get_mut(&id) else { return };
-        let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else { return };
-        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
-            queue.remove(tracked.call.tier, id);
-        }
-        upstream.sent(now, &tracked.call);
-        tracked.attempts += 1;
-        tracked.tried.push(choice.upstream.clone());
-        tracked.at = Some(choice.upstream.clone());
-        actions.push(SchedulerAction::Send(SendCommand {
-            id,
-            attempt: tracked.attempts,
-            upstream: upstream.record.clone(),
-            reason: choice.reason,
-        }));
-    }
-
-    /// Gives up a call that found no room in time.
-    fn refuse(&mut self, now: Instant, id: RequestId, actions: &mut Vec<SchedulerAction>) {
-        let Some(tracked) = self.calls.get(&id) else { return };
-        let retry_after = match self.place(now, tracked) {
-            Placement::Full(shortest) => shortest.max(MIN_RETRY_AFTER),
-            Placement::Chosen(_) => MIN_RETRY_AFTER,
-            Placement::NoUpstream => RETRY_AFTER_FAULT,
-        };
-        self.conclude(id, ConclusionReason::Overloaded, retry_after, actions);
-    }
-
-    fn conclude(
-        &mut self,
-        id: RequestId,
-        reason: ConclusionReason,
-        retry_after: Duration,
-        actions: &mut Vec<SchedulerAction>,
-    ) {
-        let Some(tracked) = self.calls.remove(&id) else { return };
-        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
-            queue.remove(tracked.call.tier, id);
-        }
-        actions.push(SchedulerAction::Conclude(Conclusion { id, reason, retry_after }));
-    }
 }
 
-/// Tries at one call, those that reached no upstream included.
-const MAX_TRIES: u32 = 6;
-
-/// Time for which a call that is sent again waits for room.
-const RETRY_WAIT: Duration = Duration::from_millis(200);
-
 impl Tracked {
     /// Attempts that may have reached an upstream.
     fn sends(&self) -> u32 {
@@ -538,7 +400,7 @@
     }
 
     /// Takes back the last attempt, which reached no upstream.
-    fn attempts_unsent(&mut self) {
+    fn unsend(&mut self) {
         self.tried.pop();
     }
 }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -35,6 +35,9 @@
 /// Cost of a millisecond of waiting beyond the target.
 const LATE_COST: f64 = 4.0;
 
+/// Cost of an engine whose slots are all taken, against one that is empty, in milliseconds.
+const FULL_COST_MS: f64 = 60.0;
+
 /// Share of a shared beginning that its home is believed to have cached through other VMs.
 const HOME_CACHED_SHARE: f64 = 0.9;
 
@@ -281,9 +284,6 @@
     }
 }
 
-/// Cost of an engine whose slots are all taken, against one that is empty, in milliseconds.
-const FULL_COST_MS: f64 = 60.0;
-
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1_000.0
 }
--- /dev/null
+++ b/crates/policy/src/scheduler/turns.rs
@@ -0,0 +1,169 @@
+//! Which waiting call gets the next turn, and where it goes.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_core::CustomerId;
+use cranberryvalve_core::PoolId;
+use cranberryvalve_core::RequestId;
+use cranberryvalve_core::Tier;
+
+use super::Conclusion;
+use super::ConclusionReason;
+use super::RETRY_AFTER_FAULT;
+use super::Scheduler;
+use super::SchedulerAction;
+use super::SendCommand;
+use super::Tracked;
+use super::placement;
+use super::placement::Placement;
+use super::placement::Surroundings;
+use super::upstream::Upstream;
+
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Share of an upstream's connections that the VMs use together; the rest is for those that are
+/// being closed and for VMs not counted yet.
+const CONNECTIONS_USED: f64 = 0.8;
+
+impl Scheduler {
+    pub(super) fn dispatch_all(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
+        let pools: Vec<PoolId> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch(now, &pool, actions);
+        }
+    }
+
+    /// Sends the calls that wait for `pool`, highest tier first, until one finds no room.
+    ///
+    /// Within a tier a call that finds no room lets those behind it try, since what fits one may
+    /// not fit the other; the tiers below wait.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        pool: &PoolId,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let waiting = self.waiting_in_order(pool);
+        let mut blocked_tier = None;
+        for (tier, id) in waiting {
+            if blocked_tier.is_some_and(|it| it < tier) {
+                return;
+            }
+            let Some(tracked) = self.calls.get(&id) else { continue };
+            match self.place(now, tracked) {
+                Placement::Chosen(choice) => self.send(now, id, &choice, actions),
+                Placement::Full(_) => blocked_tier = Some(tier),
+                Placement::NoUpstream => {
+                    self.conclude(id, ConclusionReason::NoUpstream, RETRY_AFTER_FAULT, actions);
+                }
+            }
+        }
+    }
+
+    /// Calls that wait for `pool` in the order of their turns: by tier, then those that were sent
+    /// before, then those of the customers with the fewest calls in flight, then first come.
+    ///
+    /// A customer that sends many times its usual thus waits behind the others, not before them
+    /// (least attained service first).
+    fn waiting_in_order(&self, pool: &PoolId) -> Vec<(Tier, RequestId)> {
+        let Some(queue) = self.queues.get(pool) else { return Vec::new() };
+        let mut waiting: Vec<(Tier, RequestId)> = queue.entries().collect();
+        if waiting.len() > 1 {
+            let in_flight = self.in_flight_by_customer(pool);
+            // The sort is stable, so equal ones keep their order of arrival.
+            waiting.sort_by_key(|(tier, id)| {
+                let tracked = self.calls.get(id);
+                let is_new = tracked.is_none_or(|it| it.attempts == 0);
+                let customer = tracked.map(|it| &it.call.customer);
+                (*tier, is_new, customer.and_then(|it| in_flight.get(it)).copied().unwrap_or(0))
+            });
+        }
+        waiting
+    }
+
+    fn in_flight_by_customer(&self, pool: &PoolId) -> HashMap<&Option<CustomerId>, u32> {
+        let mut in_flight = HashMap::new();
+        for tracked in self.calls.values().filter(|it| it.at.is_some() && it.call.pool == *pool) {
+            *in_flight.entry(&tracked.call.customer).or_default() += 1;
+        }
+        in_flight
+    }
+
+    fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
+        let pool = &tracked.call.pool;
+        placement::place(&self.around(now, pool), &tracked.call, &self.pool(pool), &tracked.tried)
+    }
+
+    /// The upstreams of a pool.
+    pub(super) fn pool(&self, pool: &PoolId) -> Vec<&Upstream> {
+        self.upstreams.values().filter(|it| it.record.pool == *pool).collect()
+    }
+
+    pub(super) fn around(&self, now: Instant, pool: &PoolId) -> Surroundings<'_> {
+        let connections = self.table.pool(pool).map_or(u32::MAX, |it| it.max_connections);
+        let share = f64::from(connections) * CONNECTIONS_USED / f64::from(self.vms);
+        Surroundings {
+            now,
+            failure_domain: self.settings.failure_domain.as_ref(),
+            connection_share: (share as u32).max(1),
+            long_share: self.kinds.long_share(now, pool),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        choice: &placement::Choice,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get_mut(&id) else { return };
+        let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else { return };
+        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
+            queue.remove(tracked.call.tier, id);
+        }
+        upstream.sent(now, &tracked.call);
+        tracked.attempts += 1;
+        tracked.tried.push(choice.upstream.clone());
+        tracked.at = Some(choice.upstream.clone());
+        actions.push(SchedulerAction::Send(SendCommand {
+            id,
+            attempt: tracked.attempts,
+            upstream: upstream.record.clone(),
+            reason: choice.reason,
+        }));
+    }
+
+    /// Gives up a call that found no room in time.
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.get(&id) else { return };
+        let retry_after = match self.place(now, tracked) {
+            Placement::Full(shortest) => shortest.max(MIN_RETRY_AFTER),
+            Placement::Chosen(_) => MIN_RETRY_AFTER,
+            Placement::NoUpstream => RETRY_AFTER_FAULT,
+        };
+        self.conclude(id, ConclusionReason::Overloaded, retry_after, actions);
+    }
+
+    pub(super) fn conclude(
+        &mut self,
+        id: RequestId,
+        reason: ConclusionReason,
+        retry_after: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(tracked) = self.calls.remove(&id) else { return };
+        if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
+            queue.remove(tracked.call.tier, id);
+        }
+        actions.push(SchedulerAction::Conclude(Conclusion { id, reason, retry_after }));
+    }
+}
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -29,6 +29,9 @@
 /// Time for which a caller may take no byte of an answer that is not a stream.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 
+/// Time for which a refused caller is read from.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// A request with its whole body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -265,9 +268,6 @@
     }
 }
 
-/// Time for which a refused caller is read from.
-const LINGER: Duration = Duration::from_millis(500);
-
 /// Refuses line feeds without carriage return, which other programs may read in another way.
 fn check_line_ends(head: &[u8]) -> Result<(), ReadError> {
     let is_bare = |pair: &[u8]| pair[1] == b'\n' && pair[0] != b'\r';
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -39,6 +39,9 @@
 /// Unanswered probes after which a connection counts as lost.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// `EINPROGRESS` on Linux.
+const IN_PROGRESS: i32 = 115;
+
 /// What a read brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Filled {
@@ -123,9 +126,6 @@
     }
 }
 
-/// `EINPROGRESS` on Linux.
-const IN_PROGRESS: i32 = 115;
-
 fn is_retry(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
 }
