--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -76,6 +76,11 @@
         });
     }
 
+    /// Connections that are kept at present.
+    pub(crate) fn count(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamId, Vec<Kept>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -86,7 +86,10 @@
 impl CallerHandler for Insight {
     fn handle(&self, request: CallerRequest, _stream: &TcpStream, responder: &mut Responder<'_>) {
         let (status, media_type, body) = match request.head.path() {
-            METRICS_PATH => (200, METRICS_TYPE, self.metrics.render().into_bytes()),
+            METRICS_PATH => {
+                measure(&self.relay);
+                (200, METRICS_TYPE, self.metrics.render().into_bytes())
+            }
             STATE_PATH => match serde_json::to_vec_pretty(&StateDump::new(&self.relay)) {
                 Ok(body) => (200, "application/json", body),
                 Err(error) => (500, "text/plain", error.to_string().into_bytes()),
@@ -102,6 +105,21 @@
     }
 }
 
+/// Sets the gauges of what is true at the moment.
+fn measure(relay: &Relay) {
+    let scheduler = relay.dispatcher.snapshot();
+    let peer_age_ms = scheduler.upstreams.iter().map(|it| it.peer_age_ms).max().unwrap_or(0);
+    metrics::gauge!("cranberryvalve_live_calls").set(scheduler.live_calls as f64);
+    metrics::gauge!("cranberryvalve_waiting_calls").set(scheduler.waiting_calls as f64);
+    metrics::gauge!("cranberryvalve_caller_connections").set(relay.connections() as f64);
+    metrics::gauge!("cranberryvalve_kept_connections").set(relay.kept.count() as f64);
+    metrics::gauge!("cranberryvalve_peer_age_seconds").set(peer_age_ms as f64 / 1_000.0);
+    for (source, age) in relay.source_ages() {
+        metrics::gauge!("cranberryvalve_source_age_seconds", "source" => source)
+            .set(age.as_secs_f64());
+    }
+}
+
 /// A dump of a relay's state.
 #[derive(Debug, Serialize)]
 struct StateDump {
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -203,6 +203,7 @@
         match result {
             Ok((version, news)) => {
                 self.count("well");
+                self.relay.heard(self.feed.name());
                 self.version = Some(version);
                 self.succeeded();
                 self.gathers = news.is_change();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,5 +1,6 @@
 //! Everything that the threads of a relay share.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::io;
 use std::net::Shutdown;
@@ -79,6 +80,8 @@
     listener: Mutex<Option<TcpListener>>,
     document: RwLock<Option<Document>>,
     peers: OnceLock<Arc<Peers>>,
+    /// When each source answered last.
+    heard: Mutex<HashMap<&'static str, Instant>>,
     is_draining: AtomicBool,
     connections: AtomicUsize,
     busy: AtomicUsize,
@@ -107,6 +110,7 @@
             listener: Mutex::default(),
             document: RwLock::default(),
             peers: OnceLock::new(),
+            heard: Mutex::default(),
             is_draining: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
@@ -184,6 +188,20 @@
         self.kept.retain(|it| in_service.contains(it));
     }
 
+    /// Notes that a source has answered.
+    pub(crate) fn heard(&self, source: &'static str) {
+        self.lock_heard().insert(source, Instant::now());
+    }
+
+    /// Time since each source answered last.
+    pub(crate) fn source_ages(&self) -> Vec<(&'static str, Duration)> {
+        self.lock_heard().iter().map(|(source, at)| (*source, at.elapsed())).collect()
+    }
+
+    fn lock_heard(&self) -> MutexGuard<'_, HashMap<&'static str, Instant>> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The directory of upstreams in force.
     pub fn directory(&self) -> Vec<UpstreamRecord> {
         self.dispatcher.directory()
