refactor: one upstream's load and the readiness without copies of everything

Each long prompt built the loads of all upstreams twice to tell one of them, and each question of the balancer copied the whole directory to see whether it is empty. Both ask the scheduler for just that now. Call::time_left and RoutingTable::pools had no caller and are gone.

--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -123,11 +123,6 @@
         self.pools.get(id)
     }
 
-    /// All pools.
-    pub fn pools(&self) -> impl Iterator<Item = &PoolProfile> {
-        self.pools.values()
-    }
-
     /// All routes.
     pub fn routes(&self) -> &[Arc<RouteRule>] {
         &self.routes
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -198,6 +198,16 @@
         self.upstreams.values().filter_map(Upstream::load_for_peers).collect()
     }
 
+    /// What the other VMs are told of this VM's work at one upstream; none when there is none.
+    pub fn load_for_peers(&self, upstream: &UpstreamId) -> Option<UpstreamLoad> {
+        self.upstreams.get(upstream)?.load_for_peers()
+    }
+
+    /// Whether the directory names any upstream.
+    pub fn has_upstreams(&self) -> bool {
+        !self.upstreams.is_empty()
+    }
+
     /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
     pub fn loads_without(
         &self,
--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -1,7 +1,6 @@
 //! What the scheduler knows of a call.
 
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 
 use cranberryvalve_core::CustomerId;
@@ -35,11 +34,6 @@
 }
 
 impl Call {
-    /// Time until the deadline.
-    pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
-    }
-
     /// When an answer, or its first event, would stop to be on time.
     pub fn target_at(&self) -> Instant {
         self.arrived_at + self.route.target
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -142,6 +142,16 @@
         self.lock().scheduler.loads_for_peers()
     }
 
+    /// What the other VMs are told of one upstream.
+    pub(crate) fn load_for_peers(&self, upstream: &UpstreamId) -> Option<UpstreamLoad> {
+        self.lock().scheduler.load_for_peers(upstream)
+    }
+
+    /// Whether the directory names any upstream.
+    pub(crate) fn has_upstreams(&self) -> bool {
+        self.lock().scheduler.has_upstreams()
+    }
+
     /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
     pub(crate) fn loads_without(&self, vm: &VmId, upstreams: &[UpstreamId]) -> Vec<UpstreamLoad> {
         self.lock().scheduler.loads_without(Instant::now(), vm, upstreams)
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -156,8 +156,7 @@
 
     /// Tells the home of an upstream what this VM has in flight there.
     pub(crate) fn report(&self, upstream: &UpstreamRecord) {
-        let loads = self.relay.loads_for_peers();
-        let load = loads.into_iter().find(|it| it.upstream == upstream.id);
+        let load = self.relay.dispatcher.load_for_peers(&upstream.id);
         let Some(load) = load else { return };
         self.send_reports(self.by_home([(upstream, load)].into_iter()));
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -203,7 +203,7 @@
     }
 
     /// The directory of upstreams in force.
-    pub fn directory(&self) -> Vec<UpstreamRecord> {
+    pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
         self.dispatcher.directory()
     }
 
@@ -224,7 +224,7 @@
 
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.table().is_some() && !self.directory().is_empty()
+        !self.is_draining() && self.table().is_some() && self.dispatcher.has_upstreams()
     }
 
     /// Whether the relay is stopping.
