fix: engines follow the table in force, whichever came first

Cause: an upstream was made an engine, with the size of its cache, from the table of the moment in which its entry arrived. A VM that starts again may read the directory before the configuration; it then took all engines for plain services: no lanes, homes or backlog until their entries changed.

Change: a table that is put in force, and each change of the directory, set the engine profile of all upstreams. Two tests, both failed before: directory first, and a pool that loses its profile.

--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -123,6 +123,11 @@
         self.pools.get(id)
     }
 
+    /// What a pool's engines are like; none for a pool of plain services.
+    pub fn engine(&self, pool: &str) -> Option<&EngineProfile> {
+        self.pool(pool)?.engine.as_ref()
+    }
+
     /// All routes.
     pub fn routes(&self) -> &[Arc<RouteRule>] {
         &self.routes
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -138,6 +138,9 @@
     /// Puts a routing table in force.
     pub fn put_in_force(&mut self, table: Arc<RoutingTable>) {
         self.table = table;
+        for upstream in self.upstreams.values_mut() {
+            upstream.set_engine(self.table.engine(&upstream.record.pool));
+        }
     }
 
     /// Takes an event and returns what must be done.
@@ -368,17 +371,15 @@
             let known = former.remove(&record.id).filter(|it| {
                 it.record.incarnation == record.incarnation && it.record.address == record.address
             });
-            let upstream = match known {
+            let mut upstream = match known {
                 Some(mut it) => {
                     it.is_gone &= it.record == record;
                     it.record = record;
                     it
                 }
-                None => {
-                    let engine = self.table.pool(&record.pool).and_then(|it| it.engine.as_ref());
-                    Upstream::new(record, engine, now)
-                }
+                None => Upstream::new(record, now),
             };
+            upstream.set_engine(self.table.engine(&upstream.record.pool));
             self.upstreams.insert(upstream.record.id.clone(), upstream);
         }
     }
--- a/crates/policy/src/scheduler/cache.rs
+++ b/crates/policy/src/scheduler/cache.rs
@@ -11,7 +11,7 @@
 /// Model of an engine's prefix cache: the least recently used parts yield.
 ///
 /// It knows only the prompts that this VM sent.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct PrefixCache {
     capacity_tokens: u64,
     used_tokens: u64,
@@ -26,10 +26,10 @@
 }
 
 impl PrefixCache {
-    /// Creates an empty model of the cache of an engine with this much memory.
-    pub(super) fn new(memory_tokens: u64) -> Self {
-        let capacity_tokens = (memory_tokens as f64 * CACHE_SHARE) as u64;
-        Self { capacity_tokens, used_tokens: 0, clock: 0, parts: HashMap::new() }
+    /// Sets the memory of the engine.
+    pub(super) fn resize(&mut self, memory_tokens: u64) {
+        self.capacity_tokens = (memory_tokens as f64 * CACHE_SHARE) as u64;
+        self.evict();
     }
 
     /// Tokens at the beginning of `prompt` that are cached.
@@ -48,13 +48,14 @@
             });
             part.used_at = self.clock;
         }
-        if self.used_tokens > self.capacity_tokens {
-            self.evict();
-        }
+        self.evict();
     }
 
-    /// Drops the least recently used parts until a tenth of the capacity is free.
+    /// Drops the least recently used parts of an overfull cache until a tenth is free.
     fn evict(&mut self) {
+        if self.used_tokens <= self.capacity_tokens {
+            return;
+        }
         let mut by_age: Vec<(u64, u64)> =
             self.parts.iter().map(|(hash, it)| (it.used_at, *hash)).collect();
         by_age.sort_unstable();
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -95,17 +95,13 @@
 }
 
 impl Upstream {
-    pub(super) fn new(
-        record: UpstreamRecord,
-        engine: Option<&EngineProfile>,
-        now: Instant,
-    ) -> Self {
+    pub(super) fn new(record: UpstreamRecord, now: Instant) -> Self {
         Self {
             record,
             is_gone: false,
             circuit: Circuit::new(),
-            cache: PrefixCache::new(engine.map_or(0, |it| it.memory_tokens)),
-            is_engine: engine.is_some(),
+            cache: PrefixCache::default(),
+            is_engine: false,
             pace: EnginePace::default(),
             in_flight: HashMap::new(),
             read_progress_at: now,
@@ -115,6 +111,12 @@
         }
     }
 
+    /// Takes what the table in force says of its pool's engines; none for a plain service.
+    pub(super) fn set_engine(&mut self, engine: Option<&EngineProfile>) {
+        self.is_engine = engine.is_some();
+        self.cache.resize(engine.map_or(0, |it| it.memory_tokens));
+    }
+
     /// Whether new work may go to it.
     pub(super) fn takes_work(&self, now: Instant) -> bool {
         !self.record.is_leaving && !self.is_gone && self.circuit.admits(now)
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -51,13 +51,7 @@
             retry_limits: RetryLimits { ratio: 0.2, slack: 56.0 },
         };
         let mut scheduler = Scheduler::new(settings);
-        let engine = EngineProfile { slots: 8, memory_tokens: 200_000 };
-        let pools = vec![
-            PoolProfile { id: ENGINES.into(), max_connections: 100, engine: Some(engine) },
-            PoolProfile { id: PLAIN.into(), max_connections: 100, engine: None },
-        ];
-        let table = RoutingTable::new(1, Vec::new(), pools, Vec::new(), CallerLimits::default());
-        scheduler.put_in_force(Arc::new(table));
+        scheduler.put_in_force(Arc::new(table()));
         let now = Instant::now();
         scheduler.handle(now, SchedulerEvent::DirectoryChanged(upstreams));
         Self { scheduler, now, next_id: 0 }
@@ -89,6 +83,15 @@
     }
 }
 
+fn table() -> RoutingTable {
+    let engine = EngineProfile { slots: 8, memory_tokens: 200_000 };
+    let pools = vec![
+        PoolProfile { id: ENGINES.into(), max_connections: 100, engine: Some(engine) },
+        PoolProfile { id: PLAIN.into(), max_connections: 100, engine: None },
+    ];
+    RoutingTable::new(1, Vec::new(), pools, Vec::new(), CallerLimits::default())
+}
+
 fn reaction(actions: &[SchedulerAction]) -> Reaction {
     let found = actions.iter().find_map(|it| match it {
         SchedulerAction::Send(it) => Some(Reaction::Sent(it.upstream.id.to_string())),
@@ -256,6 +259,29 @@
     assert_eq!(urgent, Reaction::Sent("e-0".to_owned()));
 }
 
+#[test]
+fn engines_are_known_when_the_directory_comes_before_the_table() {
+    let mut bench = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
+    let mut scheduler = Scheduler::new(SchedulerSettings::default());
+    let directory = SchedulerEvent::DirectoryChanged(bench.scheduler.directory());
+    scheduler.handle(bench.now, directory);
+    scheduler.put_in_force(Arc::new(table()));
+    bench.scheduler = scheduler;
+    bench.told("e-0", 900);
+    assert_eq!(bench.arrive(CallKind::Stream, ENGINES, 2, prompt(6_000, 1)), Reaction::Waits);
+}
+
+#[test]
+fn pool_that_loses_its_engine_profile_is_a_plain_service() {
+    let mut bench = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
+    let pools = vec![PoolProfile { id: ENGINES.into(), max_connections: 100, engine: None }];
+    let table = RoutingTable::new(2, Vec::new(), pools, Vec::new(), CallerLimits::default());
+    bench.scheduler.put_in_force(Arc::new(table));
+    bench.told("e-0", 900);
+    let sent = bench.arrive(CallKind::Stream, ENGINES, 2, prompt(6_000, 1));
+    assert_eq!(sent, Reaction::Sent("e-0".to_owned()));
+}
+
 #[test]
 fn call_without_room_is_refused_early_with_a_time() {
     let mut bench = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
