feat: engines fetch a prompt's beginning from its home

Change: placement names the home that probably has the beginning; the platform's dialect passes it on. The expected reading time, with the fetch, is what is told to the homes of engines. The model's engines fetch, too.

--- a/crates/model/src/engine.rs
+++ b/crates/model/src/engine.rs
@@ -27,6 +27,12 @@
 /// Prompt tokens read in one step, at most.
 const CHUNK_TOKENS: u32 = 1_024;
 
+/// Time to begin a fetch from another engine's cache, in milliseconds.
+const FETCH_MS: f64 = 1.7;
+
+/// Further time for a thousand tokens that are fetched, in milliseconds.
+const FETCH_MS_PER_KILOTOKEN: f64 = 1.2;
+
 /// Requests that run at the same time.
 pub(crate) const SLOTS: usize = 64;
 
@@ -43,6 +49,8 @@
     pub(crate) tier: u8,
     pub(crate) prompt: Prompt,
     pub(crate) tokens: u32,
+    /// Prefixes of the prompt that another engine has and this one may fetch.
+    pub(crate) fetchable: usize,
 }
 
 #[derive(Debug)]
@@ -73,6 +81,9 @@
     clock: u64,
     pub(crate) read_tokens: u64,
     pub(crate) cached_tokens: u64,
+    pub(crate) fetched_tokens: u64,
+    /// Time of the fetches that the next step waits for, in milliseconds.
+    fetch_ms: f64,
     /// Prefixes of the prompts admitted since they were taken last.
     pub(crate) used: Vec<UsedPart>,
 }
@@ -104,6 +115,8 @@
             clock: 0,
             read_tokens: 0,
             cached_tokens: 0,
+            fetched_tokens: 0,
+            fetch_ms: 0.0,
             used: Vec::new(),
         }
     }
@@ -118,6 +131,11 @@
         self.queue.is_empty() && self.running.is_empty()
     }
 
+    /// Prefixes of the prompt, from its beginning, that are in the cache.
+    pub(crate) fn cached_prefixes(&self, prompt: &Prompt) -> usize {
+        prompt.prefixes().take_while(|it| self.cache.contains_key(&it.hash)).count()
+    }
+
     /// Takes a request; false when the queue is full.
     pub(crate) fn accept(&mut self, job: Job) -> bool {
         if self.queue.len() >= QUEUE {
@@ -150,7 +168,8 @@
         let context: u64 = self.running.iter().map(|it| u64::from(it.context)).sum();
         let mut time_ms = STEP_MS
             + STEP_MS_PER_REQUEST * self.running.len() as f64
-            + STEP_MS_PER_KILOTOKEN * context as f64 / 1_000.0;
+            + STEP_MS_PER_KILOTOKEN * context as f64 / 1_000.0
+            + std::mem::take(&mut self.fetch_ms);
         let mut chunk = CHUNK_TOKENS;
         self.running.sort_by_key(|it| it.job.tier);
         for running in self.running.iter_mut().filter(|it| it.unread > 0) {
@@ -187,22 +206,26 @@
     fn admit(&mut self) {
         while self.running.len() < SLOTS && !self.queue.is_empty() {
             let job = self.queue.remove(0);
-            let cached = self.look_up(&job.prompt);
+            let cached = self.look_up(&job);
             self.cached_tokens += u64::from(cached);
             let unread = job.prompt.input_tokens.saturating_sub(cached).max(1);
             self.running.push(Running { job, unread, context: cached, generated: 0 });
         }
     }
 
-    /// Tokens of the prompt's beginning that are cached; the rest is cached from now on.
-    fn look_up(&mut self, prompt: &Prompt) -> u32 {
+    /// Tokens of the prompt's beginning that are cached, here or at the engine that they are
+    /// fetched from; the rest is cached from now on.
+    fn look_up(&mut self, job: &Job) -> u32 {
         let mut cached = 0;
+        let mut fetched = 0;
         let mut is_hit = true;
-        for prefix in prompt.prefixes() {
+        for (number, prefix) in job.prompt.prefixes().enumerate() {
             self.clock += 1;
-            is_hit &= self.cache.contains_key(&prefix.hash);
+            let is_cached = self.cache.contains_key(&prefix.hash);
+            is_hit &= is_cached || number < job.fetchable;
             if is_hit {
                 cached += prefix.part_tokens;
+                fetched += if is_cached { 0 } else { prefix.part_tokens };
             }
             let tokens = prefix.part_tokens;
             self.used.push(UsedPart { hash: prefix.hash, tokens, is_hit });
@@ -212,6 +235,10 @@
             });
             part.used_at = self.clock;
         }
+        if fetched > 0 {
+            self.fetched_tokens += u64::from(fetched);
+            self.fetch_ms += FETCH_MS + f64::from(fetched) / 1_000.0 * FETCH_MS_PER_KILOTOKEN;
+        }
         let running: u64 = self.running.iter().map(|it| u64::from(it.context)).sum();
         while self.cache_tokens + running > self.memory_tokens {
             let oldest = self.cache.iter().min_by_key(|(_, it)| it.used_at);
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -37,6 +37,8 @@
     pub speeds: Vec<f64>,
     /// Memory of an engine, in tokens.
     pub memory_tokens: u64,
+    /// Whether engines can fetch from each other's caches.
+    pub copies_caches: bool,
     /// Engines that fail for a while: number, from when, for how long.
     pub crashes: Vec<Crash>,
 }
@@ -61,6 +63,7 @@
             failure_domains: 3,
             speeds: vec![1.0],
             memory_tokens: 245_000,
+            copies_caches: true,
             crashes: Vec::new(),
         }
     }
@@ -77,6 +80,13 @@
         self
     }
 
+    /// Makes engines that cannot fetch from each other's caches.
+    #[must_use]
+    pub fn separate_caches(mut self) -> Self {
+        self.copies_caches = false;
+        self
+    }
+
     /// Adds a crash.
     #[must_use]
     pub fn crash(mut self, engine: usize, at: Duration, down: Duration) -> Self {
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -33,6 +33,8 @@
     pub cached_tokens: u64,
     /// Tokens of prefixes read again within seconds after some engine had them.
     pub read_again_tokens: u64,
+    /// Prompt tokens that engines fetched from each other's caches.
+    pub fetched_tokens: u64,
     /// Bytes of bodies that crossed failure domains.
     pub crossed_bytes: u64,
     /// Messages between VMs.
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -42,8 +42,10 @@
 use crate::load::Traffic;
 use crate::plain::PlainPlacement;
 use crate::report::Report;
+use crate::vm::Send;
 use crate::vm::Vm;
 use crate::vm::Wish;
+use crate::vm::engine_number;
 
 /// Pool of all engines.
 const POOL: &str = "engines";
@@ -82,7 +84,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrival { request: usize },
-    AtEngine { request: usize, attempt: Attempt, engine: usize },
+    AtEngine(Send),
     NotSent { request: usize, attempt: Attempt },
     Step { engine: usize, number: u64 },
     Deadline { request: usize },
@@ -214,9 +216,7 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Arrival { request } => self.on_arrival(request),
-            Happening::AtEngine { request, attempt, engine } => {
-                self.on_engine(request, attempt, engine);
-            }
+            Happening::AtEngine(send) => self.on_engine(send),
             Happening::NotSent { request, attempt } => {
                 self.end_attempt(request, attempt, SendEnd::NotSent);
             }
@@ -275,7 +275,7 @@
         let name = vm_name(vm);
         let mut loads = Vec::new();
         for record in asked {
-            let home = self.homes[usize::from(record.address.port())];
+            let home = self.homes[engine_number(&record)];
             if let Some(scheduler) = self.vms[home].scheduler().filter(|_| home != vm) {
                 loads.extend(scheduler.loads_without(now, &name, &[record.id]));
                 self.messages += 2;
@@ -305,7 +305,7 @@
     fn carry_out(&mut self, wishes: Vec<Wish>) {
         for wish in wishes {
             match wish {
-                Wish::Send { id, attempt, engine } => self.send(id as usize, attempt, engine),
+                Wish::Send(send) => self.send(send),
                 Wish::GiveUp { id } => {
                     let request = &mut self.requests[id as usize];
                     let was_started = request.first_event.is_some();
@@ -316,7 +316,8 @@
         }
     }
 
-    fn send(&mut self, number: usize, attempt: Attempt, engine: usize) {
+    fn send(&mut self, send: Send) {
+        let (number, attempt, engine) = (send.id as usize, send.attempt, send.engine);
         let request = &mut self.requests[number];
         request.attempt = attempt;
         let vm = request.vm;
@@ -333,17 +334,22 @@
         }
         self.requests[number].engine = Some(engine);
         let at = self.now + WAY;
-        self.schedule(at, Happening::AtEngine { request: number, attempt, engine });
+        self.schedule(at, Happening::AtEngine(send));
         self.report_to_homes(vm, Some(engine));
     }
 
-    fn on_engine(&mut self, number: usize, attempt: Attempt, engine: usize) {
+    fn on_engine(&mut self, send: Send) {
+        let (number, attempt, engine) = (send.id as usize, send.attempt, send.engine);
         let request = &self.requests[number];
         if request.end.is_some() || request.attempt != attempt {
             return;
         }
         let tier = self.load.traffic[request.kind].tier;
-        let job = Job { number, tier, prompt: request.prompt.clone(), tokens: request.tokens };
+        let copies_caches = self.fleet.copies_caches;
+        let source = send.prefix_source.filter(|it| copies_caches && !self.engines[*it].is_down);
+        let fetchable = source.map_or(0, |it| self.engines[it].cached_prefixes(&request.prompt));
+        let prompt = request.prompt.clone();
+        let job = Job { number, tier, prompt, tokens: request.tokens, fetchable };
         if self.engines[engine].is_down || !self.engines[engine].accept(job) {
             self.end_attempt(number, attempt, SendEnd::Refused { misdirected: false });
             return;
@@ -490,6 +496,7 @@
             messages: self.messages,
             repeated: self.repeated,
             read_again_tokens: self.read_again_tokens,
+            fetched_tokens: self.engines.iter().map(|it| it.fetched_tokens).sum(),
             ..Report::default()
         };
         for (kind, traffic) in self.load.traffic.iter().enumerate() {
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -9,16 +9,27 @@
 use cranberryvalve_policy::scheduler::SchedulerAction;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendEnd;
+use cranberryvalve_policy::scheduler::UpstreamRecord;
 
 use crate::plain::PlainPlacement;
 
 /// What a VM wants done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Wish {
-    Send { id: RequestId, attempt: Attempt, engine: usize },
+    Send(Send),
     GiveUp { id: RequestId },
 }
 
+/// A request on its way to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Send {
+    pub(crate) id: RequestId,
+    pub(crate) attempt: Attempt,
+    pub(crate) engine: usize,
+    /// Engine to fetch the beginning of the prompt from.
+    pub(crate) prefix_source: Option<usize>,
+}
+
 /// How a VM decides.
 #[derive(Debug)]
 pub(crate) enum Vm {
@@ -31,7 +42,10 @@
         let id = call.id;
         match self {
             Self::Scheduler(it) => wishes(it.handle(now, SchedulerEvent::Arrived(Box::new(call)))),
-            Self::Plain(it) => vec![Wish::Send { id, attempt: 1, engine: it.place(id) }],
+            Self::Plain(it) => {
+                let engine = it.place(id);
+                vec![Wish::Send(Send { id, attempt: 1, engine, prefix_source: None })]
+            }
         }
     }
 
@@ -78,13 +92,19 @@
 
 fn wishes(actions: Vec<SchedulerAction>) -> Vec<Wish> {
     let wishes = actions.into_iter().filter_map(|action| match action {
-        SchedulerAction::Send(it) => Some(Wish::Send {
+        SchedulerAction::Send(it) => Some(Wish::Send(Send {
             id: it.id,
             attempt: it.attempt,
-            engine: usize::from(it.upstream.address.port()),
-        }),
+            engine: engine_number(&it.upstream),
+            prefix_source: it.prefix_source.as_ref().map(engine_number),
+        })),
         SchedulerAction::Conclude(it) => Some(Wish::GiveUp { id: it.id }),
         SchedulerAction::Judged(_) => None,
     });
     wishes.collect()
 }
+
+/// The number of an engine, which is the port of its address.
+pub(crate) const fn engine_number(record: &UpstreamRecord) -> usize {
+    record.address.port() as usize
+}
--- a/crates/model/tests/load_shapes.rs
+++ b/crates/model/tests/load_shapes.rs
@@ -75,6 +75,14 @@
     assert!(report.read_again_tokens * 2 < plain.read_again_tokens, "{report:?} {plain:?}");
 }
 
+#[test]
+fn second_home_fetches_what_the_first_has_read() {
+    let fetched = run(&Fleet::small(), &draft_burst(), Decider::Scheduler);
+    let separate = run(&Fleet::small().separate_caches(), &draft_burst(), Decider::Scheduler);
+    assert!(fetched.read_again_tokens * 3 < separate.read_again_tokens * 2, "{fetched:?}");
+    assert!(fetched.on_time("draft") > separate.on_time("draft") + 0.03, "{separate:?}");
+}
+
 #[test]
 fn many_vms_that_tell_each_other_beat_those_that_do_not() {
     let load = Load::calm().times(13.0).burst("draft", 1.6, SECOND, 9 * SECOND);
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -148,6 +148,8 @@
     pub attempt: Attempt,
     /// Upstream to send it to.
     pub upstream: UpstreamRecord,
+    /// Engine from whose cache the upstream may fetch the beginning of the prompt.
+    pub prefix_source: Option<UpstreamRecord>,
     /// Figures that decided, for logs.
     pub reason: PlacementReason,
 }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -5,7 +5,8 @@
 //! homes in its lane by a hash that is the same on all VMs (rendezvous hashing: Thaler and
 //! Ravishankar, 1998), so that the VMs find its cache without telling each other. A long prompt goes
 //! to one of its two homes only: two are enough to level the load (Mitzenmacher, 2001), and each
-//! further engine would read the shared beginning once more, which costs most under load.
+//! further engine would read the shared beginning once more, which costs most under load. An engine
+//! that lacks the beginning fetches it from a home, where engines can copy each other's caches.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -41,8 +42,11 @@
 /// Share of a shared beginning that its home is believed to have cached through other VMs.
 const HOME_CACHED_SHARE: f64 = 0.9;
 
-/// Engines that a long prompt may go to.
-const LONG_PROMPT_HOMES: usize = 2;
+/// Engines that a long prompt may go to, and that others fetch a prompt's beginning from.
+const PREFIX_HOMES: usize = 2;
+
+/// Cost of a thousand tokens that are fetched from another engine's cache, in milliseconds.
+const FETCH_COST_MS_PER_KILOTOKEN: f64 = 3.0;
 
 /// Share of the target that reading and waiting may take without cost.
 const TARGET_SHARE: f64 = 0.75;
@@ -72,6 +76,10 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Choice {
     pub(super) upstream: UpstreamId,
+    /// Engine from whose cache the beginning of the prompt is fetched.
+    pub(super) prefix_source: Option<UpstreamId>,
+    /// Expected time to fetch and read the prompt.
+    pub(super) read: Duration,
     pub(super) reason: PlacementReason,
 }
 
@@ -102,6 +110,8 @@
     match cheapest {
         Some(it) => Placement::Chosen(Choice {
             upstream: it.upstream.record.id.clone(),
+            prefix_source: it.prefix_source.clone(),
+            read: it.read,
             reason: PlacementReason {
                 candidates: u32::try_from(rated.len()).unwrap_or(u32::MAX),
                 backlog: it.backlog,
@@ -147,6 +157,7 @@
     let fresh = select(&ranked, |it| !tried.contains(&it.record.id));
     let expected = Expected {
         home,
+        homes: ranked.iter().take(PREFIX_HOMES).map(|it| &it.record.id).collect(),
         lanes: &lanes,
         others_backlog: [true, false].map(|is_long| {
             let in_lane = in_service.iter().filter(|it| lanes.is_long(it) == is_long);
@@ -184,7 +195,7 @@
         (!is_eligible, shared_hash((shared, &it.record.id)))
     });
     if is_long && shared.is_some() {
-        ranked.truncate(LONG_PROMPT_HOMES);
+        ranked.truncate(PREFIX_HOMES);
     }
     ranked
 }
@@ -207,6 +218,8 @@
 /// What is expected of all upstreams for one call.
 struct Expected<'a> {
     home: Option<&'a UpstreamId>,
+    /// Engines that are the most likely to have the prompt's shared beginning.
+    homes: Vec<&'a UpstreamId>,
     lanes: &'a Lanes,
     /// Backlog of the other VMs at an engine of which nobody told: for long prompts, for short
     /// ones.
@@ -219,7 +232,9 @@
     has_room: bool,
     cost_ms: f64,
     backlog: Duration,
+    read: Duration,
     cached_tokens: u32,
+    prefix_source: Option<UpstreamId>,
 }
 
 impl<'a> Rated<'a> {
@@ -243,15 +258,24 @@
                 has_room: has_connection && in_flight < upstream.record.slots * SERVICE_FILL,
                 cost_ms: load * load * SERVICE_TIME_MS + way_ms,
                 backlog: Duration::ZERO,
+                read: Duration::ZERO,
                 cached_tokens: 0,
+                prefix_source: None,
             };
         };
+        let expected_cached = (f64::from(prompt.shared_tokens()) * HOME_CACHED_SHARE) as u32;
         let mut cached_tokens = upstream.cache.cached_tokens(prompt);
         if expected.home == Some(&upstream.record.id) {
-            let shared = f64::from(prompt.shared_tokens()) * HOME_CACHED_SHARE;
-            cached_tokens = cached_tokens.max(shared as u32);
+            cached_tokens = cached_tokens.max(expected_cached);
         }
-        let read = engine::read_time(prompt.input_tokens, cached_tokens);
+        let prefix_source = expected.homes.iter().find(|it| **it != &upstream.record.id);
+        let prefix_source = prefix_source.filter(|_| cached_tokens < prompt.shared_tokens());
+        let fetched_tokens = match prefix_source {
+            Some(_) => expected_cached.saturating_sub(cached_tokens),
+            None => 0,
+        };
+        let read = engine::read_time(prompt.input_tokens, cached_tokens + fetched_tokens)
+            + engine::fetch_time(fetched_tokens);
         let untold = match upstream.told_backlog(around.now, call.tier) {
             Some(_) => Duration::ZERO,
             None if expected.lanes.is_long(upstream) => expected.others_backlog[0],
@@ -268,6 +292,7 @@
             + WAIT_COST * millis(backlog)
             + LATE_COST * millis(late)
             + fill * FULL_COST_MS
+            + f64::from(fetched_tokens) / 1_000.0 * FETCH_COST_MS_PER_KILOTOKEN
             + lane_ms
             + way_ms;
         // The room does not depend on the prompt's own size, so that large ones find it as often.
@@ -280,6 +305,8 @@
             cost_ms,
             backlog,
             cached_tokens,
+            read,
+            prefix_source: prefix_source.map(|it| (*it).clone()),
         }
     }
 }
--- a/crates/policy/src/scheduler/turns.rs
+++ b/crates/policy/src/scheduler/turns.rs
@@ -121,11 +121,13 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(tracked) = self.calls.get_mut(&id) else { return };
+        let prefix_source = choice.prefix_source.as_ref().and_then(|it| self.upstreams.get(it));
+        let prefix_source = prefix_source.map(|it| it.record.clone());
         let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else { return };
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
         }
-        upstream.sent(now, &tracked.call);
+        upstream.sent(now, &tracked.call, choice.read);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.at = Some(choice.upstream.clone());
@@ -133,6 +135,7 @@
             id,
             attempt: tracked.attempts,
             upstream: upstream.record.clone(),
+            prefix_source,
             reason: choice.reason,
         }));
     }
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -19,7 +19,6 @@
 use super::Call;
 use super::ToldLoad;
 use super::cache::PrefixCache;
-use super::engine;
 use super::pace::EnginePace;
 use crate::upstream::Circuit;
 
@@ -122,9 +121,8 @@
         !self.record.is_leaving && !self.is_gone && self.circuit.admits(now)
     }
 
-    /// Notes an attempt that is sent.
-    pub(super) fn sent(&mut self, now: Instant, call: &Call) {
-        let read = self.read_time(call);
+    /// Notes an attempt that is sent and whose prompt takes `read` to read.
+    pub(super) fn sent(&mut self, now: Instant, call: &Call, read: Duration) {
         if !self.in_flight.values().any(|it| it.is_reading) {
             self.read_progress_at = now;
         }
@@ -274,13 +272,6 @@
         (load.in_flight > 0).then_some(load)
     }
 
-    /// Time to read the part of the prompt that is not cached.
-    pub(super) fn read_time(&self, call: &Call) -> Duration {
-        let Some(prompt) = &call.prompt else { return Duration::ZERO };
-        let cached_tokens = self.cache.cached_tokens(prompt);
-        engine::read_time(prompt.input_tokens, cached_tokens)
-    }
-
     /// Fresh figures of other VMs: their own at the home, and the home's elsewhere.
     fn others(&self, now: Instant) -> impl Iterator<Item = &Timed<PeerFigures>> {
         let is_home = self.peers.values().any(|it| it.is_fresh(now));
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -228,6 +228,29 @@
     assert_eq!(first, again);
 }
 
+#[test]
+fn second_home_of_a_beginning_fetches_it_from_the_first() {
+    let engines = (0..12).map(|it| upstream(&format!("e-{it}"), ENGINES, "near")).collect();
+    let mut bench = Bench::new(engines);
+    let mut placed = || {
+        bench.next_id += 1;
+        let call = call(bench.next_id, bench.now, CallKind::Stream, ENGINES, 2, prompt(6_000, 1));
+        let actions = bench.scheduler.handle(bench.now, SchedulerEvent::Arrived(Box::new(call)));
+        let send = actions.into_iter().find_map(|it| match it {
+            SchedulerAction::Send(it) => Some(it),
+            _ => None,
+        });
+        let send = send.expect("there is room");
+        (send.upstream.id, send.prefix_source.map(|it| it.id))
+    };
+    let (first, _) = placed();
+    let mut other = placed();
+    while other.0 == first {
+        other = placed();
+    }
+    assert_eq!(other.1, Some(first));
+}
+
 #[test]
 fn long_and_short_prompts_keep_apart() {
     let engines = (0..6).map(|it| upstream(&format!("e-{it}"), ENGINES, "near")).collect();
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -29,6 +29,8 @@
 pub struct OutgoingCall<'a> {
     /// Upstream that it is meant for.
     pub upstream: &'a UpstreamRecord,
+    /// Engine from whose cache the upstream may fetch the beginning of the prompt.
+    pub prefix_source: Option<&'a UpstreamRecord>,
     /// Customer that asks.
     pub customer: Option<&'a str>,
     /// Tier.
