feat: reading time follows an engine's pace

Cause: engines that generate a third slower read a third slower, too, but their prompts were estimated like all others; slow engines come first into the lane of long prompts.

Change: the estimate of a prompt's reading is longer by the engine's pace against the pool's fast engines, once that is 15 %, at most by half.

--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::PaceStep;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::shared_hash;
@@ -72,6 +73,8 @@
 #[derive(Debug)]
 pub(super) struct Lanes {
     long: HashSet<UpstreamId>,
+    /// Pace of the pool's fast engines.
+    fast: Option<PaceStep>,
 }
 
 impl Lanes {
@@ -88,7 +91,7 @@
             let count = (engines.len() as f64 * long_share).round() as usize;
             long.extend(engines.iter().take(count).map(|it| it.record.id.clone()));
         }
-        Self { long }
+        Self { long, fast }
     }
 
     /// Whether `upstream` is for long prompts.
@@ -96,6 +99,11 @@
         self.long.contains(&upstream.record.id)
     }
 
+    /// How many times longer `upstream` takes than the pool's fast engines.
+    pub(super) fn slowness(&self, upstream: &Upstream) -> f64 {
+        upstream.pace.slowness(self.fast)
+    }
+
     /// Whether `upstream` is in the lane of `prompt`.
     pub(super) fn is_own(&self, upstream: &Upstream, prompt: &Prompt) -> bool {
         self.is_long(upstream) == is_long(prompt)
--- a/crates/policy/src/scheduler/pace.rs
+++ b/crates/policy/src/scheduler/pace.rs
@@ -10,6 +10,9 @@
 /// Ratio of a step to the one before.
 const STEP_RATIO: f64 = 1.05;
 
+/// Slowness beyond which a pace says nothing of reading: its streams never ran undisturbed.
+const MAX_SLOWNESS: f64 = 1.5;
+
 /// Times that news of a pace is told to each neighbour, in case a message is lost.
 const TOLD_TIMES: u32 = 2;
 
@@ -49,13 +52,20 @@
         self.step
     }
 
-    /// Whether the engine is slow against the `fast` ones of its pool.
-    pub(super) fn is_slow(&self, fast: Option<PaceStep>) -> bool {
+    /// How many times longer the engine takes than the `fast` ones of its pool; 1 unless it is slow.
+    pub(super) fn slowness(&self, fast: Option<PaceStep>) -> f64 {
         match (self.step, fast) {
-            (Some(own), Some(fast)) => own >= fast + SLOW_STEPS,
-            _ => false,
+            (Some(own), Some(fast)) if own >= fast + SLOW_STEPS => {
+                STEP_RATIO.powi(i32::from(own - fast)).min(MAX_SLOWNESS)
+            }
+            _ => 1.0,
         }
     }
+
+    /// Whether the engine is slow against the `fast` ones of its pool.
+    pub(super) fn is_slow(&self, fast: Option<PaceStep>) -> bool {
+        self.slowness(fast) > 1.0
+    }
 }
 
 /// The pace that a quarter of the engines reach; an outlier among them does not decide.
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -275,6 +275,7 @@
             None => 0,
         };
         let read = engine::read_time(prompt.input_tokens, cached_tokens + fetched_tokens)
+            .mul_f64(expected.lanes.slowness(upstream))
             + engine::fetch_time(fetched_tokens);
         let untold = match upstream.told_backlog(around.now, call.tier) {
             Some(_) => Duration::ZERO,
