feat: the time of reading is learned from answers, by tier

Change: each answer moves a ratio of real to estimated time for its pool and tier (least mean squares on the logarithm); estimates are multiplied by it. The errors of first events and of pauses are published as cranberryvalve_prediction_error_seconds.

--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -99,7 +99,7 @@
             prefix_source: it.prefix_source.as_ref().map(engine_number),
         })),
         SchedulerAction::Conclude(it) => Some(Wish::GiveUp { id: it.id }),
-        SchedulerAction::Judged(_) => None,
+        SchedulerAction::Judged(_) | SchedulerAction::Checked(_) => None,
     });
     wishes.collect()
 }
--- a/crates/model/tests/load_shapes.rs
+++ b/crates/model/tests/load_shapes.rs
@@ -139,3 +139,13 @@
     let report = run(&fleet, &load, Decider::Scheduler);
     assert!(report.on_time("stream") >= 0.95, "{report:?}");
 }
+
+#[test]
+fn reading_rate_of_slower_engines_is_learned() {
+    // All engines read at half the rate that is assumed at the start.
+    let fleet = Fleet::small().speeds(&[2.0]);
+    let load = Load::calm().times(0.7).burst("draft", 2.5, SECOND, 18 * SECOND);
+    let draft = run(&fleet, &load, Decider::Scheduler).kinds["draft"].clone();
+    // Of what is admitted, more is on time than late or lost, the time of learning included.
+    assert!(draft.on_time > draft.late + draft.failed, "{draft:?}");
+}
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod placement;
 mod queue;
+mod reading;
 mod snapshot;
 mod turns;
 mod upstream;
@@ -29,6 +30,7 @@
 use cranberryvalve_core::PaceStep;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamKey;
 use cranberryvalve_core::UpstreamLoad;
@@ -45,6 +47,8 @@
 pub use event::ConclusionReason;
 pub use event::Judgement;
 pub use event::PlacementReason;
+pub use event::Predicted;
+pub use event::Prediction;
 pub use event::SchedulerAction;
 pub use event::SchedulerEvent;
 pub use event::SendCommand;
@@ -57,6 +61,7 @@
 use self::budget::RetryBudget;
 use self::lanes::ArrivedKinds;
 use self::queue::CallQueue;
+use self::reading::ReadingRatio;
 use self::upstream::Upstream;
 
 /// Share of a route's target for which a call waits for room before it is refused.
@@ -109,6 +114,7 @@
     calls: HashMap<RequestId, Tracked>,
     budget: RetryBudget,
     kinds: ArrivedKinds,
+    reading: HashMap<(PoolId, Tier), ReadingRatio>,
 }
 
 /// A call between its arrival and its end.
@@ -135,6 +141,7 @@
             queues: HashMap::new(),
             calls: HashMap::new(),
             kinds: ArrivedKinds::default(),
+            reading: HashMap::new(),
         }
     }
 
@@ -155,9 +162,7 @@
                 self.on_answering(now, id, attempt, &mut actions);
             }
             SchedulerEvent::Paced { upstream, event_gap } => {
-                if let Some(it) = self.upstreams.get_mut(&upstream) {
-                    it.pace.record(event_gap);
-                }
+                self.on_paced(&upstream, event_gap, &mut actions);
             }
             SchedulerEvent::PacesTold(paces) => self.on_paces_told(&paces),
             SchedulerEvent::LoadTold { upstream, load } => {
@@ -254,7 +259,7 @@
             return Vec::new();
         }
         let upstreams = self.pool(&call.pool);
-        let ids = placement::cheapest(&self.around(now, &call.pool), call, &upstreams, ASKED);
+        let ids = placement::cheapest(&self.around(now, call), call, &upstreams, ASKED);
         let known = ids.iter().filter_map(|it| self.upstreams.get(it));
         known.map(|it| it.record.clone()).collect()
     }
@@ -294,9 +299,13 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let Some(tracked) = self.calls.get(&id).filter(|it| it.attempts == attempt) else { return };
-        let pool = tracked.call.pool.clone();
-        if let Some(upstream) = tracked.at.as_ref().and_then(|it| self.upstreams.get_mut(it)) {
-            upstream.answering(now, id);
+        let (pool, tier) = (tracked.call.pool.clone(), tracked.call.tier);
+        if let Some(upstream) = tracked.at.as_ref().and_then(|it| self.upstreams.get_mut(it))
+            && let Some(prediction) = upstream.answering(now, id)
+        {
+            let ratio = self.reading.entry((pool.clone(), tier)).or_default();
+            ratio.learn(prediction.expected, prediction.observed);
+            actions.push(SchedulerAction::Checked(prediction));
         }
         self.dispatch(now, &pool, actions);
     }
@@ -416,6 +425,21 @@
         }
     }
 
+    fn on_paced(
+        &mut self,
+        upstream: &UpstreamId,
+        event_gap: Duration,
+        actions: &mut Vec<SchedulerAction>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        if let Some(expected) = upstream.pace.gap() {
+            let predicted = Predicted::EventGap;
+            let prediction = Prediction { predicted, expected, observed: event_gap };
+            actions.push(SchedulerAction::Checked(prediction));
+        }
+        upstream.pace.record(event_gap);
+    }
+
     fn on_paces_told(&mut self, paces: &[UpstreamPace]) {
         let steps: HashMap<UpstreamKey, PaceStep> =
             paces.iter().map(|it| (it.upstream, it.step)).collect();
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -129,6 +129,38 @@
     Conclude(Conclusion),
     /// An upstream is given work again, or no longer; for logs.
     Judged(Judgement),
+    /// What was expected of an upstream can be compared with what came; for metrics.
+    Checked(Prediction),
+}
+
+/// What was expected of an upstream, and what came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Prediction {
+    /// What it is about.
+    pub predicted: Predicted,
+    /// Expected time.
+    pub expected: Duration,
+    /// Time that it took.
+    pub observed: Duration,
+}
+
+/// What is predicted of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Predicted {
+    /// Time from sending a prompt to the first event of the answer.
+    FirstEvent,
+    /// Typical time between two events.
+    EventGap,
+}
+
+impl Predicted {
+    /// Name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::FirstEvent => "first_event",
+            Self::EventGap => "event_gap",
+        }
+    }
 }
 
 /// A change of what is believed of an upstream's health.
@@ -164,6 +196,8 @@
     pub candidates: u32,
     /// Estimated time until the upstream has read the prompts before this one.
     pub backlog: Duration,
+    /// Estimated time to fetch and read the prompt itself.
+    pub read: Duration,
     /// Prompt tokens that the upstream is believed to have cached.
     pub cached_tokens: u32,
     /// Age of the oldest figure of another VM that went into the estimate.
--- a/crates/policy/src/scheduler/pace.rs
+++ b/crates/policy/src/scheduler/pace.rs
@@ -46,6 +46,12 @@
         self.step
     }
 
+    /// The time that the pace stands for.
+    pub(super) fn gap(&self) -> Option<Duration> {
+        let gap_us = STEP_RATIO.powi(i32::from(self.step?));
+        Some(Duration::from_secs_f64(gap_us / 1.0e6))
+    }
+
     /// The pace if the neighbours are still to be told of it; counts this time.
     pub(super) fn take_news(&mut self) -> Option<PaceStep> {
         self.news_left = self.news_left.checked_sub(1)?;
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -70,6 +70,8 @@
     pub(super) connection_share: u32,
     /// Share of the pool's engines that long prompts need.
     pub(super) long_share: f64,
+    /// Ratio of the real to the estimated time of reading.
+    pub(super) reading_ratio: f64,
 }
 
 /// A choice with the figures behind it.
@@ -78,8 +80,6 @@
     pub(super) upstream: UpstreamId,
     /// Engine from whose cache the beginning of the prompt is fetched.
     pub(super) prefix_source: Option<UpstreamId>,
-    /// Expected time to fetch and read the prompt.
-    pub(super) read: Duration,
     pub(super) reason: PlacementReason,
 }
 
@@ -111,10 +111,10 @@
         Some(it) => Placement::Chosen(Choice {
             upstream: it.upstream.record.id.clone(),
             prefix_source: it.prefix_source.clone(),
-            read: it.read,
             reason: PlacementReason {
                 candidates: u32::try_from(rated.len()).unwrap_or(u32::MAX),
                 backlog: it.backlog,
+                read: it.read,
                 cached_tokens: it.cached_tokens,
                 peer_age: it.upstream.peer_age(around.now),
             },
@@ -275,7 +275,7 @@
             None => 0,
         };
         let read = engine::read_time(prompt.input_tokens, cached_tokens + fetched_tokens)
-            .mul_f64(expected.lanes.slowness(upstream))
+            .mul_f64(expected.lanes.slowness(upstream) * around.reading_ratio)
             + engine::fetch_time(fetched_tokens);
         let untold = match upstream.told_backlog(around.now, call.tier) {
             Some(_) => Duration::ZERO,
--- a/crates/policy/src/scheduler/turns.rs
+++ b/crates/policy/src/scheduler/turns.rs
@@ -9,6 +9,7 @@
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::Tier;
 
+use super::Call;
 use super::Conclusion;
 use super::ConclusionReason;
 use super::RETRY_AFTER_FAULT;
@@ -94,7 +95,12 @@
 
     fn place(&self, now: Instant, tracked: &Tracked) -> Placement {
         let pool = &tracked.call.pool;
-        placement::place(&self.around(now, pool), &tracked.call, &self.pool(pool), &tracked.tried)
+        placement::place(
+            &self.around(now, &tracked.call),
+            &tracked.call,
+            &self.pool(pool),
+            &tracked.tried,
+        )
     }
 
     /// The upstreams of a pool.
@@ -102,7 +108,9 @@
         self.upstreams.values().filter(|it| it.record.pool == *pool).collect()
     }
 
-    pub(super) fn around(&self, now: Instant, pool: &PoolId) -> Surroundings<'_> {
+    pub(super) fn around(&self, now: Instant, call: &Call) -> Surroundings<'_> {
+        let pool = &call.pool;
+        let reading = self.reading.get(&(pool.clone(), call.tier)).copied();
         let connections = self.table.pool(pool).map_or(u32::MAX, |it| it.max_connections);
         let share = f64::from(connections) * CONNECTIONS_USED / f64::from(self.vms);
         Surroundings {
@@ -110,6 +118,7 @@
             failure_domain: self.settings.failure_domain.as_ref(),
             connection_share: (share as u32).max(1),
             long_share: self.kinds.long_share(now, pool),
+            reading_ratio: reading.unwrap_or_default().get(),
         }
     }
 
@@ -127,7 +136,7 @@
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
         }
-        upstream.sent(now, &tracked.call, choice.read);
+        upstream.sent(now, &tracked.call, &choice.reason);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.at = Some(choice.upstream.clone());
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -19,6 +19,9 @@
 use cranberryvalve_core::table::EngineProfile;
 
 use super::Call;
+use super::PlacementReason;
+use super::Predicted;
+use super::Prediction;
 use super::ToldLoad;
 use super::cache::PrefixCache;
 use super::pace::EnginePace;
@@ -53,6 +56,9 @@
     /// Time to read the prompt.
     read: Duration,
     is_reading: bool,
+    sent_at: Instant,
+    /// Expected time to the first part of the answer.
+    expected: Duration,
 }
 
 #[derive(Debug, Clone)]
@@ -123,13 +129,19 @@
         !self.record.is_leaving && !self.is_gone && self.circuit.admits(now)
     }
 
-    /// Notes an attempt that is sent and whose prompt takes `read` to read.
-    pub(super) fn sent(&mut self, now: Instant, call: &Call, read: Duration) {
+    /// Notes an attempt that is sent, with the estimates that decided.
+    pub(super) fn sent(&mut self, now: Instant, call: &Call, reason: &PlacementReason) {
         if !self.in_flight.values().any(|it| it.is_reading) {
             self.read_progress_at = now;
         }
         let is_reading = call.prompt.is_some();
-        let in_flight = InFlight { tier: call.tier, read, is_reading };
+        let in_flight = InFlight {
+            tier: call.tier,
+            read: reason.read,
+            is_reading,
+            sent_at: now,
+            expected: reason.backlog + reason.read,
+        };
         self.in_flight.insert(call.id, in_flight);
         if let Some(prompt) = &call.prompt {
             self.cache.insert(prompt);
@@ -137,13 +149,19 @@
         self.circuit.sent(now);
     }
 
-    /// Notes the first part of an answer.
-    pub(super) fn answering(&mut self, now: Instant, id: RequestId) {
-        if let Some(in_flight) = self.in_flight.get_mut(&id) {
-            in_flight.is_reading = false;
-            self.read_progress_at = now;
-        }
+    /// Notes the first part of an answer; returns what was expected of it, for prompts.
+    pub(super) fn answering(&mut self, now: Instant, id: RequestId) -> Option<Prediction> {
         self.circuit.answered();
+        let in_flight = self.in_flight.get_mut(&id)?;
+        self.read_progress_at = now;
+        if !std::mem::take(&mut in_flight.is_reading) {
+            return None;
+        }
+        Some(Prediction {
+            predicted: Predicted::FirstEvent,
+            expected: in_flight.expected,
+            observed: now.saturating_duration_since(in_flight.sent_at),
+        })
     }
 
     /// Forgets an attempt that ended.
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -95,7 +95,7 @@
     let found = actions.iter().find_map(|it| match it {
         SchedulerAction::Send(it) => Some(Reaction::Sent(it.upstream.id.to_string())),
         SchedulerAction::Conclude(it) => Some(Reaction::Concluded(it.reason)),
-        SchedulerAction::Judged(_) => None,
+        SchedulerAction::Judged(_) | SchedulerAction::Checked(_) => None,
     });
     found.unwrap_or(Reaction::Waits)
 }
@@ -428,7 +428,7 @@
                         }
                         concluded.push(it.id);
                     }
-                    SchedulerAction::Judged(_) => {}
+                    SchedulerAction::Judged(_) | SchedulerAction::Checked(_) => {}
                 }
             }
         }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -19,6 +19,7 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::Call;
 use cranberryvalve_policy::scheduler::Conclusion;
+use cranberryvalve_policy::scheduler::Prediction;
 use cranberryvalve_policy::scheduler::Scheduler;
 use cranberryvalve_policy::scheduler::SchedulerAction;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
@@ -214,6 +215,10 @@
                         "takes_work" => it.takes_work, "cause" => it.cause.name());
                     continue;
                 }
+                SchedulerAction::Checked(it) => {
+                    record_prediction(it);
+                    continue;
+                }
             };
             if let Some(mailbox) = self.mailboxes.get(&id) {
                 mailbox.put(id, directive);
@@ -259,3 +264,12 @@
         }
     }
 }
+
+/// Publishes how far an estimate was off, and in which direction.
+fn record_prediction(prediction: Prediction) {
+    let (expected, observed) = (prediction.expected, prediction.observed);
+    let direction = if observed > expected { "later" } else { "earlier" };
+    let labels = [("predicted", prediction.predicted.name()), ("came", direction)];
+    metrics::histogram!("cranberryvalve_prediction_error_seconds", &labels)
+        .record(observed.abs_diff(expected).as_secs_f64());
+}
