--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,5 +1,8 @@
 //! Loads played on the model of engines and many VMs, for each way to place requests.
 
+mod plot;
+
+use std::path::PathBuf;
 use std::time::Duration;
 
 use cranberryvalve_model::Decider;
@@ -11,6 +14,8 @@
 use eyre::Result;
 use gumdrop::Options;
 
+use self::plot::Outcome;
+use self::plot::Panel;
 use crate::Held;
 use crate::report;
 
@@ -23,6 +28,8 @@
 pub(crate) struct FleetOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
+    #[options(no_short, meta = "FILE", help = "also draw the shares on time as SVG")]
+    plot: Option<PathBuf>,
 }
 
 /// A load with the deployment that it is played on.
@@ -33,14 +40,20 @@
 }
 
 /// Prints a table for each scene and decider.
-#[expect(clippy::unnecessary_wraps, reason = "all experiments have the same signature")]
-pub(crate) fn run(_options: &FleetOptions) -> Result<Held> {
+pub(crate) fn run(options: &FleetOptions) -> Result<Held> {
+    let mut panels = Vec::new();
     for scene in scenes() {
         report::line(&format!("\n{}", scene.name));
+        let mut outcomes = Vec::new();
         for decider in [Decider::Scheduler, Decider::Alone, Decider::Plain] {
-            let result = simulate(&scene.fleet, &scene.load, decider, SEED);
-            print(&scene, decider, &result);
+            let report = simulate(&scene.fleet, &scene.load, decider, SEED);
+            print(&scene, decider, &report);
+            outcomes.push(Outcome { name: decider.name(), report });
         }
+        panels.push(Panel { name: scene.name, outcomes });
+    }
+    if let Some(path) = &options.plot {
+        plot::write(path, &panels)?;
     }
     Ok(Held::Yes)
 }
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -96,7 +96,7 @@
             id: it.id,
             attempt: it.attempt,
             engine: engine_number(&it.upstream),
-            prefix_source: it.prefix_source.as_ref().map(engine_number),
+            prefix_source: it.prefix_source.as_deref().map(engine_number),
         })),
         SchedulerAction::Conclude(it) => Some(Wish::GiveUp { id: it.id }),
         SchedulerAction::Judged(_) | SchedulerAction::Checked(_) => None,
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -184,7 +184,7 @@
     /// Upstream to send it to.
     pub upstream: UpstreamRecord,
     /// Engine from whose cache the upstream may fetch the beginning of the prompt.
-    pub prefix_source: Option<UpstreamRecord>,
+    pub prefix_source: Option<Box<UpstreamRecord>>,
     /// Figures that decided, for logs.
     pub reason: PlacementReason,
 }
--- a/crates/policy/src/scheduler/turns.rs
+++ b/crates/policy/src/scheduler/turns.rs
@@ -131,7 +131,7 @@
     ) {
         let Some(tracked) = self.calls.get_mut(&id) else { return };
         let prefix_source = choice.prefix_source.as_ref().and_then(|it| self.upstreams.get(it));
-        let prefix_source = prefix_source.map(|it| it.record.clone());
+        let prefix_source = prefix_source.map(|it| Box::new(it.record.clone()));
         let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else { return };
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -234,7 +234,7 @@
     fn outgoing(&self, command: &SendCommand, last_event: Option<EventId>) -> Vec<u8> {
         let call = OutgoingCall {
             upstream: &command.upstream,
-            prefix_source: command.prefix_source.as_ref(),
+            prefix_source: command.prefix_source.as_deref(),
             customer: self.customer,
             tier: self.tier,
             time_left: self.deadline.saturating_duration_since(Instant::now()),
