feat: lanes share the capacity of engines, not their number

Cause: slow engines come first into the lane of long prompts, which still had two thirds of the engines; with a third of them slow it had 53 of 83 in capacity instead of 55.6.

Change: the lane takes engines until it has its share of the capacity, by pace. A test with engines of two speeds failed before.

--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -23,7 +23,7 @@
 /// an event of a stream beside it wait for a chunk.
 const LONG_PROMPT_TOKENS: u32 = 4_500;
 
-/// Share of a failure domain's engines for long prompts, where both kinds arrive.
+/// Share of the capacity of a failure domain's engines for long prompts, where both kinds arrive.
 ///
 /// It is fixed, as VMs that follow their own averages disagree on the engines at the border, and
 /// all streams there suffer.
@@ -55,7 +55,7 @@
         *last_at = Some(now);
     }
 
-    /// Share of a pool's engines for long prompts.
+    /// Share of the capacity of a pool's engines for long prompts.
     pub(super) fn long_share(&self, now: Instant, pool: &PoolId) -> f64 {
         let Some(arrivals) = self.0.get(pool) else { return LONG_SHARE };
         let is_recent = |at: Option<Instant>| {
@@ -88,8 +88,8 @@
         let mut long = HashSet::new();
         for engines in by_domain.values_mut() {
             engines.sort_by_cached_key(|it| (!it.pace.is_slow(fast), shared_hash(&it.record.id)));
-            let count = (engines.len() as f64 * long_share).round() as usize;
-            long.extend(engines.iter().take(count).map(|it| it.record.id.clone()));
+            let in_lane = first_by_capacity(engines, fast, long_share);
+            long.extend(in_lane.iter().map(|it| it.record.id.clone()));
         }
         Self { long, fast }
     }
@@ -109,3 +109,20 @@
         self.is_long(upstream) == is_long(prompt)
     }
 }
+
+/// The first engines that together have this share of the capacity of all; one at the border counts
+/// when more than half of it is needed.
+fn first_by_capacity<'a>(
+    engines: &'a [&'a Upstream],
+    fast: Option<PaceStep>,
+    share: f64,
+) -> &'a [&'a Upstream] {
+    let capacity = |it: &Upstream| 1.0 / it.pace.slowness(fast);
+    let mut needed = engines.iter().map(|it| capacity(it)).sum::<f64>() * share;
+    let count = engines.iter().take_while(|it| {
+        let is_needed = needed >= capacity(it) / 2.0;
+        needed -= capacity(it);
+        is_needed
+    });
+    &engines[..count.count()]
+}
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -68,7 +68,7 @@
     pub(super) failure_domain: Option<&'a FailureDomainId>,
     /// Requests of one VM that an upstream's connections allow.
     pub(super) connection_share: u32,
-    /// Share of the pool's engines that long prompts need.
+    /// Share of the pool's capacity that long prompts need.
     pub(super) long_share: f64,
     /// Ratio of the real to the estimated time of reading.
     pub(super) reading_ratio: f64,
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -1,5 +1,6 @@
 //! Decisions of the scheduler for single calls.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -271,6 +272,28 @@
     assert!(!long.is_empty() && !short.is_empty());
 }
 
+#[test]
+fn lanes_share_the_capacity_of_engines_of_two_speeds() {
+    let engines = (0..12).map(|it| upstream(&format!("e-{it}"), ENGINES, "near")).collect();
+    let mut bench = Bench::new(engines);
+    for engine in 0..12 {
+        let event_gap = Duration::from_millis(if engine < 6 { 30 } else { 20 });
+        let paced = SchedulerEvent::Paced { upstream: format!("e-{engine}").into(), event_gap };
+        bench.scheduler.handle(bench.now, paced);
+    }
+    bench.arrive(CallKind::Stream, ENGINES, 0, prompt(500, 10_000));
+    let mut used = BTreeSet::new();
+    for beginning in 0..300 {
+        let sent = bench.arrive(CallKind::Stream, ENGINES, 2, prompt(6_000, beginning));
+        bench.end(bench.next_id, 1, SendEnd::Complete);
+        let Reaction::Sent(engine) = sent else { panic!("{sent:?}") };
+        used.insert(engine);
+    }
+    // The six slow ones have the capacity of four, so that two thirds of ten are those and three.
+    assert_eq!(used.len(), 9, "{used:?}");
+    assert!((0..6).all(|it| used.contains(&format!("e-{it}"))), "{used:?}");
+}
+
 #[test]
 fn work_of_other_vms_counts() {
     let mut bench = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
