fix: paces told before the directory are kept

Cause: a VM that joins is told all paces once, with the members; those of upstreams that its directory does not name yet were dropped, and nobody tells them again. Such a VM would divide the lanes in another way than the others.

Change: they are kept, up to three times the target's 600, until the directory names the upstream. The test failed before.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -83,6 +83,9 @@
 /// Time for which a call that is sent again waits for room.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
+/// Paces that are kept for upstreams still unknown: three times the 600 of the target.
+const MAX_EARLY_PACES: usize = 1_800;
+
 /// Fixed properties of a scheduler.
 #[derive(Debug, Clone, Default)]
 pub struct SchedulerSettings {
@@ -115,6 +118,8 @@
     budget: RetryBudget,
     kinds: ArrivedKinds,
     reading: HashMap<(PoolId, Tier), ReadingRatio>,
+    /// Paces of upstreams that the directory does not name yet.
+    early_paces: HashMap<UpstreamKey, PaceStep>,
 }
 
 /// A call between its arrival and its end.
@@ -142,6 +147,7 @@
             calls: HashMap::new(),
             kinds: ArrivedKinds::default(),
             reading: HashMap::new(),
+            early_paces: HashMap::new(),
         }
     }
 
@@ -410,7 +416,13 @@
                     it.record = record;
                     it
                 }
-                None => Upstream::new(record, now),
+                None => {
+                    let mut upstream = Upstream::new(record, now);
+                    if let Some(step) = self.early_paces.remove(&upstream.key()) {
+                        upstream.pace.learn(step);
+                    }
+                    upstream
+                }
             };
             upstream.set_engine(self.table.engine(&upstream.record.pool));
             self.upstreams.insert(upstream.record.id.clone(), upstream);
@@ -441,13 +453,19 @@
     }
 
     fn on_paces_told(&mut self, paces: &[UpstreamPace]) {
-        let steps: HashMap<UpstreamKey, PaceStep> =
+        let mut steps: HashMap<UpstreamKey, PaceStep> =
             paces.iter().map(|it| (it.upstream, it.step)).collect();
         for upstream in self.upstreams.values_mut() {
-            if let Some(step) = steps.get(&upstream.key()) {
-                upstream.pace.learn(*step);
+            if let Some(step) = steps.remove(&upstream.key()) {
+                upstream.pace.learn(step);
             }
         }
+        // A VM that starts hears its peers before it has the whole directory. Most of what is kept
+        // for long belongs to upstreams that have left.
+        if self.early_paces.len() + steps.len() > MAX_EARLY_PACES {
+            self.early_paces.clear();
+        }
+        self.early_paces.extend(steps);
     }
 
     fn on_tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -196,7 +196,7 @@
     pub candidates: u32,
     /// Estimated time until the upstream has read the prompts before this one.
     pub backlog: Duration,
-    /// Estimated time to fetch and read the prompt itself.
+    /// Estimated time to fetch and read the prompt itself, and until higher tiers have passed it.
     pub read: Duration,
     /// Prompt tokens that the upstream is believed to have cached.
     pub cached_tokens: u32,
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -232,6 +232,7 @@
     has_room: bool,
     cost_ms: f64,
     backlog: Duration,
+    /// Time to fetch and read the prompt itself.
     read: Duration,
     cached_tokens: u32,
     prefix_source: Option<UpstreamId>,
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -332,6 +332,20 @@
     assert_eq!(listener.scheduler.take_pace_news(10), []);
 }
 
+#[test]
+fn pace_told_before_the_directory_is_kept() {
+    let mut teller = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
+    let event_gap = Duration::from_millis(20);
+    let paced = SchedulerEvent::Paced { upstream: "e-0".into(), event_gap };
+    teller.scheduler.handle(teller.now, paced);
+    let paces = teller.scheduler.paces();
+    let mut listener = Bench::new(Vec::new());
+    listener.scheduler.handle(listener.now, SchedulerEvent::PacesTold(paces.clone()));
+    let directory = SchedulerEvent::DirectoryChanged(teller.scheduler.directory());
+    listener.scheduler.handle(listener.now, directory);
+    assert_eq!(listener.scheduler.paces(), paces);
+}
+
 #[test]
 fn pool_that_loses_its_engine_profile_is_a_plain_service() {
     let mut bench = Bench::new(vec![upstream("e-0", ENGINES, "near")]);
