--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -162,11 +162,13 @@
         Some(prompt) => by_home(around, prompt, &lanes, &healthy),
         None => healthy.clone(),
     };
-    let home = ranked.first().filter(|_| call.prompt.is_some()).map(|it| &it.record.id);
     let fresh = select(&ranked, |it| !tried.contains(&it.record.id));
     let expected = Expected {
-        home,
         homes: ranked.iter().take(PREFIX_HOMES).map(|it| &it.record.id).collect(),
+        stays_home: call
+            .prompt
+            .as_ref()
+            .is_some_and(|it| lanes::is_long(it) && it.shared_hash().is_some()),
         lanes: &lanes,
         others_backlog: [true, false].map(|is_long| {
             let in_lane = in_service.iter().filter(|it| lanes.is_long(it) == is_long);
@@ -224,9 +226,10 @@
 
 /// What is expected of all upstreams for one call.
 struct Expected<'a> {
-    home: Option<&'a UpstreamId>,
-    /// Engines that are the most likely to have the prompt's shared beginning.
+    /// Engines that are the most likely to have the prompt's shared beginning, the first one most.
     homes: Vec<&'a UpstreamId>,
+    /// Whether the call goes to the homes as long as one has room.
+    stays_home: bool,
     lanes: &'a Lanes,
     /// Backlog of the other VMs at an engine of which nobody told: for long prompts, for short
     /// ones.
@@ -279,7 +282,7 @@
         };
         let expected_cached = (f64::from(prompt.shared_tokens()) * HOME_CACHED_SHARE) as u32;
         let mut cached_tokens = upstream.cache.cached_tokens(prompt);
-        if expected.home == Some(&upstream.record.id) {
+        if expected.homes.first() == Some(&&upstream.record.id) {
             cached_tokens = cached_tokens.max(expected_cached);
         }
         let prefix_source = expected.homes.iter().find(|it| **it != &upstream.record.id);
@@ -313,10 +316,9 @@
         // The room does not depend on the prompt's own size, so that large ones find it as often.
         let most_backlog = call.route.target.mul_f64(ROOM_SHARE);
         let has_slot = has_connection && in_flight < upstream.record.slots;
-        let has_homes = lanes::is_long(prompt) && prompt.shared_hash().is_some();
         Self {
             upstream,
-            is_preferred: !has_homes || expected.homes.contains(&&upstream.record.id),
+            is_preferred: !expected.stays_home || expected.homes.contains(&&upstream.record.id),
             has_room: has_slot && backlog <= most_backlog,
             has_room_to_spare: has_slot && backlog <= most_backlog.mul_f64(SPARE_SHARE),
             cost_ms,
