refactor: one way to take a heartbeat, in membership

The daemon and the relay each fed a heartbeat's sender and news to the membership and looked for it among the neighbours. The relay also copied all members for each heartbeat and each round, to send them to newcomers only and to count them.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -17,6 +17,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peer::Heartbeat;
 use crate::peer::PeerAddress;
 
 /// Silence of a neighbour after which it is declared dead.
@@ -90,6 +91,15 @@
     news_left: u32,
 }
 
+/// What a heartbeat tells of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// Whether it was not known before.
+    pub is_new: bool,
+    /// Whether heartbeats go to it anyway.
+    pub is_neighbour: bool,
+}
+
 impl Membership {
     /// Creates a membership of one; `incarnation` must be higher than at any earlier start.
     pub const fn new(own: PeerAddress, incarnation: u64) -> Self {
@@ -127,6 +137,11 @@
         if names.is_empty() { self.alive_names() } else { names }
     }
 
+    /// Members that are remembered, whatever their state, without this VM.
+    pub fn known(&self) -> usize {
+        self.members.len()
+    }
+
     /// All members but this VM, with their states.
     pub fn list(&self) -> Vec<MemberUpdate> {
         self.members.values().map(Member::update).collect()
@@ -151,6 +166,18 @@
         self.members.insert(address.vm.clone(), Member::new(now, address, 0));
     }
 
+    /// Takes a heartbeat with the news in it.
+    pub fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) -> Heard {
+        let from = &heartbeat.from;
+        let is_new = !self.members.contains_key(&from.vm);
+        self.on_heard(now, from, heartbeat.incarnation);
+        for update in &heartbeat.members {
+            self.on_update(now, update);
+        }
+        let is_neighbour = self.neighbours().iter().any(|it| it.vm == from.vm);
+        Heard { is_new, is_neighbour }
+    }
+
     /// Takes a sign of life from a neighbour itself.
     pub fn on_heard(&mut self, now: Instant, address: &PeerAddress, incarnation: u64) {
         if address.vm == self.own.vm {
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -141,19 +141,12 @@
 
 fn on_heartbeat(node: &Node, heartbeat: Heartbeat) {
     let now = Instant::now();
+    let heard = node.membership().on_heartbeat(now, &heartbeat);
     let from = heartbeat.from;
     node.links.on_heartbeat(&from, heartbeat.sequence, heartbeat.acknowledged);
-    let is_neighbour = {
-        let mut membership = node.membership();
-        membership.on_heard(now, &from, heartbeat.incarnation);
-        for update in &heartbeat.members {
-            membership.on_update(now, update);
-        }
-        membership.neighbours().iter().any(|it| it.vm == from.vm)
-    };
     node.dispatcher.handle(Event::PeerPressure(heartbeat.pressure));
     // The pause keeps two VMs that are no neighbours of each other from answering without end.
-    if !is_neighbour && node.links.is_heartbeat_due(&from, REPLY_PAUSE) {
+    if !heard.is_neighbour && node.links.is_heartbeat_due(&from, REPLY_PAUSE) {
         send_heartbeat(node, &from, node.dispatcher.pressure());
     }
     if heartbeat.config_fresh || heartbeat.config_version > node.replica().version() {
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -73,7 +73,7 @@
     /// Counts all members that are remembered, those thought dead included: VMs that are only cut
     /// off from this one go on to use their share.
     fn count_vms(&self) {
-        let known = u32::try_from(self.membership().list().len()).unwrap_or(u32::MAX);
+        let known = u32::try_from(self.membership().known()).unwrap_or(u32::MAX);
         let vms = if known == 0 { ASSUMED_VMS } else { known + 1 };
         self.relay.hear_peer(SchedulerEvent::VmsCounted(vms));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vms));
@@ -143,26 +143,18 @@
 
     fn on_heartbeat(&self, heartbeat: Heartbeat) {
         let now = Instant::now();
+        let heard = self.membership().on_heartbeat(now, &heartbeat);
         let from = heartbeat.from;
         self.links.on_heartbeat(&from, heartbeat.sequence, heartbeat.acknowledged);
-        let (is_new, is_neighbour, all) = {
-            let mut membership = self.membership();
-            let is_new = membership.address_of(&from.vm).is_none();
-            membership.on_heard(now, &from, heartbeat.incarnation);
-            for update in &heartbeat.members {
-                membership.on_update(now, update);
-            }
-            let is_neighbour = membership.neighbours().iter().any(|it| it.vm == from.vm);
-            (is_new, is_neighbour, membership.list())
-        };
-        if is_new {
+        if heard.is_new {
             let own = self.own();
-            self.links.send(&from, &PeerMessage::Members { from: own.clone(), members: all });
+            let members = self.membership().list();
+            self.links.send(&from, &PeerMessage::Members { from: own.clone(), members });
             let paces = self.relay.dispatcher.paces();
             self.links.send(&from, &PeerMessage::Paces { from: own, paces });
         }
         // The pause keeps two VMs that are no neighbours of each other from answering without end.
-        if !is_neighbour && self.links.is_heartbeat_due(&from, REPLY_PAUSE) {
+        if !heard.is_neighbour && self.links.is_heartbeat_due(&from, REPLY_PAUSE) {
             self.send_heartbeat(&from);
         }
         if heartbeat.config_version > self.version() {
