refactor: an attempt's end and its name are decided once

The relay's outcomes had names of their own beside those of the scheduler's ends, and the mapping between the two stood in the service. A broken end told whether the connection had ended; nobody read that, and the relay always said yes.

--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -505,7 +505,7 @@
         self.step_numbers[engine] += 1;
         for number in self.engines[engine].crash() {
             let attempt = self.requests[number].attempt;
-            self.end_attempt(number, attempt, SendEnd::Broken { disconnected: true });
+            self.end_attempt(number, attempt, SendEnd::Broken);
         }
     }
 
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -328,7 +328,7 @@
             return;
         };
         let pool = tracked.call.pool.clone();
-        tracked.may_have_run |= matches!(end, SendEnd::Failed | SendEnd::Broken { .. });
+        tracked.may_have_run |= matches!(end, SendEnd::Failed | SendEnd::Broken);
         if let Some(upstream) = tracked.at.take().and_then(|it| self.upstreams.get_mut(&it)) {
             upstream.ended(id);
             let took_work = upstream.takes_work(now);
@@ -347,10 +347,9 @@
             SendEnd::Complete | SendEnd::Abandoned => {
                 self.calls.remove(&id);
             }
-            SendEnd::NotSent
-            | SendEnd::Refused { .. }
-            | SendEnd::Failed
-            | SendEnd::Broken { .. } => self.retry_or_conclude(now, id, end, actions),
+            SendEnd::NotSent | SendEnd::Refused { .. } | SendEnd::Failed | SendEnd::Broken => {
+                self.retry_or_conclude(now, id, end, actions)
+            }
         }
         self.dispatch(now, &pool, actions);
     }
@@ -501,7 +500,7 @@
             upstream.circuit.inconclusive();
         }
         SendEnd::Failed => upstream.circuit.inconclusive(),
-        SendEnd::Broken { .. } => upstream.circuit.failed(now),
+        SendEnd::Broken => upstream.circuit.failed(now),
         SendEnd::Abandoned => upstream.circuit.inconclusive(),
     }
 }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -97,10 +97,7 @@
     /// The upstream answered with a failure of its own.
     Failed,
     /// The call was sent, and no whole answer arrived.
-    Broken {
-        /// Whether the connection ended, rather than being silent for too long.
-        disconnected: bool,
-    },
+    Broken,
     /// The caller left or the time was over, without evidence against the upstream.
     Abandoned,
 }
@@ -114,7 +111,7 @@
             Self::Refused { misdirected: true } => "misdirected",
             Self::Refused { misdirected: false } => "refused",
             Self::Failed => "failed",
-            Self::Broken { .. } => "broken",
+            Self::Broken => "broken",
             Self::Abandoned => "abandoned",
         }
     }
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -180,7 +180,7 @@
 #[test]
 fn call_that_may_have_run_once_is_not_sent_again() {
     let mut bench = Bench::new(two_plain());
-    for end in [SendEnd::Broken { disconnected: true }, SendEnd::Failed] {
+    for end in [SendEnd::Broken, SendEnd::Failed] {
         bench.arrive(CallKind::Once, PLAIN, 0, None);
         let id = bench.next_id;
         let reaction = bench.end(id, 1, end);
@@ -438,7 +438,7 @@
                         SendEnd::NotSent,
                         SendEnd::Refused { misdirected: false },
                         SendEnd::Failed,
-                        SendEnd::Broken { disconnected: true },
+                        SendEnd::Broken,
                         SendEnd::Abandoned,
                     ];
                     let end = ends[usize::from(choice) % ends.len()];
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_policy::scheduler::SendCommand;
+use cranberryvalve_policy::scheduler::SendEnd;
 
 use crate::answer::AnswerHead;
 use crate::caller::Caller;
@@ -126,16 +127,24 @@
 }
 
 impl AttemptOutcome {
+    /// What the scheduler is told of it.
+    pub(crate) const fn end(&self) -> SendEnd {
+        match self {
+            Self::NotSent => SendEnd::NotSent,
+            Self::NotRun { misdirected } => SendEnd::Refused { misdirected: *misdirected },
+            Self::Whole(answer) if answer.head.status >= 500 => SendEnd::Failed,
+            Self::Whole(_) | Self::Delivered => SendEnd::Complete,
+            Self::Broken => SendEnd::Broken,
+            Self::CallerGone | Self::TimeOver => SendEnd::Abandoned,
+        }
+    }
+
     /// Name of a failure in logs; none for an attempt that did not fail.
     pub(crate) const fn failure(&self) -> Option<&'static str> {
-        match self {
-            Self::NotSent => Some("not_connected"),
-            Self::NotRun { misdirected: true } => Some("misdirected"),
-            Self::NotRun { misdirected: false } => Some("refused"),
-            Self::Whole(answer) if answer.head.status >= 500 => Some("failed"),
-            Self::Broken => Some("broken"),
-            Self::TimeOver => Some("time_over"),
-            Self::Whole(_) | Self::Delivered | Self::CallerGone => None,
+        match (self, self.end()) {
+            (Self::TimeOver, _) => Some("time_over"),
+            (_, SendEnd::Complete | SendEnd::Abandoned) => None,
+            (_, end) => Some(end.name()),
         }
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -309,23 +309,23 @@
                 "peer_age_ms" => millis(command.reason.peer_age));
         }
         progress.note_attempt(command, &outcome);
-        let (end, ending) = match outcome {
-            AttemptOutcome::NotSent => (SendEnd::NotSent, None),
-            AttemptOutcome::NotRun { misdirected } => (SendEnd::Refused { misdirected }, None),
-            AttemptOutcome::Whole(answer) if answer.head.status >= 500 => {
+        let end = outcome.end();
+        let ending = match outcome {
+            AttemptOutcome::NotSent | AttemptOutcome::NotRun { .. } => None,
+            AttemptOutcome::Whole(answer) if end == SendEnd::Failed => {
                 progress.failure = Some(answer);
-                (SendEnd::Failed, None)
+                None
             }
-            AttemptOutcome::Whole(answer) => (SendEnd::Complete, Some(Ending::Answer(answer))),
-            AttemptOutcome::Delivered => (SendEnd::Complete, Some(Ending::Delivered)),
+            AttemptOutcome::Whole(answer) => Some(Ending::Answer(answer)),
+            AttemptOutcome::Delivered => Some(Ending::Delivered),
             AttemptOutcome::Broken => {
                 progress.may_have_run = true;
-                (SendEnd::Broken { disconnected: true }, None)
+                None
             }
-            AttemptOutcome::CallerGone => (SendEnd::Abandoned, Some(Ending::CallerGone)),
+            AttemptOutcome::CallerGone => Some(Ending::CallerGone),
             AttemptOutcome::TimeOver => {
                 progress.may_have_run = true;
-                (SendEnd::Abandoned, Some(progress.time_over()))
+                Some(progress.time_over())
             }
         };
         ticket.ended(attempt, end);
