refactor: one reader of heads, no pass-through methods

Heads of requests (adapters) and of answers (relay) were copied out of httparse's types, and its errors sorted, by the same dozen lines; both call head_len and owned_headers now. The relay's state passed four calls on to the dispatcher that the peers reach anyway.

--- a/crates/adapters/src/caller/head.rs
+++ b/crates/adapters/src/caller/head.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-/// Headers in one request, at most.
-const MAX_HEADERS: usize = 64;
+/// Headers in one head, at most.
+pub const MAX_HEADERS: usize = 64;
 
 /// The first line and the headers of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,7 +13,7 @@
     /// Path and query.
     pub target: Box<str>,
     /// Names in lower case, with their values.
-    headers: Vec<(Box<str>, Box<str>)>,
+    headers: OwnedHeaders,
     /// Whether the connection may be used again.
     pub keep_alive: bool,
 }
@@ -92,6 +92,32 @@
     }
 }
 
+/// Headers in order: names in lower case, with their values.
+pub type OwnedHeaders = Vec<(Box<str>, Box<str>)>;
+
+/// Length of a parsed head in bytes; none when it is not complete yet.
+///
+/// # Errors
+///
+/// Fails when the bytes cannot become a head that is accepted.
+pub fn head_len(parsed: httparse::Result<usize>) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(len)) => Ok(Some(len)),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooManyHeaders),
+        Err(error) => Err(HeadError::Malformed(error.to_string().into())),
+    }
+}
+
+/// Copies parsed headers, names in lower case and values without space around them.
+pub fn owned_headers(headers: &[httparse::Header<'_>]) -> OwnedHeaders {
+    let owned = headers.iter().map(|header| {
+        let value = String::from_utf8_lossy(header.value);
+        (header.name.to_ascii_lowercase().into(), value.trim().into())
+    });
+    owned.collect()
+}
+
 /// Parses a head; none when it is not complete yet.
 ///
 /// # Errors
@@ -100,20 +126,11 @@
 pub fn parse_head(bytes: &[u8]) -> Result<Option<(RequestHead, usize)>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
-    let len = match request.parse(bytes) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooManyHeaders),
-        Err(error) => return Err(HeadError::Malformed(error.to_string().into())),
-    };
-    let headers = request.headers.iter().map(|header| {
-        let value = String::from_utf8_lossy(header.value);
-        (header.name.to_ascii_lowercase().into(), value.trim().into())
-    });
+    let Some(len) = head_len(request.parse(bytes))? else { return Ok(None) };
     let mut head = RequestHead {
         method: request.method.unwrap_or_default().into(),
         target: request.path.unwrap_or_default().into(),
-        headers: headers.collect(),
+        headers: owned_headers(request.headers),
         keep_alive: request.version == Some(1),
     };
     if head.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close")) {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -348,7 +348,7 @@
                 self.calls.remove(&id);
             }
             SendEnd::NotSent | SendEnd::Refused { .. } | SendEnd::Failed | SendEnd::Broken => {
-                self.retry_or_conclude(now, id, end, actions)
+                self.retry_or_conclude(now, id, end, actions);
             }
         }
         self.dispatch(now, &pool, actions);
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -442,7 +442,7 @@
                         SendEnd::Abandoned,
                     ];
                     let end = ends[usize::from(choice) % ends.len()];
-                    if matches!(end, SendEnd::Failed | SendEnd::Broken { .. }) {
+                    if matches!(end, SendEnd::Failed | SendEnd::Broken) {
                         doubtful.push(id);
                     }
                     let event = SchedulerEvent::Ended { id, attempt, end };
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,9 +1,10 @@
 //! Heads of upstreams' answers.
 
 use cranberryvalve_adapters::caller::HeadError;
-
-/// Headers in one answer, at most.
-const MAX_HEADERS: usize = 64;
+use cranberryvalve_adapters::caller::MAX_HEADERS;
+use cranberryvalve_adapters::caller::OwnedHeaders;
+use cranberryvalve_adapters::caller::head_len;
+use cranberryvalve_adapters::caller::owned_headers;
 
 /// The first line and the headers of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -13,7 +14,7 @@
     /// Reason phrase.
     pub reason: Box<str>,
     /// Names in lower case, with their values.
-    headers: Vec<(Box<str>, Box<str>)>,
+    headers: OwnedHeaders,
     /// Whether the upstream speaks HTTP/1.1.
     is_current_version: bool,
 }
@@ -78,20 +79,11 @@
 pub(crate) fn parse_answer_head(bytes: &[u8]) -> Result<Option<(AnswerHead, usize)>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
-    let len = match response.parse(bytes) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(HeadError::TooManyHeaders),
-        Err(error) => return Err(HeadError::Malformed(error.to_string().into())),
-    };
-    let headers = response.headers.iter().map(|header| {
-        let value = String::from_utf8_lossy(header.value);
-        (header.name.to_ascii_lowercase().into(), value.trim().into())
-    });
+    let Some(len) = head_len(response.parse(bytes))? else { return Ok(None) };
     let head = AnswerHead {
         status: response.code.unwrap_or_default(),
         reason: response.reason.unwrap_or_default().into(),
-        headers: headers.collect(),
+        headers: owned_headers(response.headers),
         is_current_version: response.version == Some(1),
     };
     Ok(Some((head, len)))
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -169,11 +169,11 @@
         loop {
             thread::sleep(REPORT_INTERVAL);
             self.send_paces();
-            let loads = self.relay.loads_for_peers();
+            let loads = self.relay.dispatcher.loads_for_peers();
             if loads.is_empty() {
                 continue;
             }
-            let records = self.relay.directory();
+            let records = self.relay.dispatcher.directory();
             let records: HashMap<&str, &UpstreamRecord> =
                 records.iter().map(|it| (&*it.id, it)).collect();
             let known = loads.into_iter().filter_map(|it| Some((*records.get(&*it.upstream)?, it)));
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -75,7 +75,7 @@
     fn count_vms(&self) {
         let known = u32::try_from(self.membership().known()).unwrap_or(u32::MAX);
         let vms = if known == 0 { ASSUMED_VMS } else { known + 1 };
-        self.relay.hear_peer(SchedulerEvent::VmsCounted(vms));
+        self.relay.dispatcher.handle(SchedulerEvent::VmsCounted(vms));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vms));
     }
 
@@ -119,10 +119,10 @@
                 }
                 Some(PeerMessage::Document { body, .. }) => self.on_document(body),
                 Some(PeerMessage::LoadReport { from, loads }) => {
-                    self.relay.hear_peer(SchedulerEvent::PeerTold { vm: from.vm, loads });
+                    self.relay.dispatcher.handle(SchedulerEvent::PeerTold { vm: from.vm, loads });
                 }
                 Some(PeerMessage::LoadsWanted { from, question, upstreams }) => {
-                    let loads = self.relay.loads_without(&from.vm, &upstreams);
+                    let loads = self.relay.dispatcher.loads_without(&from.vm, &upstreams);
                     let own = self.own();
                     self.links.send(&from, &PeerMessage::LoadsTold { from: own, question, loads });
                 }
@@ -130,7 +130,7 @@
                     self.questions.answer(question, loads);
                 }
                 Some(PeerMessage::Paces { paces, .. }) => {
-                    self.relay.hear_peer(SchedulerEvent::PacesTold(paces));
+                    self.relay.dispatcher.handle(SchedulerEvent::PacesTold(paces));
                 }
                 // Limits of customers are not kept by relays.
                 Some(PeerMessage::LimitReport { .. } | PeerMessage::LimitShares { .. }) => {}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -256,7 +256,7 @@
         }
         let loads = peers.ask(&upstreams);
         if !loads.is_empty() {
-            self.relay.hear_peer(SchedulerEvent::HomeTold(loads));
+            self.relay.dispatcher.handle(SchedulerEvent::HomeTold(loads));
         }
         true
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,8 +22,6 @@
 
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::UpstreamId;
-use cranberryvalve_core::UpstreamLoad;
-use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SchedulerSettings;
@@ -202,26 +200,6 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The directory of upstreams in force.
-    pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
-        self.dispatcher.directory()
-    }
-
-    /// Takes what another VM has in flight, or how many VMs there are.
-    pub(crate) fn hear_peer(&self, event: SchedulerEvent) {
-        self.dispatcher.handle(event);
-    }
-
-    /// What the other VMs are told of this VM's work.
-    pub(crate) fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
-        self.dispatcher.loads_for_peers()
-    }
-
-    /// What all VMs but `vm` have in flight at upstreams whose home this VM is.
-    pub(crate) fn loads_without(&self, vm: &VmId, upstreams: &[UpstreamId]) -> Vec<UpstreamLoad> {
-        self.dispatcher.loads_without(vm, upstreams)
-    }
-
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.table().is_some() && self.dispatcher.has_upstreams()
