--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod command;
 mod prepare;
+mod regress;
 
 use std::process::ExitCode;
 
@@ -33,6 +34,8 @@
     Fleet(Passed),
     #[options(help = "run the fault-injection campaign: --seed N --rounds N")]
     Campaign(Passed),
+    #[options(help = "score the listed deployments on the users' bench, or those named")]
+    Regress(Passed),
 }
 
 /// Arguments for the task itself; they are passed on unparsed.
@@ -74,6 +77,7 @@
         Task::Measure(_) => checks::lab("measure", passed),
         Task::Fleet(_) => checks::lab("fleet", passed),
         Task::Campaign(_) => checks::lab("campaign", passed),
+        Task::Regress(_) => regress::regress(passed),
     }
 }
 
