feat: upstreams announce their departure or a pause in responses

Cause: a worker that leaves says so in its responses before the directory does, and one that is full may ask for a pause; both were ignored, so calls went on to it until the directory changed, and refusals were retried at once. Ruled out: opening the circuit (a pause is no fault, and the half-open probe would be a request), and learning it from the directory (seconds later).

Change: Dialect::notices decodes both. The scheduler takes the upstream out at once; a departure holds for its incarnation whatever the directory lists later, and is flooded to all VMs. If all upstreams pause, callers are told the earliest return. Right before a request is written its upstream is checked again (attempt "withdrawn"), which also covers a VM that was suspended in between. scheduler.rs is split: availability, directory, sharing.

--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cranberryvalve_core::ConfigVersion;
+use cranberryvalve_core::Departure;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_core::UpstreamId;
@@ -95,6 +96,13 @@
         /// Decode pace of each upstream.
         paces: Vec<UpstreamPace>,
     },
+    /// Upstreams that are shutting down. The receiver forwards those that are new to it.
+    Departures {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Upstreams that must get no new requests.
+        departures: Vec<Departure>,
+    },
 }
 
 /// Identifier of a request, unique within the VM that sent it.
@@ -145,7 +153,8 @@
             | Self::LoadReport { from, .. }
             | Self::LoadRequest { from, .. }
             | Self::LoadResponse { from, .. }
-            | Self::Paces { from, .. } => from,
+            | Self::Paces { from, .. }
+            | Self::Departures { from, .. } => from,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 mod config;
+mod departure;
 mod digest;
 mod hash;
 mod ids;
@@ -40,6 +41,7 @@
 pub use config::ServiceClass;
 pub use config::UpstreamKind;
 pub use config::UpstreamSpec;
+pub use departure::Departure;
 pub use digest::Digest;
 pub use hash::stable_hash;
 pub use ids::Attempt;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -133,7 +133,8 @@
                 | PeerMessage::LoadReport { .. }
                 | PeerMessage::LoadRequest { .. }
                 | PeerMessage::LoadResponse { .. }
-                | PeerMessage::Paces { .. },
+                | PeerMessage::Paces { .. }
+                | PeerMessage::Departures { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -105,7 +105,11 @@
             prefix_source: it.prefix_source.as_deref().map(engine_index),
         })),
         SchedulerAction::Conclude(it) => Some(VmAction::Conclude { id: it.id }),
-        SchedulerAction::HealthChanged(_) | SchedulerAction::PredictionObserved(_) => None,
+        SchedulerAction::HealthChanged(_)
+        | SchedulerAction::UpstreamLeaving { .. }
+        | SchedulerAction::PauseStarted { .. }
+        | SchedulerAction::PauseEnded { .. }
+        | SchedulerAction::PredictionObserved(_) => None,
     });
     vm_actions.collect()
 }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -9,9 +9,11 @@
 //!
 //! [`Router`]: crate::Router
 
+mod availability;
 mod budget;
 mod call;
 mod decode_pace;
+mod directory;
 mod dispatch;
 mod engine;
 mod event;
@@ -20,6 +22,7 @@
 mod prefix_cache;
 mod queue;
 mod reading;
+mod sharing;
 mod snapshot;
 mod upstream;
 
@@ -37,11 +40,9 @@
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
-use cranberryvalve_core::UpstreamLoad;
-use cranberryvalve_core::UpstreamPace;
-use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 
+pub use availability::UpstreamNotice;
 pub use budget::RetryLimits;
 pub use call::Call;
 pub use call::Prompt;
@@ -51,6 +52,7 @@
 pub use event::Conclusion;
 pub use event::ConclusionReason;
 pub use event::HealthChange;
+pub use event::NoticeSource;
 pub use event::PlacementReason;
 pub use event::PredictedQuantity;
 pub use event::Prediction;
@@ -62,6 +64,7 @@
 pub use snapshot::UpstreamState;
 pub use upstream::UpstreamRecord;
 
+use self::availability::Departures;
 use self::budget::RetryBudget;
 use self::lanes::RecentArrivals;
 use self::queue::CallQueue;
@@ -88,10 +91,6 @@
 /// Time for which a retried call waits for room before it is refused.
 const RETRY_QUEUE_WAIT: Duration = Duration::from_millis(200);
 
-/// Maximum number of decode paces kept for upstreams that are not in the directory yet: three times
-/// the 600 upstreams that the system is designed for.
-const MAX_PENDING_PACES: usize = 1_800;
-
 /// Settings of a scheduler that do not change at run time.
 #[derive(Debug, Clone, Default)]
 pub struct SchedulerSettings {
@@ -126,6 +125,7 @@
     prefill_ratios: HashMap<(PoolId, Tier), PrefillRatio>,
     /// Decode paces received for upstreams that the directory does not list yet.
     pending_paces: HashMap<IncarnationHash, PaceStep>,
+    departures: Departures,
 }
 
 /// A call from its arrival until its response is complete or it is concluded or cancelled.
@@ -154,6 +154,7 @@
             recent_arrivals: RecentArrivals::default(),
             prefill_ratios: HashMap::new(),
             pending_paces: HashMap::new(),
+            departures: Departures::default(),
         }
     }
 
@@ -182,6 +183,14 @@
                     it.record_reported_load(now, load);
                 }
             }
+            SchedulerEvent::NoticeReceived { upstream, incarnation, notice } => {
+                self.on_notice(now, &upstream, incarnation, notice, &mut actions);
+            }
+            SchedulerEvent::PeerDepartures(departures) => {
+                for departure in departures {
+                    self.on_departure(now, departure, NoticeSource::Peer, &mut actions);
+                }
+            }
             SchedulerEvent::AttemptEnded { id, attempt, end } => {
                 self.on_attempt_ended(now, id, attempt, end, &mut actions);
             }
@@ -217,55 +226,6 @@
         self.calls.len()
     }
 
-    /// Returns this VM's load on each upstream where it has requests in flight, for reporting to
-    /// other VMs.
-    pub fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
-        self.upstreams.values().filter_map(Upstream::load_for_peers).collect()
-    }
-
-    /// Returns this VM's load on one upstream, for reporting to other VMs, or `None` if it has no
-    /// requests in flight there.
-    pub fn load_for_peers(&self, upstream: &UpstreamId) -> Option<UpstreamLoad> {
-        self.upstreams.get(upstream)?.load_for_peers()
-    }
-
-    /// Takes up to `limit` decode paces that still have to be forwarded to all neighbouring VMs.
-    ///
-    /// A VM forwards whatever is new to it, so an update reaches all VMs in as many rounds as the
-    /// diameter of the neighbour graph (flooding).
-    pub fn take_pace_updates(&mut self, limit: usize) -> Vec<UpstreamPace> {
-        let updates = self.upstreams.values_mut().filter_map(|it| {
-            let step = it.pace.take_update()?;
-            Some(UpstreamPace { upstream: it.key(), step })
-        });
-        updates.take(limit).collect()
-    }
-
-    /// Returns all known decode paces, for a VM that has just joined.
-    pub fn paces(&self) -> Vec<UpstreamPace> {
-        let known = self.upstreams.values();
-        let paces =
-            known.filter_map(|it| Some(UpstreamPace { upstream: it.key(), step: it.pace.step()? }));
-        paces.collect()
-    }
-
-    /// Returns `true` if the directory lists any upstream.
-    pub fn has_upstreams(&self) -> bool {
-        !self.upstreams.is_empty()
-    }
-
-    /// Returns the load of all VMs except `vm` on the given upstreams, for which this VM is the
-    /// load coordinator. Upstreams that are not in the directory are left out.
-    pub fn loads_excluding(
-        &self,
-        now: Instant,
-        vm: &VmId,
-        upstreams: &[UpstreamId],
-    ) -> Vec<UpstreamLoad> {
-        let known = upstreams.iter().filter_map(|it| self.upstreams.get(it));
-        known.map(|it| it.load_excluding(now, vm)).collect()
-    }
-
     /// Returns the most likely upstreams for a call, so that the caller can query their current
     /// load from their coordinators before placement.
     ///
@@ -287,11 +247,6 @@
         known.map(|it| it.record.clone()).collect()
     }
 
-    /// Returns the upstream directory as this VM knows it.
-    pub fn directory(&self) -> Vec<UpstreamRecord> {
-        self.upstreams.values().map(|it| it.record.clone()).collect()
-    }
-
     fn on_arrived(&mut self, now: Instant, call: Call, actions: &mut Vec<SchedulerAction>) {
         let pool = call.pool.clone();
         self.budget.deposit(&pool);
@@ -365,6 +320,7 @@
                 self.calls.remove(&id);
             }
             AttemptEnd::NotSent
+            | AttemptEnd::Withdrawn
             | AttemptEnd::Refused { .. }
             | AttemptEnd::Failed
             | AttemptEnd::Interrupted => {
@@ -383,7 +339,8 @@
     ) {
         let Some(tracked) = self.calls.get_mut(&id) else { return };
         let pool = tracked.call.pool.clone();
-        if end == AttemptEnd::NotSent {
+        let is_unsent = matches!(end, AttemptEnd::NotSent | AttemptEnd::Withdrawn);
+        if is_unsent {
             // The call did not reach an upstream, so the attempt counts neither towards the route's
             // limit nor towards the retry budget.
             tracked.discard_last_upstream();
@@ -395,7 +352,7 @@
             || tracked.attempts >= MAX_CALL_ATTEMPTS
         {
             Some(ConclusionReason::AttemptsExhausted)
-        } else if end != AttemptEnd::NotSent && !self.budget.try_withdraw(&pool) {
+        } else if !is_unsent && !self.budget.try_withdraw(&pool) {
             Some(ConclusionReason::RetryBudgetExhausted)
         } else {
             None
@@ -429,70 +386,6 @@
         self.dispatch(now, &pool, actions);
     }
 
-    fn on_directory_changed(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
-        let mut previous = std::mem::take(&mut self.upstreams);
-        for record in records {
-            let known = previous.remove(&record.id).filter(|it| {
-                it.record.incarnation == record.incarnation && it.record.address == record.address
-            });
-            let mut upstream = match known {
-                Some(mut it) => {
-                    it.is_gone &= it.record == record;
-                    it.record = record;
-                    it
-                }
-                None => {
-                    let mut upstream = Upstream::new(record, now);
-                    if let Some(step) = self.pending_paces.remove(&upstream.key()) {
-                        upstream.pace.merge(step);
-                    }
-                    upstream
-                }
-            };
-            upstream.set_engine(self.table.engine(&upstream.record.pool));
-            self.upstreams.insert(upstream.record.id.clone(), upstream);
-        }
-    }
-
-    fn on_peer_loads(&mut self, now: Instant, vm: &VmId, loads: &[UpstreamLoad]) {
-        for load in loads {
-            if let Some(upstream) = self.upstreams.get_mut(&load.upstream) {
-                upstream.record_peer_load(now, vm, load);
-            }
-        }
-    }
-
-    fn on_stream_measured(
-        &mut self,
-        upstream: &UpstreamId,
-        event_gap: Duration,
-        actions: &mut Vec<SchedulerAction>,
-    ) {
-        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
-        if let Some(expected) = upstream.pace.gap() {
-            let predicted = PredictedQuantity::EventGap;
-            let prediction = Prediction { predicted, expected, observed: event_gap };
-            actions.push(SchedulerAction::PredictionObserved(prediction));
-        }
-        upstream.pace.record(event_gap);
-    }
-
-    fn on_peer_paces(&mut self, paces: &[UpstreamPace]) {
-        let mut steps: HashMap<IncarnationHash, PaceStep> =
-            paces.iter().map(|it| (it.upstream, it.step)).collect();
-        for upstream in self.upstreams.values_mut() {
-            if let Some(step) = steps.remove(&upstream.key()) {
-                upstream.pace.merge(step);
-            }
-        }
-        // A VM that is starting hears from its peers before it has the whole directory. Entries
-        // that are kept for long mostly belong to upstreams that have left.
-        if self.pending_paces.len() + steps.len() > MAX_PENDING_PACES {
-            self.pending_paces.clear();
-        }
-        self.pending_paces.extend(steps);
-    }
-
     fn on_tick(&mut self, now: Instant, actions: &mut Vec<SchedulerAction>) {
         self.dispatch_all(now, actions);
         let waiting = self.queues.values().flat_map(CallQueue::ids);
@@ -525,7 +418,7 @@
             upstream.is_gone |= misdirected;
             upstream.circuit.record_inconclusive();
         }
-        AttemptEnd::Failed => upstream.circuit.record_inconclusive(),
+        AttemptEnd::Failed | AttemptEnd::Withdrawn => upstream.circuit.record_inconclusive(),
         AttemptEnd::Interrupted => upstream.circuit.record_failure(now),
         AttemptEnd::Abandoned => upstream.circuit.record_inconclusive(),
     }
--- /dev/null
+++ b/crates/policy/src/scheduler/directory.rs
@@ -0,0 +1,57 @@
+//! Applies changes of the upstream directory.
+
+use std::time::Instant;
+
+use cranberryvalve_core::Departure;
+
+use super::Scheduler;
+use super::UpstreamRecord;
+use super::upstream::Upstream;
+
+impl Scheduler {
+    /// Returns `true` if the directory lists any upstream.
+    pub fn has_upstreams(&self) -> bool {
+        !self.upstreams.is_empty()
+    }
+
+    /// Returns the upstream directory as this VM knows it.
+    pub fn directory(&self) -> Vec<UpstreamRecord> {
+        self.upstreams.values().map(|it| it.record.clone()).collect()
+    }
+
+    pub(super) fn on_directory_changed(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
+        let mut previous = std::mem::take(&mut self.upstreams);
+        for record in records {
+            let known = previous.remove(&record.id).filter(|it| {
+                it.record.incarnation == record.incarnation && it.record.address == record.address
+            });
+            let mut upstream = match known {
+                Some(mut it) => {
+                    it.is_gone &= it.record == record;
+                    it.record = record;
+                    it
+                }
+                None => {
+                    let mut upstream = Upstream::new(record, now);
+                    if let Some(step) = self.pending_paces.remove(&upstream.key()) {
+                        upstream.pace.merge(step);
+                    }
+                    upstream
+                }
+            };
+            upstream.set_engine(self.table.engine(&upstream.record.pool));
+            let departure = Departure {
+                upstream: upstream.record.id.clone(),
+                incarnation: upstream.record.incarnation,
+            };
+            if upstream.record.is_leaving {
+                self.departures.record(now, &departure);
+            }
+            // An upstream that is shutting down does not return under the same incarnation, even
+            // if the directory still lists it as in service or has gone back to an older state.
+            upstream.record.is_leaving =
+                self.departures.is_leaving(&departure.upstream, departure.incarnation);
+            self.upstreams.insert(upstream.record.id.clone(), upstream);
+        }
+    }
+}
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -57,6 +57,13 @@
             match self.place(now, tracked) {
                 Placement::Chosen(choice) => self.send(now, id, &choice, actions),
                 Placement::Full(_) => blocked_tier = Some(tier),
+                Placement::Paused(wait) if now + wait < tracked.give_up_at => {
+                    blocked_tier = Some(tier);
+                }
+                Placement::Paused(wait) => {
+                    let retry_after = wait.max(MIN_RETRY_AFTER);
+                    self.conclude(id, ConclusionReason::UpstreamsPaused, retry_after, actions);
+                }
                 Placement::NoUpstream => {
                     self.conclude(id, ConclusionReason::NoUpstream, RETRY_AFTER_FAILURE, actions);
                 }
@@ -139,6 +146,10 @@
         if let Some(queue) = self.queues.get_mut(&tracked.call.pool) {
             queue.remove(tracked.call.tier, id);
         }
+        if upstream.pause.take_ended(now) {
+            let upstream = choice.upstream.clone();
+            actions.push(SchedulerAction::PauseEnded { upstream });
+        }
         upstream.record_attempt(now, &tracked.call, &choice.reason);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
@@ -161,7 +172,7 @@
     ) {
         let Some(tracked) = self.calls.get(&id) else { return };
         let retry_after = match self.place(now, tracked) {
-            Placement::Full(shortest) => shortest.max(MIN_RETRY_AFTER),
+            Placement::Full(wait) | Placement::Paused(wait) => wait.max(MIN_RETRY_AFTER),
             Placement::Chosen(_) => MIN_RETRY_AFTER,
             Placement::NoUpstream => RETRY_AFTER_FAILURE,
         };
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cranberryvalve_core::Attempt;
+use cranberryvalve_core::Departure;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
@@ -10,6 +11,7 @@
 use cranberryvalve_core::VmId;
 
 use super::Call;
+use super::UpstreamNotice;
 use super::UpstreamRecord;
 
 /// An input of [`Scheduler::handle`](super::Scheduler::handle).
@@ -40,6 +42,17 @@
         /// Load in the report.
         load: ReportedLoad,
     },
+    /// An upstream announced in a response that it is leaving or wants a pause.
+    NoticeReceived {
+        /// Upstream that sent the response.
+        upstream: UpstreamId,
+        /// Start of the upstream that the request was sent to.
+        incarnation: u64,
+        /// What the upstream announced.
+        notice: UpstreamNotice,
+    },
+    /// Another VM told that upstreams are leaving.
+    PeerDepartures(Vec<Departure>),
     /// An attempt ended.
     AttemptEnded {
         /// Call that the attempt belongs to.
@@ -91,6 +104,8 @@
     Complete,
     /// The connection could not be made, so no byte was sent.
     NotSent,
+    /// The upstream stopped taking requests after it was chosen, so no byte was sent.
+    Withdrawn,
     /// The upstream confirmed that it did not run the call.
     Refused {
         /// Whether the request was meant for an upstream whose address another one has taken over.
@@ -110,6 +125,7 @@
         match self {
             Self::Complete => "complete",
             Self::NotSent => "not_connected",
+            Self::Withdrawn => "withdrawn",
             Self::Refused { misdirected: true } => "misdirected",
             Self::Refused { misdirected: false } => "refused",
             Self::Failed => "failed",
@@ -128,10 +144,50 @@
     Conclude(Conclusion),
     /// Log that an upstream went out of service, or back into it.
     HealthChanged(HealthChange),
+    /// Log that an upstream is leaving, and stop using its connections.
+    UpstreamLeaving {
+        /// Upstream that is leaving.
+        upstream: UpstreamId,
+        /// Who announced it.
+        source: NoticeSource,
+    },
+    /// Log that an upstream asked for a pause.
+    PauseStarted {
+        /// Upstream that gets no requests from this VM.
+        upstream: UpstreamId,
+        /// Time that the upstream asked for.
+        requested: Duration,
+        /// Time until the pause ends.
+        pause: Duration,
+    },
+    /// Log that a pause is over and the upstream gets requests again.
+    PauseEnded {
+        /// Upstream that gets requests again.
+        upstream: UpstreamId,
+    },
     /// Record in the metrics how a prediction compares with what was observed.
     PredictionObserved(Prediction),
 }
 
+/// Who announced that an upstream is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeSource {
+    /// The upstream itself, in a response to this VM.
+    Upstream,
+    /// Another VM.
+    Peer,
+}
+
+impl NoticeSource {
+    /// Returns the name of this source in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Upstream => "response",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// A predicted time with the observed one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Prediction {
@@ -222,6 +278,8 @@
     NoUpstream,
     /// No upstream had room in time.
     Overloaded,
+    /// All upstreams in service asked for a pause that lasts longer than the call can wait.
+    UpstreamsPaused,
     /// The route's maximum number of attempts is reached.
     AttemptsExhausted,
     /// The pool's retry budget is exhausted.
@@ -236,6 +294,7 @@
         match self {
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::UpstreamsPaused => "upstreams_paused",
             Self::AttemptsExhausted => "attempts_used",
             Self::RetryBudgetExhausted => "retry_budget_used",
             Self::MayHaveRun => "may_have_run",
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -104,6 +104,9 @@
     Chosen(Choice),
     /// No upstream has room; holds the shortest prefill backlog among them.
     Full(Duration),
+    /// All upstreams asked for a pause; holds the time until the first one takes requests again and
+    /// has prefilled the prompts that it has.
+    Paused(Duration),
     /// No upstream is in service.
     NoUpstream,
 }
@@ -119,7 +122,8 @@
 ) -> Placement {
     let candidates = evaluate(context, call, upstreams, tried);
     if candidates.is_empty() {
-        return Placement::NoUpstream;
+        return shortest_pause(context, call, upstreams)
+            .map_or(Placement::NoUpstream, Placement::Paused);
     }
     let cheapest = |is_allowed: fn(&Candidate<'_>) -> bool| {
         let allowed = candidates.iter().filter(|it| is_allowed(it));
@@ -165,10 +169,13 @@
     upstreams: &[&'a Upstream],
     tried: &[UpstreamId],
 ) -> Vec<Candidate<'a>> {
+    let members: Vec<&Upstream> = upstreams.iter().copied().filter(|it| it.is_member()).collect();
     let in_service: Vec<&Upstream> =
-        upstreams.iter().copied().filter(|it| !it.record.is_leaving && !it.is_gone).collect();
+        members.iter().copied().filter(|it| it.is_in_service(context.now)).collect();
     let healthy: Vec<&Upstream> = filter_or_all(&in_service, |it| it.accepts_work(context.now));
-    let lanes = Lanes::new(&in_service, context.long_share);
+    // A pause concerns one VM only, so that lanes without the paused upstreams would differ from
+    // those of the other VMs.
+    let lanes = Lanes::new(&members, context.long_share);
     let ranked = match &call.prompt {
         Some(prompt) => rank_by_ownership(context, prompt, &lanes, &healthy),
         None => healthy.clone(),
@@ -189,6 +196,17 @@
     untried.into_iter().map(|it| Candidate::new(context, call, it, &factors)).collect()
 }
 
+/// Returns the shortest time until a paused upstream takes requests again and has worked off its
+/// backlog, or `None` if no upstream is paused.
+fn shortest_pause(
+    context: &PlacementContext<'_>,
+    call: &Call,
+    upstreams: &[&Upstream],
+) -> Option<Duration> {
+    let paused = upstreams.iter().filter(|it| it.is_member() && !it.is_in_service(context.now));
+    paused.map(|it| it.pause.remaining(context.now).max(it.backlog(context.now, call.tier))).min()
+}
+
 /// Returns the upstreams that match, or all of them if none does.
 fn filter_or_all<'a>(
     upstreams: &[&'a Upstream],
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -50,6 +50,8 @@
     pub is_leaving: bool,
     /// Whether the upstream's address now belongs to another upstream.
     pub is_gone: bool,
+    /// Time, in milliseconds, until a pause that the upstream asked for ends; 0 if there is none.
+    pub pause_ms: u64,
     /// State of the upstream's circuit breaker.
     pub circuit: CircuitState,
     /// Number of this VM's calls in flight.
@@ -84,6 +86,7 @@
             failure_domain: self.record.failure_domain.clone(),
             is_leaving: self.record.is_leaving,
             is_gone: self.is_gone,
+            pause_ms: millis(self.pause.remaining(now)),
             circuit: self.circuit.state(now),
             own_in_flight: self.own_in_flight(),
             in_flight: self.in_flight(now),
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -23,6 +23,7 @@
 use super::PredictedQuantity;
 use super::Prediction;
 use super::ReportedLoad;
+use super::availability::Pause;
 use super::decode_pace::DecodePace;
 use super::prefix_cache::PrefixCache;
 use crate::upstream::CircuitBreaker;
@@ -74,6 +75,8 @@
     pub(super) record: UpstreamRecord,
     /// Set when the upstream at this address refused a request as meant for another incarnation.
     pub(super) is_gone: bool,
+    /// Time during which the upstream asked for no requests.
+    pub(super) pause: Pause,
     pub(super) circuit: CircuitBreaker,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
@@ -108,6 +111,7 @@
         Self {
             record,
             is_gone: false,
+            pause: Pause::default(),
             circuit: CircuitBreaker::new(),
             cache: PrefixCache::default(),
             is_engine: false,
@@ -128,7 +132,17 @@
 
     /// Returns `true` if the upstream may get new requests.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
-        !self.record.is_leaving && !self.is_gone && self.circuit.allows_request(now)
+        self.is_in_service(now) && self.circuit.allows_request(now)
+    }
+
+    /// Returns `true` unless the upstream is leaving or replaced by another one.
+    pub(super) const fn is_member(&self) -> bool {
+        !self.record.is_leaving && !self.is_gone
+    }
+
+    /// Returns `true` if the upstream is a member of its pool and has not asked for a pause.
+    pub(super) fn is_in_service(&self, now: Instant) -> bool {
+        self.is_member() && self.pause.remaining(now).is_zero()
     }
 
     /// Records an attempt that is being sent, with the estimates that led to the choice.
--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -78,6 +78,11 @@
         });
     }
 
+    /// Closes the connections to an upstream.
+    pub(crate) fn close(&self, upstream: &UpstreamId) {
+        self.lock().remove(upstream);
+    }
+
     /// Returns the number of idle connections.
     pub(crate) fn count(&self) -> usize {
         self.lock().values().map(Vec::len).sum()
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,6 +5,7 @@
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_policy::scheduler::Prompt;
 use cranberryvalve_policy::scheduler::ReportedLoad;
+use cranberryvalve_policy::scheduler::UpstreamNotice;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
 use crate::response::ResponseHead;
@@ -94,4 +95,8 @@
     /// Returns the load that an upstream reports in its response head, or `None` if it reports
     /// none.
     fn reported_load(&self, head: &ResponseHead) -> Option<ReportedLoad>;
+
+    /// Returns what an upstream announces about its availability in its response head. Empty if
+    /// the response comes from another upstream than the one it was sent to.
+    fn notices(&self, head: &ResponseHead) -> Vec<UpstreamNotice>;
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use cranberryvalve_core::Attempt;
+use cranberryvalve_core::Departure;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
@@ -31,6 +32,7 @@
 use slog::Logger;
 use slog::info;
 
+use crate::call_log::millis;
 use crate::socket::Waker;
 
 /// Time between two scheduler ticks while calls are queued.
@@ -155,6 +157,21 @@
         self.lock().scheduler.paces()
     }
 
+    /// Takes the departures of upstreams that still have to be sent to the neighbours.
+    pub(crate) fn take_departures(&self) -> Vec<Departure> {
+        self.lock().scheduler.take_departures()
+    }
+
+    /// Returns all known departures of upstreams.
+    pub(crate) fn departures(&self) -> Vec<Departure> {
+        self.lock().scheduler.departures()
+    }
+
+    /// Returns `true` if a request may be sent to this start of an upstream now.
+    pub(crate) fn may_send(&self, upstream: &UpstreamId, incarnation: u64) -> bool {
+        self.lock().scheduler.may_send(Instant::now(), upstream, incarnation)
+    }
+
     /// Returns the load of this VM on one upstream, to be reported to other VMs.
     pub(crate) fn load_for_peers(&self, upstream: &UpstreamId) -> Option<UpstreamLoad> {
         self.lock().scheduler.load_for_peers(upstream)
@@ -219,6 +236,24 @@
                         "takes_work" => it.takes_work, "cause" => it.cause.name());
                     continue;
                 }
+                SchedulerAction::UpstreamLeaving { upstream, source } => {
+                    info!(self.log, "upstream leaving"; "upstream" => &*upstream,
+                        "announced_by" => source.name());
+                    metrics::counter!("cranberryvalve_upstream_departures_total",
+                        "announced_by" => source.name())
+                    .increment(1);
+                    continue;
+                }
+                SchedulerAction::PauseStarted { upstream, requested, pause } => {
+                    info!(self.log, "upstream paused"; "upstream" => &*upstream,
+                        "requested_ms" => millis(requested), "pause_ms" => millis(pause));
+                    metrics::counter!("cranberryvalve_upstream_pauses_total").increment(1);
+                    continue;
+                }
+                SchedulerAction::PauseEnded { upstream } => {
+                    info!(self.log, "upstream pause ended"; "upstream" => &*upstream);
+                    continue;
+                }
                 SchedulerAction::PredictionObserved(it) => {
                     record_prediction_error(it);
                     continue;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -114,6 +114,8 @@
 pub(crate) enum AttemptOutcome {
     /// No connection could be established, so nothing was sent.
     NotSent,
+    /// The upstream stopped taking requests before anything was sent.
+    Withdrawn,
     /// The upstream confirmed that it did not run the call.
     NotRun { misdirected: bool },
     /// A complete response that has not been sent to the caller yet.
@@ -133,6 +135,7 @@
     pub(crate) const fn end(&self) -> AttemptEnd {
         match self {
             Self::NotSent => AttemptEnd::NotSent,
+            Self::Withdrawn => AttemptEnd::Withdrawn,
             Self::NotRun { misdirected } => AttemptEnd::Refused { misdirected: *misdirected },
             Self::Buffered(response) if response.head.status >= 500 => AttemptEnd::Failed,
             Self::Buffered(_) | Self::Streamed => AttemptEnd::Complete,
@@ -190,12 +193,16 @@
             Ok(None) => return AttemptOutcome::NotSent,
             Err(error) => return error.into(),
         };
+        if !self.may_send(command) {
+            return AttemptOutcome::Withdrawn;
+        }
         let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id));
         let mut attempt =
             Attempt { exchange: self, command, call_guard, caller, delivery, connection, request };
         if is_reused && !attempt.start_request() {
             // The upstream closed the idle connection before it accepted a single byte.
             match self.connect(command, attempt.caller) {
+                Ok(Some(_)) if !self.may_send(command) => return AttemptOutcome::Withdrawn,
                 Ok(Some(connection)) => attempt.connection = connection,
                 Ok(None) => return AttemptOutcome::NotSent,
                 Err(error) => return error.into(),
@@ -214,6 +221,13 @@
         }
     }
 
+    /// Returns `true` if the upstream still takes requests. Establishing a connection takes time in
+    /// which it may have announced its departure, and the VM may have been suspended.
+    fn may_send(&self, command: &SendCommand) -> bool {
+        let upstream = &command.upstream;
+        self.relay.dispatcher.may_send(&upstream.id, upstream.incarnation)
+    }
+
     /// Connects to the upstream. Returns `None` if it cannot be reached.
     fn connect(
         &self,
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -75,6 +75,9 @@
                 let upstream = self.command.upstream.id.clone();
                 self.notify_scheduler(SchedulerEvent::LoadReported { upstream, load });
             }
+            for notice in dialect.notices(&head) {
+                self.exchange.relay.handle_notice(&self.command.upstream, notice);
+            }
             match dialect.classify_response(&head, self.exchange.caller_id) {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
                     self.relay_stream(&head, decoder)?;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -27,6 +27,7 @@
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_core::Departure;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::VmId;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
@@ -202,6 +203,16 @@
         }
     }
 
+    /// Tells the neighbours of upstreams that are shutting down.
+    pub(crate) fn send_departures(&self, departures: &[Departure]) {
+        let from = self.own_address();
+        let message = PeerMessage::Departures { from, departures: departures.to_vec() };
+        let neighbours = self.membership().neighbours();
+        neighbours.iter().for_each(|it| {
+            self.links.send(it, &message);
+        });
+    }
+
     fn send_reports(&self, by_coordinator: HashMap<VmId, (PeerAddress, Vec<UpstreamLoad>)>) {
         let from = self.own_address();
         for (coordinator, loads) in by_coordinator.into_values() {
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -135,6 +135,9 @@
                 Some(PeerMessage::Paces { paces, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerPaces(paces));
                 }
+                Some(PeerMessage::Departures { departures, .. }) => {
+                    self.relay.handle_peer_departures(departures);
+                }
                 // The relay does not enforce limits of customers.
                 Some(PeerMessage::LimitReport { .. } | PeerMessage::LimitShares { .. }) => {}
                 None => {
@@ -154,7 +157,9 @@
             let members = self.membership().list();
             self.links.send(&from, &PeerMessage::Members { from: own_address.clone(), members });
             let paces = self.relay.dispatcher.paces();
-            self.links.send(&from, &PeerMessage::Paces { from: own_address, paces });
+            self.links.send(&from, &PeerMessage::Paces { from: own_address.clone(), paces });
+            let departures = self.relay.dispatcher.departures();
+            self.links.send(&from, &PeerMessage::Departures { from: own_address, departures });
         }
         // The minimum interval prevents two VMs that are not neighbours from replying to each other
         // endlessly.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -331,7 +331,9 @@
         progress.record_attempt(command, &outcome);
         let end = outcome.end();
         let call_outcome = match outcome {
-            AttemptOutcome::NotSent | AttemptOutcome::NotRun { .. } => None,
+            AttemptOutcome::NotSent | AttemptOutcome::Withdrawn | AttemptOutcome::NotRun { .. } => {
+                None
+            }
             AttemptOutcome::Buffered(response) if end == AttemptEnd::Failed => {
                 progress.failed_response = Some(response);
                 None
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,10 +21,12 @@
 use std::time::Instant;
 
 use cranberryvalve_core::ConfigVersion;
+use cranberryvalve_core::Departure;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SchedulerSettings;
+use cranberryvalve_policy::scheduler::UpstreamNotice;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::Logger;
 use slog::info;
@@ -190,6 +192,36 @@
         self.idle_connections.retain(|it| active_ids.contains(it));
     }
 
+    /// Applies what an upstream announced about its availability in a response.
+    pub(crate) fn handle_notice(&self, upstream: &UpstreamRecord, notice: UpstreamNotice) {
+        let (id, incarnation) = (upstream.id.clone(), upstream.incarnation);
+        self.dispatcher.handle(SchedulerEvent::NoticeReceived {
+            upstream: id,
+            incarnation,
+            notice,
+        });
+        if notice == UpstreamNotice::Leaving {
+            self.idle_connections.close(&upstream.id);
+            self.forward_departures();
+        }
+    }
+
+    /// Applies departures of upstreams that another VM told.
+    pub(crate) fn handle_peer_departures(&self, departures: Vec<Departure>) {
+        departures.iter().for_each(|it| self.idle_connections.close(&it.upstream));
+        self.dispatcher.handle(SchedulerEvent::PeerDepartures(departures));
+        self.forward_departures();
+    }
+
+    /// Tells the neighbours of departures that are new to this VM.
+    fn forward_departures(&self) {
+        let Some(peers) = self.peers() else { return };
+        let departures = self.dispatcher.take_departures();
+        if !departures.is_empty() {
+            peers.send_departures(&departures);
+        }
+    }
+
     /// Records that a source has responded.
     pub(crate) fn record_source_response(&self, source: &'static str) {
         self.lock_last_responses().insert(source, Instant::now());
