feat: sources survive a store that is restored from a copy

Cause: a restored store assigns versions again. A position was a version alone, so a VM followed the feed from a version that meant another state and missed changes; the copy's rows revived upstreams that had left; the key of the peer links was gone, so the next VM to start made a second one and the peers were split.

Change: positions carry the era (core::StorePosition). A response of a later era, also an error, drops the position and reads anew; one of an earlier era is an error. The directory keeps upstreams that the copy lacks for the grace period, and holds those that were removed before the restoration until they are written again or their entry outlives three heartbeats. VMs check the link key after each restoration, three at once and the rest spread over 2 s, write it if it is gone, and change to the stored one if it differs; a VM that joins a running system waits for that before it creates a key.

Not covered: a feed of a quiet table whose long poll survives the restoration ends after at most 10 s.

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -40,7 +42,7 @@
 /// The links between this VM and its peers.
 pub struct Links {
     listener: Socket,
-    key: SharedKey,
+    key: RwLock<SharedKey>,
     peers: Mutex<HashMap<VmId, Link>>,
 }
 
@@ -78,7 +80,7 @@
         let listener = Socket::new(Protocol::Pull0)?;
         listener.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
         listener.listen(&url(address))?;
-        Ok(Self { listener, key, peers: Mutex::new(HashMap::new()) })
+        Ok(Self { listener, key: RwLock::new(key), peers: Mutex::new(HashMap::new()) })
     }
 
     /// Waits for the next message.
@@ -93,12 +95,21 @@
         metrics::counter!("cranberryvalve_peer_bytes_total", "direction" => "in")
             .increment(message.len() as u64);
         metrics::counter!("cranberryvalve_peer_messages_total", "direction" => "in").increment(1);
-        Ok(decode(message.as_slice(), &self.key))
+        Ok(decode(message.as_slice(), &self.key()))
+    }
+
+    /// Replaces the key that authenticates messages.
+    pub fn set_key(&self, key: SharedKey) {
+        *self.key.write().unwrap_or_else(PoisonError::into_inner) = key;
+    }
+
+    fn key(&self) -> SharedKey {
+        self.key.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Sends a message without blocking; returns false if it was dropped.
     pub fn send(&self, to: &PeerAddress, message: &PeerMessage) -> bool {
-        let Some(bytes) = encode(message, &self.key) else { return false };
+        let Some(bytes) = encode(message, &self.key()) else { return false };
         let size = bytes.len() as u64;
         let mut peers = self.lock();
         let Some(link) = open_link(&mut peers, to) else { return false };
@@ -167,7 +178,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<VmId, Link>> {
-        self.peers.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 mod load;
 mod outcome;
 mod pace;
+mod position;
 mod pressure;
 pub mod table;
 
@@ -65,5 +66,7 @@
 pub use pace::IncarnationHash;
 pub use pace::PaceStep;
 pub use pace::UpstreamPace;
+pub use position::StoreEra;
+pub use position::StorePosition;
 pub use pressure::PressureDigest;
 pub use pressure::PressureEntry;
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -39,6 +39,15 @@
     pub status: u16,
     /// Decoded body; empty if the response has none.
     pub body: Vec<u8>,
+    head: ResponseHead,
+}
+
+impl HttpResponse {
+    /// Returns the value of the first header called `name`, which must be in lower case, or `None`
+    /// if there is none.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.header(name)
+    }
 }
 
 /// Why a request has no response.
@@ -131,7 +140,7 @@
         if head.keeps_alive() && connection.is_idle() {
             *idle_connection = Some(connection);
         }
-        Ok(HttpResponse { status: head.status, body })
+        Ok(HttpResponse { status: head.status, body, head })
     }
 
     fn connect(&self, deadline: Instant) -> Result<Connection, HttpError> {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,6 +8,7 @@
 //! round trip.
 
 mod gossip;
+mod link_key;
 mod load_queries;
 
 use std::collections::HashMap;
@@ -47,9 +48,6 @@
 /// load expires.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay between attempts to read the key of the peer links.
-const KEY_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Maximum number of upstreams in one load report.
 const MAX_LOADS_PER_REPORT: usize = 64;
 
@@ -68,6 +66,8 @@
     pub failure_domain: Arc<str>,
     /// Addresses of VMs to contact first; some may be stale.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, so that nothing is in the store yet.
+    pub is_first_start: bool,
 }
 
 /// This VM's connection to its peers.
@@ -94,8 +94,8 @@
 ) -> io::Result<()> {
     let relay = relay.clone();
     thread::Builder::new().name("join".to_owned()).spawn(move || {
-        let key = load_link_key(&relay, &*secret);
-        if let Err(error) = start(&relay, settings, key, tables) {
+        let key = link_key::load(&relay, &*secret, settings.is_first_start);
+        if let Err(error) = start(&relay, settings, key, secret, tables) {
             warn!(relay.log, "failed to join the peers; serving without them";
                 "error" => error.to_string());
         }
@@ -103,27 +103,11 @@
     Ok(())
 }
 
-/// Reads the key of the peer links, or creates it if there is none. Retries until that succeeds.
-fn load_link_key(relay: &Relay, secret: &dyn SecretStore) -> SharedKey {
-    let mut is_logged = false;
-    loop {
-        match crate::sources::read_or_create(secret) {
-            Ok(bytes) => return SharedKey::new(&bytes),
-            Err(error) if !is_logged => {
-                is_logged = true;
-                warn!(relay.log, "cannot read the peer link key; retrying";
-                    "error" => error.to_string());
-            }
-            Err(_) => {}
-        }
-        thread::sleep(KEY_RETRY_INTERVAL);
-    }
-}
-
 fn start(
     relay: &Arc<Relay>,
     settings: PeerSettings,
-    key: SharedKey,
+    key: Vec<u8>,
+    secret: Arc<dyn SecretStore>,
     tables: Arc<dyn RoutingTableFeed>,
 ) -> io::Result<()> {
     let own_address = PeerAddress {
@@ -133,7 +117,7 @@
     };
     let peers = Arc::new(Peers {
         relay: relay.clone(),
-        links: Links::listen(settings.address, key).map_err(io::Error::other)?,
+        links: Links::listen(settings.address, SharedKey::new(&key)).map_err(io::Error::other)?,
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: LoadQueries::default(),
@@ -143,6 +127,10 @@
     info!(relay.log, "joining the peers"; "seeds" => peers.seeds.len());
     let receiver = peers.clone();
     thread::Builder::new().name("peers".to_owned()).spawn(move || receiver.run_receiver())?;
+    let key_checker = peers.clone();
+    thread::Builder::new()
+        .name("link key".to_owned())
+        .spawn(move || key_checker.run_key_checks(&*secret, key))?;
     let reporter = peers.clone();
     thread::Builder::new().name("reports".to_owned()).spawn(move || reporter.run_load_reports())?;
     thread::Builder::new().name("heartbeats".to_owned()).spawn(move || peers.run_heartbeats())?;
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberryvalve_core::StoreEra;
+use cranberryvalve_core::StorePosition;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
@@ -19,6 +21,7 @@
 pub use follow::follow_tables;
 pub use secret::SecretStore;
 pub use secret::read_or_create;
+pub use secret::read_or_write;
 
 /// A row of a source's table.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -34,8 +37,8 @@
 pub struct Snapshot {
     /// Rows in the order of the source.
     pub rows: Vec<Row>,
-    /// Version to pass to [`Feed::changes`] to follow the table from here.
-    pub version: u64,
+    /// Position to pass to [`Feed::changes`] to follow the table from here.
+    pub position: StorePosition,
 }
 
 /// Change of a single row.
@@ -52,8 +55,8 @@
 pub struct Changes {
     /// Changes from oldest to newest; empty if nothing changed.
     pub changes: Vec<RowChange>,
-    /// Version to pass to the next [`Feed::changes`].
-    pub version: u64,
+    /// Position to pass to the next [`Feed::changes`].
+    pub position: StorePosition,
 }
 
 /// Error of a call to a source.
@@ -61,6 +64,9 @@
 pub enum FeedError {
     /// The requested changes are no longer retained; a new snapshot must be read.
     HistoryExpired,
+    /// The source was restored from a copy, so that earlier positions have no meaning any more; a
+    /// new snapshot must be read.
+    Restored(StoreEra),
     /// The source could not be reached or responded with an error.
     Failed(String),
 }
@@ -69,6 +75,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::HistoryExpired => f.write_str("the requested changes are no longer retained"),
+            Self::Restored(era) => write!(f, "the source was restored and is in era {era}"),
             Self::Failed(message) => f.write_str(message),
         }
     }
@@ -88,12 +95,13 @@
     /// Returns an error if the source is unreachable.
     fn snapshot(&self) -> Result<Snapshot, FeedError>;
 
-    /// Waits at most `wait` for changes after `version`.
+    /// Waits at most `wait` for changes after `position`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the source is unreachable or no longer retains these changes.
-    fn changes(&self, version: u64, wait: Duration) -> Result<Changes, FeedError>;
+    /// Returns an error if the source is unreachable, no longer retains these changes or is in a
+    /// later era than `position`.
+    fn changes(&self, position: StorePosition, wait: Duration) -> Result<Changes, FeedError>;
 }
 
 /// A source of routing tables.
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::StoreEra;
+use cranberryvalve_core::StorePosition;
 use slog::info;
 use slog::warn;
 
@@ -19,6 +21,7 @@
 use super::RowChange;
 use super::Snapshot;
 use super::directory::Directory;
+use super::directory::Origin;
 use crate::state::Relay;
 
 /// Maximum duration of a long poll. It is shorter than the time for which sources retain their
@@ -103,17 +106,20 @@
         let mut is_changed = !matches!(&update, FeedUpdate::Unchanged);
         match update {
             FeedUpdate::Unchanged => {}
-            FeedUpdate::Snapshot(snapshot) => {
+            FeedUpdate::Snapshot { snapshot, is_restored } => {
+                if is_restored {
+                    self.directory.source_restored(now);
+                }
                 let present_keys: Vec<Arc<str>> =
                     snapshot.rows.iter().map(|it| it.key.clone()).collect();
                 self.directory.retain(now, &present_keys);
-                snapshot.rows.into_iter().for_each(|it| self.upsert(now, &it));
+                snapshot.rows.into_iter().for_each(|it| self.upsert(now, &it, Origin::Snapshot));
             }
             FeedUpdate::Changes(changes) => {
                 is_changed = !changes.changes.is_empty();
                 for change in changes.changes {
                     match change {
-                        RowChange::Put(row) => self.upsert(now, &row),
+                        RowChange::Put(row) => self.upsert(now, &row, Origin::Change),
                         RowChange::Removed(key) => self.directory.remove(now, &key),
                     }
                 }
@@ -131,11 +137,11 @@
         }
     }
 
-    fn upsert(&mut self, now: Instant, row: &Row) {
+    fn upsert(&mut self, now: Instant, row: &Row, origin: Origin) {
         match self.feed.decode(row) {
             Ok(record) => {
                 self.malformed_keys.remove(&row.key);
-                self.directory.insert(row.key.clone(), record);
+                self.directory.insert(now, row.key.clone(), record, origin);
             }
             Err(message) => {
                 if self.malformed_keys.insert(row.key.clone()) {
@@ -151,7 +157,11 @@
 /// Result of one poll of a source.
 enum FeedUpdate {
     Unchanged,
-    Snapshot(Snapshot),
+    Snapshot {
+        snapshot: Snapshot,
+        /// Whether the source was restored from a copy since the last update.
+        is_restored: bool,
+    },
     Changes(Changes),
 }
 
@@ -160,7 +170,7 @@
     const fn is_change(&self) -> bool {
         match self {
             Self::Unchanged => false,
-            Self::Snapshot(_) => true,
+            Self::Snapshot { .. } => true,
             Self::Changes(changes) => !changes.changes.is_empty(),
         }
     }
@@ -169,7 +179,7 @@
     fn into_rows(self) -> Vec<Row> {
         match self {
             Self::Unchanged => Vec::new(),
-            Self::Snapshot(snapshot) => snapshot.rows,
+            Self::Snapshot { snapshot, .. } => snapshot.rows,
             Self::Changes(changes) => {
                 let puts = changes.changes.into_iter().filter_map(|it| match it {
                     RowChange::Put(row) => Some(row),
@@ -185,7 +195,9 @@
 struct Follower<F: ?Sized> {
     relay: Arc<Relay>,
     feed: Arc<F>,
-    version: Option<u64>,
+    position: Option<StorePosition>,
+    /// Era of the last update; `None` before the first one.
+    era: Option<StoreEra>,
     consecutive_failures: u32,
     recovered_at: Option<Instant>,
     /// Whether the next poll is delayed to batch changes.
@@ -197,7 +209,8 @@
         Self {
             relay,
             feed,
-            version: None,
+            position: None,
+            era: None,
             consecutive_failures: 0,
             recovered_at: None,
             delays_next_poll: false,
@@ -209,17 +222,24 @@
         if std::mem::take(&mut self.delays_next_poll) {
             thread::sleep(BATCH_DELAY);
         }
-        let result = match self.version {
-            None => self.feed.snapshot().map(|it| (it.version, FeedUpdate::Snapshot(it))),
-            Some(version) => {
-                self.feed.changes(version, wait).map(|it| (it.version, FeedUpdate::Changes(it)))
+        // Another source of the same store may have noticed a restoration first.
+        let is_outdated = self.position.is_some_and(|it| it.era < self.relay.store_era());
+        let result = match self.position.filter(|_| !is_outdated) {
+            None => self.feed.snapshot().map(|snapshot| {
+                let is_restored = self.era.is_some_and(|it| it != snapshot.position.era);
+                (snapshot.position, FeedUpdate::Snapshot { snapshot, is_restored })
+            }),
+            Some(position) => {
+                let changes = self.feed.changes(position, wait);
+                changes.map(|it| (it.position, FeedUpdate::Changes(it)))
             }
         };
         match result {
-            Ok((version, update)) => {
+            Ok((position, update)) => {
                 self.count_call("well");
                 self.relay.record_source_response(self.feed.name());
-                self.version = Some(version);
+                self.position = Some(position);
+                self.record_era(position.era);
                 self.handle_success();
                 self.delays_next_poll = update.is_change();
                 update
@@ -227,7 +247,14 @@
             Err(FeedError::HistoryExpired) => {
                 self.count_call("history_gone");
                 info!(self.relay.log, "feed lost its history"; "source" => self.feed.name());
-                self.version = None;
+                self.position = None;
+                FeedUpdate::Unchanged
+            }
+            Err(FeedError::Restored(era)) => {
+                self.count_call("restored");
+                info!(self.relay.log, "feed belongs to an earlier era"; "source" => self.feed.name(),
+                    "era" => era);
+                self.position = None;
                 FeedUpdate::Unchanged
             }
             Err(FeedError::Failed(error)) => {
@@ -246,6 +273,19 @@
         .increment(1);
     }
 
+    /// Logs a change of the source's era, and notifies the relay.
+    fn record_era(&mut self, era: StoreEra) {
+        let previous = self.era.replace(era);
+        if previous.is_some_and(|it| it != era) {
+            info!(self.relay.log, "source was restored from a copy";
+                "source" => self.feed.name(), "era" => era, "previous_era" => previous);
+            metrics::counter!("cranberryvalve_source_restorations_total",
+                "source" => self.feed.name())
+            .increment(1);
+            self.relay.record_store_era(era);
+        }
+    }
+
     fn handle_success(&mut self) {
         if self.consecutive_failures > 0 {
             info!(self.relay.log, "source is back"; "source" => self.feed.name(),
@@ -259,7 +299,7 @@
         self.consecutive_failures += 1;
         // The next call reads a snapshot, which returns at once, so that the end of the outage is
         // detected early.
-        self.version = None;
+        self.position = None;
         if self.consecutive_failures == 1 {
             warn!(self.relay.log, "source lost"; "source" => self.feed.name(), "error" => error);
         }
--- a/crates/relay/src/sources/secret.rs
+++ b/crates/relay/src/sources/secret.rs
@@ -33,11 +33,22 @@
 ///
 /// Returns an error if the store is unreachable or does not return the secret that was written.
 pub fn read_or_create(store: &dyn SecretStore) -> Result<Vec<u8>, FeedError> {
+    let mut secret = [0; SECRET_BYTES];
+    rand::rng().fill_bytes(&mut secret);
+    read_or_write(store, &secret)
+}
+
+/// Reads the secret, or writes `secret` if there is none, as after a restoration of the store.
+///
+/// Returns the secret that all VMs use from now on, which another VM may have written.
+///
+/// # Errors
+///
+/// Returns an error if the store is unreachable or does not return the secret that was written.
+pub fn read_or_write(store: &dyn SecretStore, secret: &[u8]) -> Result<Vec<u8>, FeedError> {
     if let Some(secret) = store.read()? {
         return Ok(secret);
     }
-    let mut secret = [0; SECRET_BYTES];
-    rand::rng().fill_bytes(&mut secret);
-    store.create(&secret)?;
+    store.create(secret)?;
     store.read()?.ok_or_else(|| FeedError::Failed("the secret was not stored".to_owned()))
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,6 +8,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
@@ -22,6 +23,7 @@
 
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
@@ -82,6 +84,7 @@
     peers: OnceLock<Arc<Peers>>,
     /// When each source last responded, by name of the source.
     last_responses: Mutex<HashMap<&'static str, Instant>>,
+    store_restorations: Restorations,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -111,6 +114,7 @@
             active_table: RwLock::default(),
             peers: OnceLock::new(),
             last_responses: Mutex::default(),
+            store_restorations: Restorations::default(),
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
@@ -222,6 +226,21 @@
         }
     }
 
+    /// Records that the store was restored from a copy and is in this era.
+    pub(crate) fn record_store_era(&self, era: StoreEra) {
+        self.store_restorations.record(era);
+    }
+
+    /// Returns the latest era in which the store was restored while this VM ran; 0 before that.
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.store_restorations.latest()
+    }
+
+    /// Waits until the store is in a later era than `era`, and returns that era.
+    pub(crate) fn wait_for_restoration(&self, era: StoreEra) -> StoreEra {
+        self.store_restorations.wait(era)
+    }
+
     /// Records that a source has responded.
     pub(crate) fn record_source_response(&self, source: &'static str) {
         self.lock_last_responses().insert(source, Instant::now());
@@ -309,6 +328,31 @@
     }
 }
 
+/// Latest era of the store in which it was restored while this VM ran; 0 before that.
+#[derive(Debug, Default)]
+struct Restorations {
+    era: Mutex<StoreEra>,
+    changed: Condvar,
+}
+
+impl Restorations {
+    fn record(&self, era: StoreEra) {
+        let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        *latest = era.max(*latest);
+        self.changed.notify_all();
+    }
+
+    fn latest(&self) -> StoreEra {
+        *self.era.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait(&self, era: StoreEra) -> StoreEra {
+        let latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.changed.wait_while(latest, |it| *it <= era);
+        *waited.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Keeps a counter incremented until it is dropped.
 pub(crate) struct CountGuard<'a>(&'a AtomicUsize);
 
