fix: a VM whose clock was set back before a restart rejoins at once

Cause: the incarnation is the time of day at the start. After a restart with an earlier clock, peers that still counted the VM as alive ignored it until they declared it dead, three seconds later, since only a claim of death or departure was refuted. Ruled out: an incarnation in the store (a write a start, and nothing is gained while the store is away).

Change: a peer that hears from a member under a lower incarnation than it knows tells it so, and the member raises its incarnation above that.

Test fails first: rejoins_after_a_crash.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -89,6 +89,9 @@
     incarnation: u64,
     state: MemberState,
     last_heard_at: Instant,
+    /// Whether the member itself sent a message with a lower incarnation, as after a restart with a
+    /// clock that was set back.
+    is_outdated: bool,
     changed_at: Instant,
     transmissions_left: u32,
 }
@@ -190,10 +193,11 @@
         let update =
             MemberUpdate { member: address.clone(), incarnation, state: MemberState::Alive };
         self.on_update(now, &update);
-        if let Some(member) = self.members.get_mut(&address.vm)
-            && member.incarnation == incarnation
-        {
-            member.last_heard_at = now;
+        if let Some(member) = self.members.get_mut(&address.vm) {
+            if member.incarnation == incarnation {
+                member.last_heard_at = now;
+            }
+            member.is_outdated = incarnation < member.incarnation;
         }
     }
 
@@ -265,13 +269,14 @@
 
     /// Returns the membership updates for the next heartbeat to `receiver`.
     ///
-    /// If `receiver` is considered dead, they include that state, so that it can refute it.
+    /// If `receiver` is not considered alive under its present incarnation, they include what is
+    /// known of it, so that it can refute that.
     pub fn updates_for(&mut self, receiver: &str) -> Vec<MemberUpdate> {
         let state = if self.stopping { MemberState::Left } else { MemberState::Alive };
         let own = MemberUpdate { member: self.local.clone(), incarnation: self.incarnation, state };
         let mut updates = vec![own];
-        let considered_dead = self.members.get(receiver).filter(|it| it.state == MemberState::Dead);
-        updates.extend(considered_dead.map(Member::update));
+        let is_wrong = |it: &&Member| it.state != MemberState::Alive || it.is_outdated;
+        updates.extend(self.members.get(receiver).filter(is_wrong).map(Member::update));
         let recent = self.members.values_mut().filter(|it| it.transmissions_left > 0);
         for member in recent.take(MAX_RECENT_UPDATES) {
             member.transmissions_left -= 1;
@@ -298,10 +303,12 @@
         self.members.insert(update.member.vm.clone(), member);
     }
 
-    /// Raises the incarnation if the update claims that this VM died or left.
+    /// Raises the incarnation if the update claims that this VM died or left, or if it is about an
+    /// earlier start with a higher incarnation.
     const fn refute(&mut self, update: &MemberUpdate) {
-        let is_wrong = !matches!(update.state, MemberState::Alive) && !self.stopping;
-        if is_wrong && update.incarnation >= self.incarnation {
+        let is_alive = matches!(update.state, MemberState::Alive);
+        let is_wrong = !is_alive && update.incarnation == self.incarnation && !self.stopping;
+        if is_wrong || update.incarnation > self.incarnation {
             self.incarnation = update.incarnation + 1;
         }
     }
@@ -314,6 +321,7 @@
             incarnation,
             state: MemberState::Alive,
             last_heard_at: now,
+            is_outdated: false,
             changed_at: now,
             transmissions_left: UPDATE_TRANSMISSIONS,
         }
