feat(coordination): tables that a few watchers of each failure domain spread

Change, pure parts without I/O: feed (rows, changes by position, a log that answers what another VM lacks) and watch (which VMs read the source: the first three by rendezvous hashing that do not fail; further groups by rank while none reaches the source, all after 10 s).

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! what an adapter must do. None of them uses a clock, a thread, a socket or unseeded randomness,
 //! so each can be embedded anywhere and tested exhaustively.
 //!
+//! - [`feed`]: tables that VMs pass on to each other as changes.
 //! - [`home`]: choice of the coordinator of a resource by rendezvous hashing.
 //! - [`lease`]: mutual exclusion by leases with fencing tokens.
 //! - [`ledger`]: at-most-once execution of calls that must not be repeated.
@@ -15,6 +16,7 @@
 //! - [`orders`]: orders that an engine has yet to carry out.
 //! - [`peer`]: messages exchanged between VMs.
 //! - [`store`]: interface to the table service and the object store.
+//! - [`watch`]: which VMs of a failure domain read a source for all of them.
 //!
 //! ```
 //! use std::time::Duration;
@@ -28,6 +30,7 @@
 //! assert_eq!(replica.freshness(now + Duration::from_secs(9)), Freshness::Stale);
 //! ```
 
+pub mod feed;
 pub mod home;
 pub mod lease;
 pub mod leaving;
@@ -39,3 +42,4 @@
 pub mod plan;
 pub mod replica;
 pub mod store;
+pub mod watch;
