perf: watchers of each failure domain read the store for all its VMs

Change: the thread of the directory reads the source only on watchers (coordination::watch) and sends deltas to the VMs of its failure domain, with repair by position; other VMs read once at their start and when no watcher reaches the source. Reports carry the end of an outage, so that all VMs keep lapsed entries for the grace period.

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -110,10 +110,22 @@
     /// Sends a message without blocking; returns false if it was dropped.
     pub fn send(&self, to: &PeerAddress, message: &PeerMessage) -> bool {
         let Some(bytes) = encode(message, &self.key()) else { return false };
+        self.send_bytes(to, &bytes)
+    }
+
+    /// Sends a message to several peers without blocking.
+    pub fn broadcast(&self, receivers: &[PeerAddress], message: &PeerMessage) {
+        let Some(bytes) = encode(message, &self.key()) else { return };
+        for receiver in receivers {
+            self.send_bytes(receiver, &bytes);
+        }
+    }
+
+    fn send_bytes(&self, to: &PeerAddress, bytes: &[u8]) -> bool {
         let size = bytes.len() as u64;
         let mut peers = self.lock();
         let Some(link) = open_link(&mut peers, to) else { return false };
-        let sent = link.socket.try_send(bytes.as_slice()).is_ok();
+        let sent = link.socket.try_send(bytes).is_ok();
         drop(peers);
         if sent {
             metrics::counter!("cranberryvalve_peer_bytes_total", "direction" => "out")
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -6,6 +6,7 @@
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PressureDigest;
+use cranberryvalve_core::StorePosition;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamPace;
@@ -13,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::feed::FeedDelta;
 use crate::limits::LimitDemand;
 use crate::limits::LimitShare;
 use crate::membership::MemberUpdate;
@@ -96,6 +98,20 @@
         /// Decode pace of each upstream.
         paces: Vec<UpstreamPace>,
     },
+    /// Report of a VM that reads the source of the directory for its failure domain.
+    FeedReport {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The report.
+        report: FeedReport,
+    },
+    /// Requests what the sender lacks of the directory.
+    FeedRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Position of the sender, or `None` if it has no snapshot yet.
+        position: Option<StorePosition>,
+    },
     /// Upstreams that are shutting down. The receiver forwards those that are new to it.
     Departures {
         /// Name and address of the sender.
@@ -105,6 +121,20 @@
     },
 }
 
+/// What a VM that reads the source of the directory tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedReport {
+    /// Whether the last read succeeded.
+    pub reaches_source: bool,
+    /// Position of the sender, or `None` if it has no snapshot yet.
+    pub position: Option<StorePosition>,
+    /// Time in milliseconds since the source came back after an outage, or `None` if the sender
+    /// saw none.
+    pub recovered_ms: Option<u32>,
+    /// What is new, or `None` if the report only confirms the position.
+    pub delta: Option<FeedDelta>,
+}
+
 /// Identifier of a request, unique within the VM that sent it.
 pub type QuestionId = u64;
 
@@ -154,7 +184,9 @@
             | Self::LoadRequest { from, .. }
             | Self::LoadResponse { from, .. }
             | Self::Paces { from, .. }
-            | Self::Departures { from, .. } => from,
+            | Self::Departures { from, .. }
+            | Self::FeedReport { from, .. }
+            | Self::FeedRequest { from, .. } => from,
         }
     }
 }
--- a/crates/coordination/tests/feed_spread.rs
+++ b/crates/coordination/tests/feed_spread.rs
@@ -76,13 +76,14 @@
         };
         let mut vms: Vec<Vm> = (0..VMS).map(vm).collect();
         // Each VM reads the table once when it starts.
-        vms.iter_mut().for_each(|it| drop(it.log.merge(source.since(None).unwrap())));
+        vms.iter_mut()
+            .for_each(|it| drop(it.log.merge(source.since(None).expect("the table was read"))));
         let rng = Pcg64::seed_from_u64(seed);
         Self { now, rng, loss, source, vms, in_flight: Vec::new(), reads: 0, messages: 0 }
     }
 
     fn write(&mut self, key: &str) {
-        let base = self.source.position().unwrap();
+        let base = self.source.position().expect("the table was read");
         let position = StorePosition { version: base.version + 1, ..base };
         let row = Row { key: key.into(), value: position.version.to_le_bytes().to_vec() };
         let changes = vec![RowChange::Put(row)];
@@ -137,7 +138,8 @@
         if let Some(delta) = delta.clone() {
             assert_ne!(vm.log.merge(delta), Merge::Gap);
         }
-        let (position, reaches_source) = (vm.log.position().unwrap(), !vm.is_turned_away);
+        let (position, reaches_source) =
+            (vm.log.position().expect("the table was read"), !vm.is_turned_away);
         for to in (0..VMS).filter(|it| *it != reader) {
             let delta = delta.clone();
             self.send(to, Message::Report { from: reader, reaches_source, delta, position });
@@ -172,7 +174,7 @@
                 Message::Request { from, position } => {
                     let vm = &self.vms[to];
                     let Some(delta) = vm.log.since(position) else { continue };
-                    let position = vm.log.position().unwrap();
+                    let position = vm.log.position().expect("the table was read");
                     let report = Message::Report {
                         from: to,
                         reaches_source: true,
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -134,7 +134,9 @@
                 | PeerMessage::LoadRequest { .. }
                 | PeerMessage::LoadResponse { .. }
                 | PeerMessage::Paces { .. }
-                | PeerMessage::Departures { .. },
+                | PeerMessage::Departures { .. }
+                | PeerMessage::FeedReport { .. }
+                | PeerMessage::FeedRequest { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,7 @@
 //! few small messages, regardless of the number of VMs, and the load figures are as old as one
 //! round trip.
 
+mod directory;
 mod gossip;
 mod link_key;
 mod load_queries;
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -35,6 +35,7 @@
         loop {
             round += 1;
             self.send_heartbeat_round(round);
+            self.relay.report_directory(None);
             let is_alone = self.membership().alive_count() == 1;
             thread::sleep(if is_alone { DISCOVERY_INTERVAL } else { HEARTBEAT_INTERVAL });
         }
@@ -135,6 +136,12 @@
                 Some(PeerMessage::Paces { paces, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerPaces(paces));
                 }
+                Some(PeerMessage::FeedReport { from, report }) => {
+                    self.handle_feed_report(&from, report);
+                }
+                Some(PeerMessage::FeedRequest { from, position }) => {
+                    self.send_missing_changes(&from, position);
+                }
                 Some(PeerMessage::Departures { departures, .. }) => {
                     self.relay.handle_peer_departures(departures);
                 }
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -6,10 +6,11 @@
 
 mod directory;
 mod follow;
+mod follower;
 mod secret;
+mod shared;
 
 use std::fmt;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cranberryvalve_core::StoreEra;
@@ -17,47 +18,16 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
+pub use cranberryvalve_coordination::feed::Changes;
+pub use cranberryvalve_coordination::feed::Row;
+pub use cranberryvalve_coordination::feed::RowChange;
+pub use cranberryvalve_coordination::feed::Snapshot;
 pub use follow::follow_directory;
 pub use follow::follow_tables;
 pub use secret::SecretStore;
 pub use secret::read_or_create;
 pub use secret::read_or_write;
-
-/// A row of a source's table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    /// Key that identifies the row within its table.
-    pub key: Arc<str>,
-    /// Encoded content, in the format of the source.
-    pub value: Vec<u8>,
-}
-
-/// All rows of a table at one version.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Snapshot {
-    /// Rows in the order of the source.
-    pub rows: Vec<Row>,
-    /// Position to pass to [`Feed::changes`] to follow the table from here.
-    pub position: StorePosition,
-}
-
-/// Change of a single row.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RowChange {
-    /// The row was added or replaced.
-    Put(Row),
-    /// The row with this key was removed.
-    Removed(Arc<str>),
-}
-
-/// Consecutive changes of a table.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Changes {
-    /// Changes from oldest to newest; empty if nothing changed.
-    pub changes: Vec<RowChange>,
-    /// Position to pass to the next [`Feed::changes`].
-    pub position: StorePosition,
-}
+pub(crate) use shared::SharedDirectory;
 
 /// Error of a call to a source.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::feed::FeedDelta;
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
@@ -44,6 +45,7 @@
 use crate::socket::Waker;
 use crate::sources::RoutingTableFeed;
 use crate::sources::Row;
+use crate::sources::SharedDirectory;
 
 /// Stack size of a thread that serves a connection, in bytes.
 const HANDLER_STACK_BYTES: usize = 256 * 1024;
@@ -85,6 +87,7 @@
     /// When each source last responded, by name of the source.
     last_responses: Mutex<HashMap<&'static str, Instant>>,
     store_restorations: Restorations,
+    pub(crate) shared_directory: SharedDirectory,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -115,6 +118,7 @@
             peers: OnceLock::new(),
             last_responses: Mutex::default(),
             store_restorations: Restorations::default(),
+            shared_directory: SharedDirectory::new(Instant::now()),
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
@@ -241,6 +245,22 @@
         self.store_restorations.wait(era)
     }
 
+    /// Returns `true` if this VM reads the sources for its failure domain, or has no peers there.
+    pub(crate) fn is_source_reader(&self) -> bool {
+        let Some(peers) = self.peers() else { return true };
+        let (own, vms) = peers.failure_domain_members();
+        self.shared_directory.is_reader(Instant::now(), &own, &vms)
+    }
+
+    /// Tells the other VMs of the failure domain whether this VM reaches the source of the
+    /// directory, with a delta if there is one. Does nothing unless this VM reads the source.
+    pub(crate) fn report_directory(&self, delta: Option<FeedDelta>) {
+        let Some(peers) = self.peers() else { return };
+        if let Some(report) = self.shared_directory.report(Instant::now(), delta) {
+            peers.broadcast_feed_report(report);
+        }
+    }
+
     /// Records that a source has responded.
     pub(crate) fn record_source_response(&self, source: &'static str) {
         self.lock_last_responses().insert(source, Instant::now());
