fix: changes of other VMs are applied while a watcher waits for its own read

Ruled out: lost messages (the log's position was current), membership.

Change: reading and applying are threads of their own. Also, a VM that begins to read again makes its first call without waiting, since a long poll from a position that exists again after a restoration may show nothing for 10 s; and the era that another VM tells is recorded before the next poll.

--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -41,6 +41,7 @@
         let mut follower = Follower::new(relay.clone(), feed.clone());
         loop {
             if follower.position.is_some() && !relay.is_source_reader() {
+                follower.pause();
                 thread::sleep(DUTY_CHECK_INTERVAL);
                 continue;
             }
@@ -53,74 +54,69 @@
     Ok(())
 }
 
-/// Starts a thread that follows a source of upstreams.
+/// Starts the threads that follow a source of upstreams.
 ///
 /// The watchers of a failure domain read the source and send its changes to the other VMs; see
-/// [`watch`](cranberryvalve_coordination::watch).
+/// [`watch`](cranberryvalve_coordination::watch). Changes are applied by a thread of their own, so
+/// that those of other VMs are not held up by a long poll.
 ///
 /// # Errors
 ///
-/// Returns an error if the thread cannot be spawned.
+/// Returns an error if a thread cannot be spawned.
 pub fn follow_directory(relay: &Arc<Relay>, feed: Arc<dyn DirectoryFeed>) -> io::Result<()> {
-    let relay = relay.clone();
+    let mut updater = DirectoryUpdater {
+        directory: Directory::default(),
+        malformed_keys: HashSet::new(),
+        relay: relay.clone(),
+        feed: feed.clone(),
+    };
     thread::Builder::new().name("directory".to_owned()).spawn(move || {
-        let mut thread = DirectoryThread {
-            updater: DirectoryUpdater {
-                directory: Directory::default(),
-                malformed_keys: HashSet::new(),
-                relay: relay.clone(),
-                feed: feed.clone(),
-            },
-            follower: Follower::new(relay.clone(), feed),
-            relay,
-        };
         loop {
-            thread.run_once();
+            updater.run_once();
+        }
+    })?;
+    let follower = Follower::new(relay.clone(), feed);
+    let mut reader = DirectoryReader { relay: relay.clone(), follower };
+    thread::Builder::new().name("directory reader".to_owned()).spawn(move || {
+        loop {
+            reader.run_once();
         }
     })?;
     Ok(())
 }
 
-/// State of the thread that follows the directory.
-struct DirectoryThread {
+/// Reads the directory on a watcher.
+struct DirectoryReader {
     relay: Arc<Relay>,
     follower: Follower<dyn DirectoryFeed>,
-    updater: DirectoryUpdater,
 }
 
-impl DirectoryThread {
-    /// Reads the source or waits for a report of a watcher, and applies what is new.
+impl DirectoryReader {
+    /// Reads the source if it is this VM's duty, or waits for a report of a watcher.
     fn run_once(&mut self) {
         let relay = self.relay.clone();
         let shared = &relay.shared_directory;
-        let expires_at = self.updater.directory.expires_at();
-        let wait =
-            expires_at.map_or(MAX_POLL_WAIT, |it| it.saturating_duration_since(Instant::now()));
-        if shared.position().is_none() || relay.is_source_reader() {
-            self.read(wait.min(MAX_POLL_WAIT), expires_at.is_some());
-        } else {
-            let is_covered = shared.is_covered(Instant::now());
-            let interval = if is_covered { DUTY_CHECK_INTERVAL } else { UNCOVERED_CHECK_INTERVAL };
-            shared.wait(wait.min(interval));
-        }
+        // Another VM may have told of a restoration.
         if let Some(position) = shared.position() {
             self.follower.record_era(position.era);
         }
-        let recovered_at = shared.recovered_at();
-        let is_healthy = shared.is_source_healthy(Instant::now());
-        let updates = shared.take_updates();
-        for update in updates {
-            self.updater.apply(update, recovered_at, is_healthy);
+        if shared.position().is_none() || relay.is_source_reader() {
+            self.read();
+        } else {
+            self.follower.pause();
+            let is_covered = shared.is_covered(Instant::now());
+            shared.wait_for_report(if is_covered {
+                DUTY_CHECK_INTERVAL
+            } else {
+                UNCOVERED_CHECK_INTERVAL
+            });
         }
-        self.updater.apply(FeedUpdate::Unchanged, recovered_at, is_healthy);
     }
 
     /// Polls the source and tells the other VMs of the failure domain.
-    fn read(&mut self, wait: Duration, has_expiring_entries: bool) {
+    fn read(&mut self) {
         let relay = self.relay.clone();
         let shared = &relay.shared_directory;
-        // The batch delay must not postpone the removal of expired entries.
-        self.follower.delays_next_poll &= !has_expiring_entries;
         if self.follower.delay_after_change() {
             relay.report_directory(None);
         }
@@ -128,7 +124,7 @@
         // Without a position, the next call reads a snapshot.
         self.follower.position = self.follower.position.and(base);
         let was_failing = self.follower.consecutive_failures > 0;
-        let update = self.follower.poll(wait);
+        let update = self.follower.poll(MAX_POLL_WAIT);
         let is_failing = self.follower.consecutive_failures > 0;
         let delta = shared.record_read(base, update, self.follower.recovered_at, !is_failing);
         if delta.is_some() || is_failing != was_failing {
@@ -146,6 +142,22 @@
 }
 
 impl DirectoryUpdater {
+    /// Waits for updates or for the end of a grace period, and applies what is due.
+    fn run_once(&mut self) {
+        let relay = self.relay.clone();
+        let shared = &relay.shared_directory;
+        let expires_at = self.directory.expires_at();
+        let wait =
+            expires_at.map_or(MAX_POLL_WAIT, |it| it.saturating_duration_since(Instant::now()));
+        let updates = shared.wait_for_updates(wait);
+        let recovered_at = shared.recovered_at();
+        let is_healthy = shared.is_source_healthy(Instant::now());
+        for update in updates {
+            self.apply(update, recovered_at, is_healthy);
+        }
+        self.apply(FeedUpdate::Unchanged, recovered_at, is_healthy);
+    }
+
     fn apply(
         &mut self,
         update: FeedUpdate,
--- a/crates/relay/src/sources/follower.rs
+++ b/crates/relay/src/sources/follower.rs
@@ -79,6 +79,8 @@
     era: Option<StoreEra>,
     pub(super) consecutive_failures: u32,
     pub(super) recovered_at: Option<Instant>,
+    /// Whether the source was not read since the last poll.
+    was_paused: bool,
     /// Whether the next poll is delayed to batch changes.
     pub(super) delays_next_poll: bool,
 }
@@ -92,10 +94,17 @@
             era: None,
             consecutive_failures: 0,
             recovered_at: None,
+            was_paused: false,
             delays_next_poll: false,
         }
     }
 
+    /// Records that the source is not read for a while. The next poll then returns at once, since the
+    /// source may have been restored in the meantime, which a long poll does not show.
+    pub(super) const fn pause(&mut self) {
+        self.was_paused = true;
+    }
+
     /// Waits for further changes after a change. Returns `true` if there was one.
     pub(super) fn delay_after_change(&mut self) -> bool {
         let is_delayed = std::mem::take(&mut self.delays_next_poll);
@@ -107,6 +116,7 @@
 
     /// Polls the source. Blocks for at most `wait`, plus the retry delay.
     pub(super) fn poll(&mut self, wait: Duration) -> FeedUpdate {
+        let wait = if std::mem::take(&mut self.was_paused) { Duration::ZERO } else { wait };
         // Another source of the same store may have noticed a restoration first.
         let is_outdated = self.position.is_some_and(|it| it.era < self.relay.store_era());
         let result = match self.position.filter(|_| !is_outdated) {
--- a/crates/relay/src/sources/shared.rs
+++ b/crates/relay/src/sources/shared.rs
@@ -25,11 +25,12 @@
     pub(crate) since: Option<StorePosition>,
 }
 
-/// State shared by the thread that follows the directory and those that exchange messages.
+/// State shared by the threads that read and apply the directory and those that exchange messages.
 #[derive(Debug)]
 pub(crate) struct SharedDirectory {
     state: Mutex<State>,
     updated: Condvar,
+    reported: Condvar,
 }
 
 #[derive(Debug)]
@@ -53,7 +54,7 @@
             recovered_at: None,
             own_read: None,
         };
-        Self { state: Mutex::new(state), updated: Condvar::new() }
+        Self { state: Mutex::new(state), updated: Condvar::new(), reported: Condvar::new() }
     }
 
     /// Returns the position of the directory, or `None` before the first snapshot.
@@ -117,6 +118,8 @@
         // A snapshot at a known position changes nothing, but may show that entries are missing.
         if delta.is_some() || matches!(update, FeedUpdate::Snapshot { .. }) {
             state.updates.push_back(update);
+            drop(state);
+            self.updated.notify_all();
         }
         delta
     }
@@ -144,6 +147,7 @@
         let since = state.log.position();
         drop(state);
         self.updated.notify_all();
+        self.reported.notify_all();
         (since < report.position).then_some(MissingChanges { since })
     }
 
@@ -164,19 +168,25 @@
         self.lock().log.since(position)
     }
 
-    /// Waits at most `timeout` for updates.
-    pub(super) fn wait(&self, timeout: Duration) {
-        let state = self.lock();
-        let waited = self.updated.wait_timeout_while(state, timeout, |it| it.updates.is_empty());
+    /// Waits at most `timeout` for a report of another VM.
+    pub(super) fn wait_for_report(&self, timeout: Duration) {
+        let waited = self.reported.wait_timeout(self.lock(), timeout);
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Takes the changes that the directory does not contain yet, oldest first.
-    pub(super) fn take_updates(&self) -> VecDeque<FeedUpdate> {
-        std::mem::take(&mut self.lock().updates)
+    /// Waits at most `timeout` for changes that the directory does not contain yet, and takes them,
+    /// oldest first.
+    pub(super) fn wait_for_updates(&self, timeout: Duration) -> VecDeque<FeedUpdate> {
+        let state = self.lock();
+        let waited = self.updated.wait_timeout_while(state, timeout, |it| it.updates.is_empty());
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        std::mem::take(&mut state.updates)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
