fix: connection options in a list, and bodies that end with the connection

Suspected from reading, reproduced with a test each: - `Connection: close, x` counted as keep-alive, so a connection that the upstream was closing was kept for the next call. - The client of the store could not finish a body without a length.

--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -194,7 +194,11 @@
             return Err(HttpError::Malformed);
         }
         if wait_and_read(connection, deadline)? == ReadOutcome::Closed {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            return if decoder.is_delimited_by_close() {
+                Ok(body)
+            } else {
+                Err(io::Error::from(io::ErrorKind::UnexpectedEof).into())
+            };
         }
     }
 }
@@ -217,3 +221,6 @@
     let ready = wait(interest, deadline)?;
     if ready.timed_out { Err(HttpError::TimedOut) } else { Ok(()) }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/client/tests.rs
@@ -0,0 +1,38 @@
+//! Responses of a service are read to their end, however it is marked.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use super::HttpClient;
+use super::HttpError;
+
+/// Returns the result of a request to a service that sends `response` and closes the connection.
+fn get(response: &'static str) -> Result<Vec<u8>, HttpError> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    let service = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request).expect("a request");
+        stream.write_all(response.as_bytes()).expect("an open connection");
+    });
+    let result = HttpClient::new(address).get("/rows", Duration::from_secs(5));
+    service.join().expect("the service does not panic");
+    result.map(|it| it.body)
+}
+
+#[test]
+fn body_without_length_ends_with_the_connection() {
+    assert_eq!(get("HTTP/1.1 200 OK\r\n\r\nrows").ok(), Some(b"rows".to_vec()));
+}
+
+#[test]
+fn body_shorter_than_its_length_is_an_error() {
+    assert!(matches!(
+        get("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nrows"),
+        Err(HttpError::Io(_))
+    ));
+}
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -49,9 +49,11 @@
 
     /// Returns `true` if the connection may be reused after this response.
     pub(crate) fn keeps_alive(&self) -> bool {
-        let is_close_requested =
-            self.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close"));
-        self.is_http_1_1 && !is_close_requested
+        let mut options = self
+            .headers()
+            .filter(|(name, _)| *name == "connection")
+            .flat_map(|(_, value)| value.split(','));
+        self.is_http_1_1 && !options.any(|it| it.trim().eq_ignore_ascii_case("close"))
     }
 
     /// Returns how the body is delimited. `method` is the method of the request.
@@ -92,3 +94,6 @@
     };
     Ok(Some((head, len)))
 }
+
+#[cfg(test)]
+mod tests;
