fix(cli): status fails if no VM responds

Suspected from reading, reproduced: with no VM reachable `status` printed "all agree" and ended with 0, since no two versions differed. It now ends with 6 (unreachable). Test fails first: status_without_a_reachable_vm_fails.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -182,11 +182,14 @@
         print_json(&Value::Array(dumps.into_iter().map(|(_, dump)| dump).collect()))?;
         return Ok(Exit::Success);
     }
-    let versions: Vec<&Value> = dumps.iter().map(|(_, it)| &it["config"]["version"]).collect();
-    let all_agree = versions.windows(2).all(|pair| pair[0] == pair[1]);
     for (address, dump) in &dumps {
         print(&report::status(address, dump));
     }
+    if dumps.iter().all(|(_, it)| it.is_null()) {
+        return Err(Failure::new(Exit::Unreachable, "no VM responded"));
+    }
+    let versions: Vec<&Value> = dumps.iter().map(|(_, it)| &it["config"]["version"]).collect();
+    let all_agree = versions.windows(2).all(|pair| pair[0] == pair[1]);
     print(if all_agree { "all agree\n" } else { "NOT all agree on the configuration\n" });
     Ok(if all_agree { Exit::Success } else { Exit::Failed })
 }
--- a/crates/cli/tests/plan_confirm.rs
+++ b/crates/cli/tests/plan_confirm.rs
@@ -73,6 +73,15 @@
     assert!(stdout(&operator.run(&["history"])).lines().count() == 3);
 }
 
+#[test]
+fn status_without_a_reachable_vm_fails() {
+    let mut operator = Operator::new("unreachable");
+    operator.cluster.vms.iter_mut().for_each(|it| it.kill());
+    let status = operator.run(&["status"]);
+    assert_eq!(status.status.code(), Some(6), "{}", stdout(&status));
+    assert!(!stdout(&status).contains("all agree"), "{}", stdout(&status));
+}
+
 #[test]
 fn unacknowledged_hazard_is_refused() {
     let operator = Operator::new("hazard");
