--- a/xtask/src/checks.rs
+++ b/xtask/src/checks.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use eyre::Result;
+use eyre::WrapErr;
 use eyre::bail;
 
 use crate::command::run;
@@ -15,14 +16,32 @@
     eprintln!("{text}");
 }
 
-/// Runs the tests of the workspace; `passed` is handed on to `cargo test`.
+/// File that lists tests which fail for a known fault.
+const KNOWN_RED_FILE: &str = "KNOWN-RED.txt";
+
+/// Runs the tests of the workspace, except those listed in [`KNOWN_RED_FILE`], which are printed;
+/// `passed` is handed on to `cargo test`.
 pub(crate) fn test(passed: &[String]) -> Result<()> {
     build_programs("dev")?;
+    let known_red = fs::read_to_string(KNOWN_RED_FILE)
+        .wrap_err_with(|| format!("cannot read {KNOWN_RED_FILE}"))?;
     let mut arguments = vec!["test", "--quiet", "--workspace"];
     arguments.extend(passed.iter().map(String::as_str));
+    if !passed.iter().any(|it| it == "--") {
+        arguments.push("--");
+    }
+    for name in known_red_tests(&known_red) {
+        print_line(&format!("passed over, see {KNOWN_RED_FILE}: {name}"));
+        arguments.extend(["--skip", name]);
+    }
     run("cargo", &arguments)
 }
 
+/// Returns the names of the tests in a list of known failures.
+fn known_red_tests(text: &str) -> impl Iterator<Item = &str> {
+    text.lines().filter_map(|it| it.strip_prefix("test: ")).map(str::trim)
+}
+
 /// Checks formatting, the rules for imports and module files, lints and documentation.
 pub(crate) fn lint() -> Result<()> {
     run("cargo", &["fmt", "--all", "--check"])?;
@@ -81,3 +100,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
