--- a/crates/cli/tests/plan_confirm.rs
+++ b/crates/cli/tests/plan_confirm.rs
@@ -76,7 +76,7 @@
 #[test]
 fn status_without_a_reachable_vm_fails() {
     let mut operator = Operator::new("unreachable");
-    operator.cluster.vms.iter_mut().for_each(|it| it.kill());
+    operator.cluster.vms.iter_mut().for_each(cranberryvalve_standins::vm::Vm::kill);
     let status = operator.run(&["status"]);
     assert_eq!(status.status.code(), Some(6), "{}", stdout(&status));
     assert!(!stdout(&status).contains("all agree"), "{}", stdout(&status));
