perf: fewer calls to the store while all VMs start

Cause: at the first start all VMs read the key of the peer links at once, found none and made three calls each; and a VM that had not joined its peers yet read both sources itself. Change: the first reads are spread over a second, and a VM reads for itself only after the 2.5 s in which it finds its peers. The key is checked by a thread that runs only after a restoration.

--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -15,7 +15,7 @@
 //!
 //! let start = Instant::now();
 //! let vms = (0..40).map(|it| format!("vm-{it}").into()).collect::<Vec<_>>();
-//! let now = start + Duration::from_secs(2);
+//! let now = start + Duration::from_secs(3);
 //! let readers = vms.iter().filter(|it| WatchDuty::new(start).is_reader(now, it, &vms));
 //! assert_eq!(readers.count(), 3);
 //! ```
@@ -40,7 +40,7 @@
 pub const REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Time after the start of a VM in which it finds its peers before it takes up the duty.
-pub const JOIN_TIME: Duration = Duration::from_millis(1_500);
+pub const JOIN_TIME: Duration = Duration::from_millis(2_500);
 
 /// Interval at which further VMs begin to read while no watcher reaches the source.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -79,6 +79,9 @@
     seeds: Vec<SocketAddr>,
     load_queries: LoadQueries,
     tables: Arc<dyn RoutingTableFeed>,
+    secret: Arc<dyn SecretStore>,
+    /// Key of the peer links, as in the store.
+    key: Mutex<Vec<u8>>,
 }
 
 /// Joins the peers in the background once the key of the peer links can be read. Until then the VM
@@ -95,7 +98,7 @@
 ) -> io::Result<()> {
     let relay = relay.clone();
     thread::Builder::new().name("join".to_owned()).spawn(move || {
-        let key = link_key::load(&relay, &*secret, settings.is_first_start);
+        let key = link_key::load(&relay, &*secret, &settings.vm, settings.is_first_start);
         if let Err(error) = start(&relay, settings, key, secret, tables) {
             warn!(relay.log, "failed to join the peers; serving without them";
                 "error" => error.to_string());
@@ -123,15 +126,17 @@
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: LoadQueries::default(),
         tables,
+        secret,
+        key: Mutex::new(key),
     });
     relay.set_peers(peers.clone());
+    // The store may have been restored since the key was read.
+    if relay.store_era() > 0 {
+        peers.check_link_key(relay.store_era());
+    }
     info!(relay.log, "joining the peers"; "seeds" => peers.seeds.len());
     let receiver = peers.clone();
     thread::Builder::new().name("peers".to_owned()).spawn(move || receiver.run_receiver())?;
-    let key_checker = peers.clone();
-    thread::Builder::new()
-        .name("link key".to_owned())
-        .spawn(move || key_checker.run_key_checks(&*secret, key))?;
     let reporter = peers.clone();
     thread::Builder::new().name("reports".to_owned()).spawn(move || reporter.run_load_reports())?;
     thread::Builder::new().name("heartbeats".to_owned()).spawn(move || peers.run_heartbeats())?;
--- a/crates/relay/src/peers/link_key.rs
+++ b/crates/relay/src/peers/link_key.rs
@@ -5,6 +5,8 @@
 //! all VMs change to that one.
 
 use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 
@@ -35,8 +37,20 @@
 /// same time.
 const CHECK_SPREAD: Duration = Duration::from_secs(2);
 
+/// Time over which the VMs of a system that starts for the first time spread their first read, so
+/// that most of them find the key written.
+const FIRST_READ_SPREAD: Duration = Duration::from_secs(1);
+
 /// Reads the key, or creates it if there is none. Retries until that succeeds.
-pub(super) fn load(relay: &Relay, secret: &dyn SecretStore, is_first_start: bool) -> Vec<u8> {
+pub(super) fn load(
+    relay: &Relay,
+    secret: &dyn SecretStore,
+    vm: &VmId,
+    is_first_start: bool,
+) -> Vec<u8> {
+    if is_first_start {
+        thread::sleep(FIRST_READ_SPREAD.mul_f64(share_of(vm)));
+    }
     let mut is_logged = false;
     let mut waited = Duration::ZERO;
     loop {
@@ -57,34 +71,50 @@
     }
 }
 
+/// Returns a number from 0 to 1 that differs among VMs.
+fn share_of(vm: &VmId) -> f64 {
+    stable_hash(("link key", vm)) as f64 / u64::MAX as f64
+}
+
 impl Peers {
-    /// Keeps `key` in the store over restorations. Never returns.
-    pub(super) fn run_key_checks(&self, secret: &dyn SecretStore, mut key: Vec<u8>) {
-        let mut era = StoreEra::default();
+    /// Starts a thread that makes sure that the restored store and this VM have the same key.
+    pub(crate) fn check_link_key(self: &Arc<Self>, era: StoreEra) {
+        let peers = self.clone();
+        let thread = thread::Builder::new().name("link key".to_owned());
+        if let Err(error) = thread.spawn(move || peers.run_key_check(era)) {
+            warn!(self.relay.log, "cannot check the peer link key"; "error" => error.to_string());
+        }
+    }
+
+    fn run_key_check(&self, era: StoreEra) {
+        thread::sleep(self.check_delay());
         loop {
-            era = self.relay.wait_for_restoration(era);
-            thread::sleep(self.check_delay());
-            match read_or_write(secret, &key) {
+            let key = self.lock_key().clone();
+            match read_or_write(&*self.secret, &key) {
                 Ok(stored) if stored == key => {
                     info!(self.relay.log, "peer link key is in the restored store"; "era" => era);
+                    return;
                 }
                 Ok(stored) => {
                     info!(self.relay.log, "peer link key replaced by the one in the restored store";
                         "era" => era);
                     self.links.set_key(SharedKey::new(&stored));
-                    key = stored;
+                    *self.lock_key() = stored;
+                    return;
                 }
                 Err(error) => {
                     warn!(self.relay.log, "cannot check the peer link key; retrying";
                         "error" => error.to_string());
                     thread::sleep(RETRY_INTERVAL);
-                    // The same era is checked again.
-                    era = era.saturating_sub(1);
                 }
             }
         }
     }
 
+    fn lock_key(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.key.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns how long this VM waits before it checks the key. All VMs agree on those that check
     /// it first.
     fn check_delay(&self) -> Duration {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -8,13 +8,13 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -86,7 +86,8 @@
     peers: OnceLock<Arc<Peers>>,
     /// When each source last responded, by name of the source.
     last_responses: Mutex<HashMap<&'static str, Instant>>,
-    store_restorations: Restorations,
+    /// Latest era in which the store was restored while this VM ran; 0 before that.
+    store_era: AtomicU64,
     pub(crate) shared_directory: SharedDirectory,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
@@ -117,7 +118,7 @@
             active_table: RwLock::default(),
             peers: OnceLock::new(),
             last_responses: Mutex::default(),
-            store_restorations: Restorations::default(),
+            store_era: AtomicU64::new(0),
             shared_directory: SharedDirectory::new(Instant::now()),
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
@@ -232,23 +233,24 @@
 
     /// Records that the store was restored from a copy and is in this era.
     pub(crate) fn record_store_era(&self, era: StoreEra) {
-        self.store_restorations.record(era);
+        let previous = self.store_era.fetch_max(era, Ordering::SeqCst);
+        if era > previous
+            && let Some(peers) = self.peers.get()
+        {
+            peers.check_link_key(era);
+        }
     }
 
     /// Returns the latest era in which the store was restored while this VM ran; 0 before that.
     pub(crate) fn store_era(&self) -> StoreEra {
-        self.store_restorations.latest()
-    }
-
-    /// Waits until the store is in a later era than `era`, and returns that era.
-    pub(crate) fn wait_for_restoration(&self, era: StoreEra) -> StoreEra {
-        self.store_restorations.wait(era)
+        self.store_era.load(Ordering::SeqCst)
     }
 
-    /// Returns `true` if this VM reads the sources for its failure domain, or has no peers there.
+    /// Returns `true` if this VM reads the sources for its failure domain, or has had the time to
+    /// find peers there and has none.
     pub(crate) fn is_source_reader(&self) -> bool {
-        let Some(peers) = self.peers() else { return true };
-        let (own, vms) = peers.failure_domain_members();
+        let members = self.peers().map(Peers::failure_domain_members);
+        let (own, vms) = members.unwrap_or_else(|| ("".into(), Vec::new()));
         self.shared_directory.is_reader(Instant::now(), &own, &vms)
     }
 
@@ -348,31 +350,6 @@
     }
 }
 
-/// Latest era of the store in which it was restored while this VM ran; 0 before that.
-#[derive(Debug, Default)]
-struct Restorations {
-    era: Mutex<StoreEra>,
-    changed: Condvar,
-}
-
-impl Restorations {
-    fn record(&self, era: StoreEra) {
-        let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
-        *latest = era.max(*latest);
-        self.changed.notify_all();
-    }
-
-    fn latest(&self) -> StoreEra {
-        *self.era.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn wait(&self, era: StoreEra) -> StoreEra {
-        let latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = self.changed.wait_while(latest, |it| *it <= era);
-        *waited.unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Keeps a counter incremented until it is dropped.
 pub(crate) struct CountGuard<'a>(&'a AtomicUsize);
 
