--- a/crates/coordination/tests/update_spread.rs
+++ b/crates/coordination/tests/update_spread.rs
@@ -77,8 +77,16 @@
             for receiver in vms[sender].neighbours() {
                 let heartbeat = heartbeat(&mut vms[sender], &receiver);
                 let index = usize::from(receiver.address.port()) - 1_000;
-                if rng.random::<f64>() >= LOSS {
-                    vms[index].on_heartbeat(now, &heartbeat);
+                if rng.random::<f64>() < LOSS {
+                    continue;
+                }
+                let relation = vms[index].on_heartbeat(now, &heartbeat);
+                // A VM replies to heartbeats of VMs that it sends none to.
+                let is_lost = rng.random::<f64>() < LOSS;
+                if !relation.is_neighbour && !is_lost && !left.contains(&index) {
+                    let to = address(sender);
+                    let reply = self::heartbeat(&mut vms[index], &to);
+                    vms[sender].on_heartbeat(now, &reply);
                 }
             }
         }
