--- a/crates/relay/src/peers/link_key.rs
+++ b/crates/relay/src/peers/link_key.rs
@@ -88,6 +88,7 @@
 
     fn run_key_check(&self, era: StoreEra) {
         thread::sleep(self.check_delay());
+        let mut is_logged = false;
         loop {
             let key = self.lock_key().clone();
             match read_or_write(&*self.secret, &key) {
@@ -103,8 +104,10 @@
                     return;
                 }
                 Err(error) => {
-                    warn!(self.relay.log, "cannot check the peer link key; retrying";
-                        "error" => error.to_string());
+                    if !std::mem::replace(&mut is_logged, true) {
+                        warn!(self.relay.log, "cannot check the peer link key; retrying";
+                            "error" => error.to_string());
+                    }
                     thread::sleep(RETRY_INTERVAL);
                 }
             }
