refactor(relay): no empty list of departures to each new member; receivers listed once

Read again: a VM that meets another for the first time sent it its departures even when there were none, a message for each pair of neighbours while all VMs start, which the receiver ignores. The receivers of a report were filtered for this VM, which the list of addresses leaves out anyway.

Checked: clippy of relay and platform, worker_notices and store_restorations (15 passed).

--- a/crates/relay/src/peers/directory.rs
+++ b/crates/relay/src/peers/directory.rs
@@ -24,11 +24,11 @@
 
     /// Sends a report to the other VMs of the failure domain.
     pub(crate) fn broadcast_feed_report(&self, report: FeedReport) {
-        let (own, vms) = self.failure_domain_members();
+        let (_, vms) = self.failure_domain_members();
         let receivers: Vec<PeerAddress> = {
             let membership = self.membership();
-            let others = vms.iter().filter(|it| **it != own);
-            others.filter_map(|it| membership.address_of(it)).collect()
+            // This VM has no address in its own list.
+            vms.iter().filter_map(|it| membership.address_of(it)).collect()
         };
         let message = PeerMessage::FeedReport { from: self.own_address(), report };
         self.links.broadcast(&receivers, &message);
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -166,7 +166,9 @@
             let paces = self.relay.dispatcher.paces();
             self.links.send(&from, &PeerMessage::Paces { from: own_address.clone(), paces });
             let departures = self.relay.dispatcher.departures();
-            self.links.send(&from, &PeerMessage::Departures { from: own_address, departures });
+            if !departures.is_empty() {
+                self.links.send(&from, &PeerMessage::Departures { from: own_address, departures });
+            }
         }
         // The minimum interval prevents two VMs that are not neighbours from replying to each other
         // endlessly.
