fix(relay): routing tables travel as differences, in parts from one peer

Cause, of the class of congestion collapse by redundant copies: a VM requested the whole document, 1.0 MB for 4,250 routes, from each neighbour that announced a later version, and again with each heartbeat. On links of 10 Mbit/s the copies held up the heartbeats behind them, the links counted as silent and were closed, and the copies under way were lost and requested again. Ruled out: processor (late VMs use 0 to 2 %), store (the watchers had the version within 1.3 s), placement (queue_ms 0). Change: one transfer at a time, in parts of 64 KiB that the receiver requests one by one, resumed at another peer after 0.6 s (coordination::transfer); differences to the receiver's version (core::table::TableDelta). A change then costs bytes in proportion to it, and a link never queues more than one part for each receiver.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`orders`]: orders that an engine has yet to carry out.
 //! - [`peer`]: messages exchanged between VMs.
 //! - [`store`]: interface to the table service and the object store.
+//! - [`transfer`]: transfer of a large versioned value between VMs, in parts.
 //! - [`watch`]: which VMs of a failure domain read a source for all of them.
 //!
 //! ```
@@ -42,4 +43,5 @@
 pub mod plan;
 pub mod replica;
 pub mod store;
+pub mod transfer;
 pub mod watch;
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -18,6 +18,8 @@
 use crate::limits::LimitDemand;
 use crate::limits::LimitShare;
 use crate::membership::MemberUpdate;
+use crate::transfer::Part;
+use crate::transfer::PartRequest;
 
 /// A message from one VM to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -119,6 +121,20 @@
         /// Upstreams that must get no new requests.
         departures: Vec<Departure>,
     },
+    /// Requests a part of the sender's next routing table.
+    TableRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The part.
+        request: PartRequest,
+    },
+    /// Response to [`PeerMessage::TableRequest`].
+    TablePart {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Part of an encoded difference between two routing tables.
+        part: Part,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -186,7 +202,9 @@
             | Self::Paces { from, .. }
             | Self::Departures { from, .. }
             | Self::FeedReport { from, .. }
-            | Self::FeedRequest { from, .. } => from,
+            | Self::FeedRequest { from, .. }
+            | Self::TableRequest { from, .. }
+            | Self::TablePart { from, .. } => from,
         }
     }
 }
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -4,6 +4,7 @@
 //! longest matching path prefix, customers by API key.
 
 mod customer;
+mod delta;
 mod limits;
 mod pool;
 mod route;
@@ -14,6 +15,8 @@
 
 pub use customer::ApiKey;
 pub use customer::CustomerKeys;
+pub use delta::DeltaError;
+pub use delta::TableDelta;
 pub use limits::CallerLimits;
 pub use pool::EngineSpec;
 pub use pool::PoolSpec;
@@ -24,6 +27,7 @@
 use crate::ConfigVersion;
 use crate::PoolId;
 use crate::Tier;
+use crate::stable_hash;
 
 use self::tier::TierRanks;
 
@@ -57,6 +61,18 @@
         pools: Vec<PoolSpec>,
         customers: Vec<CustomerKeys>,
         limits: CallerLimits,
+    ) -> Self {
+        let routes = routes.into_iter().map(Arc::new).collect();
+        Self::from_shared_routes(version, routes, pools, customers, limits)
+    }
+
+    /// Creates a table of routes that other versions of it may share.
+    fn from_shared_routes(
+        version: ConfigVersion,
+        routes: Vec<Arc<RouteRule>>,
+        pools: Vec<PoolSpec>,
+        customers: Vec<CustomerKeys>,
+        limits: CallerLimits,
     ) -> Self {
         let mut routes_by_host: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
         for (index, route) in routes.iter().enumerate() {
@@ -74,7 +90,7 @@
             tiers,
             customers_by_key: customers_by_key.collect(),
             routes_by_host,
-            routes: routes.into_iter().map(Arc::new).collect(),
+            routes,
             pools: pools.into_iter().map(|it| (it.id.clone(), it)).collect(),
             customers,
             limits,
@@ -131,6 +147,14 @@
         self.pool(pool)?.engine.as_ref()
     }
 
+    /// Returns a checksum of the content, by which two VMs that run the same build find out whether
+    /// they have the same table.
+    pub fn checksum(&self) -> u64 {
+        let mut pools: Vec<&PoolSpec> = self.pools.values().collect();
+        pools.sort_by_key(|it| &it.id);
+        stable_hash((self.version, &self.routes, pools, &self.customers, &self.limits))
+    }
+
     /// Returns all routes, in the order in which they were given.
     pub fn routes(&self) -> &[Arc<RouteRule>] {
         &self.routes
--- a/crates/core/src/table/customer.rs
+++ b/crates/core/src/table/customer.rs
@@ -2,13 +2,17 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::CustomerId;
 
 /// Secret that identifies the customer of a caller.
 pub type ApiKey = Arc<str>;
 
 /// A customer and its API keys.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CustomerKeys {
     /// Name of the customer.
     pub id: CustomerId,
--- a/crates/core/src/table/limits.rs
+++ b/crates/core/src/table/limits.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Limits for request heads, request bodies and connections of callers.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Maximum size of a request head, in bytes.
     pub max_head_bytes: usize,
--- a/crates/core/src/table/pool.rs
+++ b/crates/core/src/table/pool.rs
@@ -1,9 +1,13 @@
 //! Pools of upstreams.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::PoolId;
 
 /// Declared properties of a pool of upstreams.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PoolSpec {
     /// Name of the pool.
     pub id: PoolId,
@@ -14,7 +18,8 @@
 }
 
 /// Declared properties of the model engines of a pool.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Maximum number of requests that an engine runs concurrently.
     pub slots: u32,
--- a/crates/core/src/table/route.rs
+++ b/crates/core/src/table/route.rs
@@ -3,10 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::PoolId;
 
 /// Kind of a call: how often it may be run and whether the response is a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum CallKind {
     /// May run any number of times.
     Idempotent,
@@ -31,7 +35,8 @@
 }
 
 /// A pool that receives a share of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct WeightedPool {
     /// Name of the pool.
     pub pool: PoolId,
@@ -40,7 +45,8 @@
 }
 
 /// A rule for the requests to a host whose path starts with a prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route.
     pub id: Arc<str>,
--- a/crates/core/src/table/tier.rs
+++ b/crates/core/src/table/tier.rs
@@ -1,5 +1,7 @@
 //! Mapping from the priorities of customers and routes to tiers.
 
+use std::sync::Arc;
+
 use super::CustomerKeys;
 use super::RouteRule;
 use crate::Tier;
@@ -15,7 +17,7 @@
 }
 
 impl TierRanks {
-    pub(super) fn new(routes: &[RouteRule], customers: &[CustomerKeys]) -> Self {
+    pub(super) fn new(routes: &[Arc<RouteRule>], customers: &[CustomerKeys]) -> Self {
         let anonymous = routes.iter().any(|it| it.is_public).then_some(NEUTRAL_PRIORITY);
         let customer_priorities =
             customers.iter().map(|it| it.priority.unwrap_or(NEUTRAL_PRIORITY));
--- /dev/null
+++ b/crates/core/tests/table_delta.rs
@@ -0,0 +1,70 @@
+//! Differences between routing tables lead to exactly the table that they were made for.
+
+use std::time::Duration;
+
+use cranberryvalve_core::table::CallKind;
+use cranberryvalve_core::table::CallerLimits;
+use cranberryvalve_core::table::CustomerKeys;
+use cranberryvalve_core::table::DeltaError;
+use cranberryvalve_core::table::PoolSpec;
+use cranberryvalve_core::table::RouteRule;
+use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_core::table::TableDelta;
+use cranberryvalve_core::table::WeightedPool;
+use quickcheck::quickcheck;
+
+fn route(number: u8, priority: u8) -> RouteRule {
+    RouteRule {
+        id: format!("route-{number}").into(),
+        host: format!("host-{}", number % 3).into(),
+        prefix: format!("/{}/", number / 3).into(),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(5),
+        latency_target: Duration::from_secs(1),
+        event_gap_target: None,
+        priority,
+        max_attempts: 2,
+        is_public: number.is_multiple_of(2),
+        pools: vec![WeightedPool { pool: "plain".into(), weight: 1 }],
+    }
+}
+
+fn table(version: u64, routes: &[(u8, u8)], customers: u8) -> RoutingTable {
+    let pools = ["plain", "engines"];
+    let customer = |number| CustomerKeys {
+        id: format!("customer-{number}").into(),
+        api_keys: vec![format!("key-{number}").into()],
+        priority: None,
+    };
+    RoutingTable::new(
+        version,
+        routes.iter().map(|(number, priority)| route(*number, *priority)).collect(),
+        pools.map(|id| PoolSpec { id: id.into(), max_connections: 9, engine: None }).into(),
+        (0..customers).map(customer).collect(),
+        CallerLimits::default(),
+    )
+}
+
+quickcheck! {
+    fn difference_leads_to_its_table(
+        before: Vec<(u8, u8)>, after: Vec<(u8, u8)>, customers: (u8, u8)
+    ) -> bool {
+        let before = table(1, &before, customers.0 % 4);
+        let after = table(2, &after, customers.1 % 4);
+        let delta = TableDelta::between(Some(&before), &after);
+        let whole = TableDelta::between(None, &after);
+        delta.apply(Some(&before)) == Ok(after.clone()) && whole.apply(None) == Ok(after)
+    }
+}
+
+#[test]
+fn difference_applies_to_its_base_only() {
+    let before = table(1, &[(1, 0), (2, 0)], 1);
+    let other = table(1, &[(1, 0), (3, 0)], 1);
+    let after = table(2, &[(1, 0), (2, 0), (4, 0)], 1);
+    let delta = TableDelta::between(Some(&before), &after);
+    assert_eq!((delta.version(), delta.base_version()), (2, Some(1)));
+    assert_eq!(delta.apply(Some(&other)), Err(DeltaError::OtherContent(1)));
+    assert_eq!(delta.apply(Some(&after)), Err(DeltaError::OtherVersion(Some(1))));
+    assert_eq!(delta.apply(None), Err(DeltaError::OtherVersion(Some(1))));
+}
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -136,7 +136,9 @@
                 | PeerMessage::Paces { .. }
                 | PeerMessage::Departures { .. }
                 | PeerMessage::FeedReport { .. }
-                | PeerMessage::FeedRequest { .. },
+                | PeerMessage::FeedRequest { .. }
+                | PeerMessage::TableRequest { .. }
+                | PeerMessage::TablePart { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod link_key;
 mod load_queries;
+mod tables;
 
 use std::collections::HashMap;
 use std::io;
@@ -37,10 +38,11 @@
 use slog::warn;
 
 use self::load_queries::LoadQueries;
-use crate::sources::RoutingTableFeed;
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
+pub(crate) use self::tables::TableExchange;
+
 /// Maximum time that a call waits for load replies: a round trip between the failure domains of a
 /// region, plus the processing time on two small VMs.
 const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(8);
@@ -78,7 +80,6 @@
     membership: Mutex<Membership>,
     seeds: Vec<SocketAddr>,
     load_queries: LoadQueries,
-    tables: Arc<dyn RoutingTableFeed>,
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
     key: Mutex<Vec<u8>>,
@@ -94,12 +95,11 @@
     relay: &Arc<Relay>,
     settings: PeerSettings,
     secret: Arc<dyn SecretStore>,
-    tables: Arc<dyn RoutingTableFeed>,
 ) -> io::Result<()> {
     let relay = relay.clone();
     thread::Builder::new().name("join".to_owned()).spawn(move || {
         let key = link_key::load(&relay, &*secret, &settings.vm, settings.is_first_start);
-        if let Err(error) = start(&relay, settings, key, secret, tables) {
+        if let Err(error) = start(&relay, settings, key, secret) {
             warn!(relay.log, "failed to join the peers; serving without them";
                 "error" => error.to_string());
         }
@@ -112,7 +112,6 @@
     settings: PeerSettings,
     key: Vec<u8>,
     secret: Arc<dyn SecretStore>,
-    tables: Arc<dyn RoutingTableFeed>,
 ) -> io::Result<()> {
     let own_address = PeerAddress {
         vm: settings.vm,
@@ -125,7 +124,6 @@
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: LoadQueries::default(),
-        tables,
         secret,
         key: Mutex::new(key),
     });
@@ -171,6 +169,7 @@
     fn run_load_reports(&self) {
         loop {
             thread::sleep(LOAD_REPORT_INTERVAL);
+            self.continue_table_fetch();
             self.send_paces();
             let loads = self.relay.dispatcher.loads_for_peers();
             if loads.is_empty() {
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -102,7 +102,7 @@
 
     /// Returns the version of the active routing table, or 0 if there is none.
     fn config_version(&self) -> ConfigVersion {
-        self.relay.active_table().map_or(0, |it| it.version)
+        self.relay.routing_table().map_or(0, |it| it.version())
     }
 
     /// Handles messages from peers until the links are closed.
@@ -115,10 +115,6 @@
                     let mut membership = self.membership();
                     members.iter().for_each(|it| membership.on_update(now, it));
                 }
-                Some(PeerMessage::DocumentRequest { from, version }) => {
-                    self.send_document(&from, version);
-                }
-                Some(PeerMessage::Document { body, .. }) => self.handle_document(body),
                 Some(PeerMessage::LoadReport { from, loads }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerLoads { vm: from.vm, loads });
                 }
@@ -145,8 +141,18 @@
                 Some(PeerMessage::Departures { departures, .. }) => {
                     self.relay.handle_peer_departures(departures);
                 }
-                // The relay does not enforce limits of customers.
-                Some(PeerMessage::LimitReport { .. } | PeerMessage::LimitShares { .. }) => {}
+                Some(PeerMessage::TableRequest { from, request }) => {
+                    self.send_table_part(&from, &request);
+                }
+                Some(PeerMessage::TablePart { from, part }) => self.handle_table_part(&from, &part),
+                // The relay does not enforce limits of customers, and the daemon's documents have
+                // another format.
+                Some(
+                    PeerMessage::LimitReport { .. }
+                    | PeerMessage::LimitShares { .. }
+                    | PeerMessage::DocumentRequest { .. }
+                    | PeerMessage::Document { .. },
+                ) => {}
                 None => {
                     metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
                 }
@@ -175,24 +181,7 @@
         if !sender.is_neighbour && self.links.is_heartbeat_due(&from, MIN_REPLY_INTERVAL) {
             self.send_heartbeat(&from);
         }
-        if heartbeat.config_version > self.config_version() {
-            let message = PeerMessage::DocumentRequest {
-                from: self.own_address(),
-                version: heartbeat.config_version,
-            };
-            self.links.send(&from, &message);
-        }
-    }
-
-    fn send_document(&self, to: &PeerAddress, version: ConfigVersion) {
-        let active = self.relay.active_table().filter(|it| it.version >= version);
-        let Some(active) = active else { return };
-        let body = active.row.value.clone();
-        self.links.send(to, &PeerMessage::Document { from: self.own_address(), body });
-    }
-
-    fn handle_document(&self, body: Vec<u8>) {
-        self.relay.apply_row(&*self.tables, &self.tables.row(body), "peer");
+        self.handle_announced_table(&from, heartbeat.config_version);
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/peers/tables.rs
@@ -0,0 +1,213 @@
+//! Exchange of routing tables between VMs.
+//!
+//! Heartbeats announce the version of the active table. A VM that is behind fetches the difference
+//! to its own table from one of the VMs that announced a later version; see
+//! [`transfer`](cranberryvalve_coordination::transfer).
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_coordination::transfer::Fetch;
+use cranberryvalve_coordination::transfer::FetchStep;
+use cranberryvalve_coordination::transfer::Part;
+use cranberryvalve_coordination::transfer::PartRequest;
+use cranberryvalve_coordination::transfer::TransferId;
+use cranberryvalve_coordination::transfer::part_of;
+use cranberryvalve_core::ConfigVersion;
+use cranberryvalve_core::stable_hash;
+use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_core::table::TableDelta;
+use slog::info;
+use slog::warn;
+
+use super::Peers;
+
+/// Number of recent tables that differences can refer to: those of a burst of changes, in which
+/// some VMs are a few versions behind.
+const KEPT_TABLES: usize = 4;
+
+/// Maximum number of encoded differences that are kept for the receivers of later parts.
+const KEPT_DIFFERENCES: usize = 3;
+
+/// A request to send to a peer.
+type OutgoingRequest = (PeerAddress, PartRequest);
+
+/// Recent routing tables, and the transfer of the next one.
+#[derive(Debug, Default)]
+pub(crate) struct TableExchange {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    fetch: Fetch,
+    /// Recent tables, the newest first.
+    tables: VecDeque<Arc<RoutingTable>>,
+    /// Recently sent differences, the newest first.
+    differences: VecDeque<Difference>,
+}
+
+#[derive(Debug)]
+struct Difference {
+    id: TransferId,
+    bytes: Arc<[u8]>,
+}
+
+/// Result of a part that arrived.
+#[derive(Debug)]
+enum Received {
+    /// Nothing is to be done.
+    Nothing,
+    /// Send a request.
+    Request(OutgoingRequest),
+    /// A table is complete.
+    Table { table: Box<RoutingTable>, id: TransferId, size_bytes: usize },
+    /// A complete value cannot be used; a request for the whole table follows a difference.
+    Unusable { error: String, request: Option<OutgoingRequest> },
+}
+
+impl TableExchange {
+    /// Records the table that was put in force.
+    pub(crate) fn record(&self, table: &Arc<RoutingTable>) {
+        let mut state = self.lock();
+        state.fetch.record_version(table.version());
+        state.tables.push_front(table.clone());
+        state.tables.truncate(KEPT_TABLES);
+    }
+
+    fn on_announced(
+        &self,
+        now: Instant,
+        peer: &PeerAddress,
+        version: ConfigVersion,
+    ) -> Option<OutgoingRequest> {
+        self.lock().fetch.on_announced(now, peer, version)
+    }
+
+    fn on_tick(&self, now: Instant) -> Option<OutgoingRequest> {
+        self.lock().fetch.on_tick(now)
+    }
+
+    fn on_part(&self, now: Instant, from: &PeerAddress, part: &Part) -> Received {
+        let mut state = self.lock();
+        match state.fetch.on_part(now, from, part) {
+            FetchStep::Ignored => Received::Nothing,
+            FetchStep::Request(to, request) => Received::Request((to, request)),
+            FetchStep::Complete { id, bytes } => match state.table_from(&bytes) {
+                Ok(table) => {
+                    Received::Table { table: Box::new(table), id, size_bytes: bytes.len() }
+                }
+                Err(error) => {
+                    Received::Unusable { error, request: state.fetch.on_unusable(now, id) }
+                }
+            },
+        }
+    }
+
+    /// Returns the requested part, or `None` if this VM has no such version.
+    fn part(&self, request: &PartRequest) -> Option<Part> {
+        let mut state = self.lock();
+        if let Some(id) = request.id
+            && let Some(known) = state.differences.iter().find(|it| it.id == id)
+        {
+            return part_of(id, &known.bytes, request.offset);
+        }
+        let difference = state.difference(request)?;
+        let is_continued = request.id == Some(difference.id);
+        let offset = if is_continued { request.offset } else { 0 };
+        let part = part_of(difference.id, &difference.bytes, offset);
+        if !state.differences.iter().any(|it| it.id == difference.id) {
+            state.differences.push_front(difference);
+            state.differences.truncate(KEPT_DIFFERENCES);
+        }
+        part
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn table(&self, version: ConfigVersion) -> Option<&Arc<RoutingTable>> {
+        self.tables.iter().find(|it| it.version() == version)
+    }
+
+    /// Encodes the difference from the version that a receiver has to the newest one, or to the one
+    /// that it has received parts of.
+    fn difference(&self, request: &PartRequest) -> Option<Difference> {
+        let started = request.id.and_then(|it| self.table(it.version));
+        let table = started.or_else(|| self.tables.front())?;
+        if table.version() < request.version {
+            return None;
+        }
+        let base = request.base.and_then(|it| self.table(it));
+        let delta = TableDelta::between(base.map(|it| &**it), table);
+        let bytes: Arc<[u8]> = postcard::to_stdvec(&delta).ok()?.into();
+        let id = TransferId {
+            version: delta.version(),
+            base: delta.base_version(),
+            checksum: stable_hash(&bytes),
+        };
+        Some(Difference { id, bytes })
+    }
+
+    /// Decodes a difference and applies it.
+    fn table_from(&self, bytes: &[u8]) -> Result<RoutingTable, String> {
+        let delta: TableDelta = postcard::from_bytes(bytes).map_err(|error| error.to_string())?;
+        let base = delta.base_version().and_then(|it| self.table(it));
+        delta.apply(base.map(|it| &**it)).map_err(|error| error.to_string())
+    }
+}
+
+impl Peers {
+    /// Requests the table that a peer announced, unless it is known or being fetched.
+    pub(super) fn handle_announced_table(&self, from: &PeerAddress, version: ConfigVersion) {
+        let request = self.relay.tables.on_announced(Instant::now(), from, version);
+        self.send_table_request(request);
+    }
+
+    /// Requests a part again that has not arrived.
+    pub(super) fn continue_table_fetch(&self) {
+        self.send_table_request(self.relay.tables.on_tick(Instant::now()));
+    }
+
+    pub(super) fn send_table_part(&self, to: &PeerAddress, request: &PartRequest) {
+        let Some(part) = self.relay.tables.part(request) else { return };
+        metrics::counter!("cranberryvalve_table_bytes_total", "direction" => "out")
+            .increment(part.bytes.len() as u64);
+        self.links.send(to, &PeerMessage::TablePart { from: self.own_address(), part });
+    }
+
+    pub(super) fn handle_table_part(&self, from: &PeerAddress, part: &Part) {
+        metrics::counter!("cranberryvalve_table_bytes_total", "direction" => "in")
+            .increment(part.bytes.len() as u64);
+        match self.relay.tables.on_part(Instant::now(), from, part) {
+            Received::Nothing => {}
+            Received::Request(request) => self.send_table_request(Some(request)),
+            Received::Table { table, id, size_bytes } => {
+                info!(self.relay.log, "routing table received"; "peer" => &*from.vm,
+                    "config_version" => id.version, "base_version" => id.base,
+                    "bytes" => size_bytes);
+                self.relay.activate_table(Arc::new(*table), "peer");
+            }
+            Received::Unusable { error, request } => {
+                warn!(self.relay.log, "received routing table cannot be used";
+                    "peer" => &*from.vm, "error" => error);
+                self.send_table_request(request);
+            }
+        }
+    }
+
+    fn send_table_request(&self, request: Option<OutgoingRequest>) {
+        let Some((to, request)) = request else { return };
+        let from = self.own_address();
+        self.links.send(&to, &PeerMessage::TableRequest { from, request });
+    }
+}
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -79,9 +79,6 @@
     /// Decodes a row. Returns `None` if the row does not hold a routing table, and an error message
     /// for the log if the table is invalid.
     fn decode(&self, row: &Row) -> Option<Result<RoutingTable, String>>;
-
-    /// Returns a row for the encoded routing table `value`, which was received from another VM.
-    fn row(&self, value: Vec<u8>) -> Row;
 }
 
 /// A source of upstreams.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,7 +22,6 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::feed::FeedDelta;
-use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
@@ -41,6 +40,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::peers::Peers;
+use crate::peers::TableExchange;
 use crate::service::serve_connection;
 use crate::socket::Waker;
 use crate::sources::RoutingTableFeed;
@@ -62,14 +62,6 @@
     pub max_connections: usize,
 }
 
-/// The active routing table and the row it was decoded from, which is sent to peers on request.
-#[derive(Debug, Clone)]
-pub(crate) struct ActiveTable {
-    pub(crate) version: ConfigVersion,
-    pub(crate) table: Arc<RoutingTable>,
-    pub(crate) row: Arc<Row>,
-}
-
 /// Relays calls from callers to the upstreams chosen by the scheduler, on one VM.
 pub struct Relay {
     pub(crate) settings: RelaySettings,
@@ -82,7 +74,9 @@
     /// Wakes the threads of idle connections when the relay closes.
     pub(crate) closing_waker: Waker,
     listener: Mutex<Option<TcpListener>>,
-    active_table: RwLock<Option<ActiveTable>>,
+    active_table: RwLock<Option<Arc<RoutingTable>>>,
+    /// Recent routing tables, for the peers.
+    pub(crate) tables: TableExchange,
     peers: OnceLock<Arc<Peers>>,
     /// When each source last responded, by name of the source.
     last_responses: Mutex<HashMap<&'static str, Instant>>,
@@ -116,6 +110,7 @@
             closing_waker: Waker::new()?,
             listener: Mutex::default(),
             active_table: RwLock::default(),
+            tables: TableExchange::default(),
             peers: OnceLock::new(),
             last_responses: Mutex::default(),
             store_era: AtomicU64::new(0),
@@ -147,7 +142,7 @@
     pub(crate) fn apply_row(&self, feed: &dyn RoutingTableFeed, row: &Row, source: &'static str) {
         match feed.decode(row) {
             None => {}
-            Some(Ok(table)) => self.activate_table(Arc::new(table), row, source),
+            Some(Ok(table)) => self.activate_table(Arc::new(table), source),
             Some(Err(message)) => {
                 warn!(self.log, "invalid configuration ignored"; "source" => source,
                     "error" => message);
@@ -155,13 +150,15 @@
         }
     }
 
-    fn activate_table(&self, table: Arc<RoutingTable>, row: &Row, source: &'static str) {
+    /// Activates a routing table if it is newer than the active one, and announces it to the peers.
+    pub(crate) fn activate_table(&self, table: Arc<RoutingTable>, source: &'static str) {
         let version = table.version();
         let mut current = self.active_table.write().unwrap_or_else(PoisonError::into_inner);
-        if current.as_ref().is_some_and(|it| it.version >= version) {
+        if current.as_ref().is_some_and(|it| it.version() >= version) {
             return;
         }
-        *current = Some(ActiveTable { version, table: table.clone(), row: Arc::new(row.clone()) });
+        *current = Some(table.clone());
+        self.tables.record(&table);
         drop(current);
         info!(self.log, "configuration in force"; "source" => source, "config_version" => version,
             "routes" => table.routes().len());
@@ -172,14 +169,9 @@
         }
     }
 
-    /// Returns the active routing table with its row, or `None` before the first configuration.
-    pub(crate) fn active_table(&self) -> Option<ActiveTable> {
-        self.active_table.read().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
     /// Returns the active routing table, or `None` before the first configuration.
     pub fn routing_table(&self) -> Option<Arc<RoutingTable>> {
-        self.active_table().map(|it| it.table)
+        self.active_table.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     pub(crate) fn set_peers(&self, peers: Arc<Peers>) {
