--- a/crates/adapters/src/platform.rs
+++ b/crates/adapters/src/platform.rs
@@ -40,7 +40,8 @@
 }
 
 /// The platform's list of VMs, as read at one time.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VmList {
     /// Revision of the list; a higher one is newer.
     pub revision: u64,
@@ -51,7 +52,8 @@
 }
 
 /// An upstream in a [`VmList`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamEntry {
     /// Name of the upstream.
     pub id: UpstreamId,
--- a/crates/adapters/src/resume.rs
+++ b/crates/adapters/src/resume.rs
@@ -23,7 +23,8 @@
 const MAX_TOKEN_BYTES: usize = 2_048;
 
 /// The content of a resume token.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ResumeClaims {
     /// Customer that owns the stream.
     pub customer: CustomerId,
--- a/crates/adapters/src/upstream/engine.rs
+++ b/crates/adapters/src/upstream/engine.rs
@@ -56,7 +56,8 @@
 }
 
 /// Status that an engine reports.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineStatus {
     /// Number of running or waiting requests per priority tier.
     #[serde(default)]
@@ -129,7 +130,8 @@
     delta: DeltaData,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct DeltaData {
     #[serde(default)]
     content: Option<Arc<str>>,
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -26,7 +26,8 @@
 const COMMON_FIELDS: [&str; 5] = ["message", "time_unix_ms", "vm", "level", "request"];
 
 /// A parsed log line.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Line {
     pub(crate) time_unix_ms: u64,
     pub(crate) vm: String,
@@ -38,7 +39,8 @@
 }
 
 /// The log lines about a request and a summary of them.
-#[derive(Debug, PartialEq, Serialize)]
+#[derive(Debug, PartialEq)]
+#[derive(Serialize)]
 pub(crate) struct Timeline {
     pub(crate) request: String,
     pub(crate) lines: Vec<Line>,
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -16,7 +16,8 @@
 /// Environment variable with the operator's name, for `--operator`.
 const OPERATOR_VARIABLE: &str = "CRANBERRYVALVE_OPERATOR";
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct Cli {
     #[options(no_short, help = "print this help")]
     pub(crate) help: bool,
@@ -32,7 +33,8 @@
     pub(crate) command: Option<Command>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) enum Command {
     #[options(help = "show what applying a configuration file would change")]
     Plan(PlanOptions),
@@ -56,7 +58,8 @@
     HashKey(NoOptions),
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ExplainOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -68,7 +71,8 @@
     pub(crate) arguments: Vec<String>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct PlanOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -78,7 +82,8 @@
     pub(crate) out: String,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct DrainOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -88,7 +93,8 @@
     pub(crate) out: String,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct ConfirmOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -98,7 +104,8 @@
     pub(crate) acknowledge: Vec<String>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct NoOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/coordination/src/feed.rs
+++ b/crates/coordination/src/feed.rs
@@ -39,7 +39,8 @@
 const MAX_RECENT_CHANGES: usize = 2_000;
 
 /// A row of a source's table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Key that identifies the row within its table.
     pub key: Arc<str>,
@@ -48,7 +49,8 @@
 }
 
 /// All rows of a table at one position.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// Rows in the order of the source.
     pub rows: Vec<Row>,
@@ -57,7 +59,8 @@
 }
 
 /// Change of a single row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RowChange {
     /// The row was added or replaced.
     Put(Row),
@@ -66,7 +69,8 @@
 }
 
 /// Consecutive changes of a table.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Changes {
     /// Changes from oldest to newest; empty if nothing changed.
     pub changes: Vec<RowChange>,
@@ -75,7 +79,8 @@
 }
 
 /// What a VM sends to another one that is behind.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum FeedDelta {
     /// All changes between two positions.
     Changes {
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -59,7 +59,8 @@
 pub type LeaseToken = Arc<str>;
 
 /// Content of the row that stores a lease.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Token of the current holder. `None` if the lease was released.
     pub holder: Option<LeaseToken>,
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -51,7 +51,8 @@
 const MAX_INCONCLUSIVE_REPLIES: u32 = 2;
 
 /// State of a call, as stored in its row.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum LedgerRow {
     /// Only the holder of the token may run the call.
@@ -95,7 +96,8 @@
 }
 
 /// Response that is kept so that it can be replayed when the caller repeats the request.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RecordedResponse {
     /// HTTP status code.
     pub status: u16,
--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -34,7 +34,8 @@
 const SHARE_VALIDITY_INTERVALS: u32 = 3;
 
 /// Demand of one customer at one VM.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitDemand {
     /// Identifier of the customer.
     pub customer: CustomerId,
@@ -47,7 +48,8 @@
 }
 
 /// Share of a customer's limits that is assigned to one VM.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitShare {
     /// Identifier of the customer.
     pub customer: CustomerId,
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -35,7 +35,8 @@
 /// State of a member.
 ///
 /// Within one incarnation, a later variant overrides an earlier one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
     /// The member is running.
@@ -47,7 +48,8 @@
 }
 
 /// State of one member, as exchanged between VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberUpdate {
     /// Name and address of the member.
     pub member: PeerAddress,
--- a/crates/coordination/src/orders.rs
+++ b/crates/coordination/src/orders.rs
@@ -32,7 +32,8 @@
 }
 
 /// Order with the fencing token that lets the engine refuse outdated senders.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FencedOrder {
     /// Fencing token of the sender's lease.
     pub fencing: FencingToken,
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -22,7 +22,8 @@
 use crate::transfer::PartRequest;
 
 /// A message from one VM to another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Periodic message to each neighbour.
     Heartbeat(Heartbeat),
@@ -138,7 +139,8 @@
 }
 
 /// What a VM that reads the source of the directory tells the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FeedReport {
     /// Whether the last read succeeded.
     pub reaches_source: bool,
@@ -155,7 +157,8 @@
 pub type QuestionId = u64;
 
 /// Name and address of a VM.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerAddress {
     /// Name of the VM.
     pub vm: VmId,
@@ -166,7 +169,8 @@
 }
 
 /// Periodic message that shows that the sender is alive, with its current state.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name and address of the sender.
     pub from: PeerAddress,
--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -36,7 +36,8 @@
 pub use hazard::Hazard;
 
 /// Change that an operator requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "intent", rename_all = "snake_case")]
 pub enum Intent {
     /// Replace the complete configuration.
@@ -81,7 +82,8 @@
 }
 
 /// Planned change of the configuration, with its effects.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plan {
     /// Identifier of the plan.
     pub id: PlanId,
--- a/crates/coordination/src/plan/confirm.rs
+++ b/crates/coordination/src/plan/confirm.rs
@@ -35,7 +35,8 @@
 /// row never refers to a missing document; a document that no row refers to is harmless. The split
 /// into header and body, and the order of the two writes, follow Krechowicz, Deniziak and Łukawski
 /// (2021).
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Version of the active configuration.
     pub version: ConfigVersion,
@@ -66,7 +67,8 @@
 }
 
 /// Outcome of a confirmation.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum ConfirmOutcome {
     /// The plan is applied, either by this confirmation or by an earlier one.
--- a/crates/coordination/src/plan/diff.rs
+++ b/crates/coordination/src/plan/diff.rs
@@ -11,7 +11,8 @@
 use serde::Serialize;
 
 /// One difference between the base of a plan and its new configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum Difference {
     /// An item was added.
@@ -46,7 +47,8 @@
 }
 
 /// Effect of a plan on the capacity of one class in one pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClassEffect {
     /// Identifier of the class.
     pub class: ClassId,
--- a/crates/coordination/src/plan/hazard.rs
+++ b/crates/coordination/src/plan/hazard.rs
@@ -20,7 +20,8 @@
 const HAZARDOUS_LOSS_PERCENT: u32 = 34;
 
 /// Dangerous effect of a plan, which the operator must acknowledge by name.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "hazard", rename_all = "snake_case")]
 pub enum Hazard {
     /// A pool that served a class no longer has any upstream in service.
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -18,7 +18,8 @@
 pub type RowVersion = u64;
 
 /// Row that was read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Version of the row, to be used in a conditional write.
     pub version: RowVersion,
@@ -45,7 +46,8 @@
 }
 
 /// Error of a store operation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StoreError {
     /// The operation was not executed: nothing was sent, or the store refused it.
--- a/crates/coordination/src/transfer.rs
+++ b/crates/coordination/src/transfer.rs
@@ -54,7 +54,8 @@
 const ANNOUNCEMENT_LIFETIME: Duration = Duration::from_secs(4);
 
 /// Identifies an encoded value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TransferId {
     /// Version of the value.
     pub version: ConfigVersion,
@@ -65,7 +66,8 @@
 }
 
 /// Request for the next part of a value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PartRequest {
     /// Minimum version of the value.
     pub version: ConfigVersion,
@@ -78,7 +80,8 @@
 }
 
 /// Part of an encoded value.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Part {
     /// Value that the part belongs to.
     pub id: TransferId,
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -26,7 +26,8 @@
 use crate::PoolId;
 
 /// Optimization goal of a deployment when two goals conflict.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Profile {
     /// Meet the latency targets of the high tiers.
@@ -37,7 +38,8 @@
 }
 
 /// Configuration of a deployment: service classes, upstreams, customers and routes.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// Optimization goal of the deployment.
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -17,7 +17,8 @@
 const DIGEST_HEX_LEN: usize = 64;
 
 /// A problem found in a field of a configuration.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigIssue {
     /// Path of the field, such as `customer[2].classes`.
     pub field: Arc<str>,
--- a/crates/core/src/config/class.rs
+++ b/crates/core/src/config/class.rs
@@ -7,7 +7,8 @@
 use crate::Tier;
 
 /// A kind of request, with its priority and latency targets.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceClass {
     /// Name, unique among the classes.
--- a/crates/core/src/config/customer.rs
+++ b/crates/core/src/config/customer.rs
@@ -8,7 +8,8 @@
 use crate::Digest;
 
 /// A customer, with the service classes it may use and its limits.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CustomerSpec {
     /// Name, unique among the customers.
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -15,7 +15,8 @@
 ///
 /// Each document refers to its predecessor, so that the history can be read backwards to find out
 /// whether a plan was applied.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigDocument {
     /// Version, one higher than that of the predecessor.
     pub version: ConfigVersion,
--- a/crates/core/src/config/route.rs
+++ b/crates/core/src/config/route.rs
@@ -7,7 +7,8 @@
 use crate::PoolId;
 
 /// A route from a path prefix to a plain service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
     /// Path prefix, starting with `/`. Only complete path segments match.
--- a/crates/core/src/config/upstream.rs
+++ b/crates/core/src/config/upstream.rs
@@ -11,7 +11,8 @@
 use crate::UpstreamId;
 
 /// Kind of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum UpstreamKind {
     /// A model engine that streams tokens.
@@ -21,7 +22,8 @@
 }
 
 /// A model engine or a worker of a plain service.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamSpec {
     /// Name, unique among the upstreams.
@@ -49,7 +51,8 @@
 }
 
 /// Action of an [`EngineOrder`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ModelAction {
     /// Loads a model, an adapter or a version of either.
@@ -61,7 +64,8 @@
 }
 
 /// An order to an engine, declared by an operator.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineOrder {
     /// Action to execute.
--- a/crates/core/src/departure.rs
+++ b/crates/core/src/departure.rs
@@ -6,7 +6,8 @@
 use crate::UpstreamId;
 
 /// An upstream that is shutting down, as VMs tell each other.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Departure {
     /// Name of the upstream.
     pub upstream: UpstreamId,
--- a/crates/core/src/digest.rs
+++ b/crates/core/src/digest.rs
@@ -16,7 +16,8 @@
 /// assert_eq!(Digest::of(b"a"), Digest::of(b"a"));
 /// assert_ne!(Digest::of(b"a"), Digest::of(b"b"));
 /// ```
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest(Arc<str>);
 
 impl Digest {
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -7,7 +7,8 @@
 use crate::UpstreamId;
 
 /// Load on one upstream, as exchanged between VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamLoad {
     /// Name of the upstream.
     pub upstream: UpstreamId,
@@ -18,7 +19,8 @@
 }
 
 /// Estimated time to prefill the prompts of one tier.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TierBacklog {
     /// Tier of the requests.
     pub tier: Tier,
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 
 /// Final outcome of a request, as reported to the caller.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
 pub enum Outcome {
     /// The complete response was delivered.
@@ -44,7 +45,8 @@
 }
 
 /// Reason why a request was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NotRunReason {
     /// The queue was full of requests of the same or a higher tier.
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -16,7 +16,8 @@
 pub type PaceStep = u16;
 
 /// Decode pace of one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamPace {
     /// Hash of the run of the upstream.
     pub upstream: IncarnationHash,
--- a/crates/core/src/position.rs
+++ b/crates/core/src/position.rs
@@ -18,7 +18,8 @@
 /// let restored = StorePosition { era: 2, version: 70 };
 /// assert!(before < restored);
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct StorePosition {
     /// Era of the store.
     pub era: StoreEra,
--- a/crates/core/src/pressure.rs
+++ b/crates/core/src/pressure.rs
@@ -7,7 +7,8 @@
 use crate::Tier;
 
 /// Report that a request of a tier was queued for a pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PressureEntry {
     /// Pool for which the request was queued.
     pub pool: PoolId,
@@ -21,7 +22,8 @@
 ///
 /// Merging keeps the most recent report for each pool and tier. It is idempotent, so a digest may
 /// arrive by several paths and be forwarded any number of times.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PressureDigest {
     /// Entries, at most one for each pool and tier.
     pub entries: Vec<PressureEntry>,
--- a/crates/core/src/table/delta.rs
+++ b/crates/core/src/table/delta.rs
@@ -27,7 +27,8 @@
 /// let delta = TableDelta::between(None, &table);
 /// assert_eq!(delta.apply(None), Ok(table));
 /// ```
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TableDelta {
     version: ConfigVersion,
     base: Option<BaseTable>,
@@ -38,14 +39,16 @@
 }
 
 /// Table that a difference applies to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct BaseTable {
     version: ConfigVersion,
     checksum: u64,
 }
 
 /// Consecutive routes of a table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 enum RouteRun {
     /// Routes of the earlier table, by the index of the first one.
     Kept { start: u32, count: u32 },
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -48,7 +48,8 @@
 }
 
 /// An error response to an operator.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct OperatorProblem {
     #[serde(skip)]
     status: u16,
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -9,7 +9,8 @@
 use crate::node::Node;
 
 /// Snapshot of the state of the process.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Dump {
     vm: String,
     failure_domain: String,
@@ -24,7 +25,8 @@
     router: RouterSnapshot,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ConfigState {
     version: u64,
     digest: Digest,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -25,7 +25,8 @@
 const EXIT_USAGE: u8 = 2;
 
 /// Command-line flags before validation.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Flags {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -11,7 +11,8 @@
 
 use crate::CheckResult;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct BenchOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/lab/src/campaign.rs
+++ b/crates/lab/src/campaign.rs
@@ -36,7 +36,8 @@
 /// Maximum time for all VMs to activate the same configuration after the faults.
 const CONVERGENCE_TIMEOUT: Duration = Duration::from_secs(20);
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct CampaignOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -21,7 +21,8 @@
 use crate::programs;
 use crate::report;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct DemoOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -24,7 +24,8 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct FleetOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,7 +13,8 @@
 use eyre::Result;
 use gumdrop::Options;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Cli {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -21,7 +22,8 @@
     command: Option<Command>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 enum Command {
     #[options(help = "run the demonstration with simulated upstreams")]
     Demo(demo::DemoOptions),
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -25,7 +25,8 @@
 /// Seeds of the runs whose tallies are summed.
 const SEEDS: std::ops::Range<u64> = 0..5;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub(crate) struct MeasureOptions {
     #[options(no_short, help = "print this help")]
     help: bool,
--- a/crates/policy/src/router/snapshot.rs
+++ b/crates/policy/src/router/snapshot.rs
@@ -14,7 +14,8 @@
 use crate::CircuitState;
 
 /// State of a router at one point in time.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RouterSnapshot {
     /// Number of requests queued or in flight.
     pub live_requests: usize,
@@ -27,7 +28,8 @@
 }
 
 /// State of one pool's queue.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PoolSnapshot {
     /// Name of the pool.
     pub pool: PoolId,
@@ -36,7 +38,8 @@
 }
 
 /// State of one upstream.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamSnapshot {
     /// Name of the upstream.
     pub id: UpstreamId,
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -14,7 +14,8 @@
 use crate::CircuitState;
 
 /// A snapshot of the scheduler's state.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct SchedulerSnapshot {
     /// Number of VMs that share the retry budgets and the connection limits of upstreams.
     pub vms: u32,
@@ -29,7 +30,8 @@
 }
 
 /// Retries that a pool has left on this VM.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct PoolRetries {
     /// Pool that the retries are for.
     pub pool: PoolId,
@@ -38,7 +40,8 @@
 }
 
 /// The state of an upstream as this VM knows it.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct UpstreamState {
     /// Name of the upstream.
     pub id: UpstreamId,
--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -16,7 +16,8 @@
 const MAX_OPEN_TIME: Duration = Duration::from_secs(30);
 
 /// State of the circuit breaker for an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CircuitState {
     /// Requests are sent to the upstream.
--- a/crates/policy/src/upstream/load.rs
+++ b/crates/policy/src/upstream/load.rs
@@ -15,7 +15,8 @@
 const ZERO_WEIGHT_AGE: Duration = Duration::from_secs(5);
 
 /// Load reported by an upstream.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Number of requests running or queued in the upstream, by tier.
     pub by_tier: BTreeMap<Tier, u32>,
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -122,7 +122,8 @@
 }
 
 /// State of a relay as served at [`STATE_PATH`].
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct StateDump {
     is_ready: bool,
     is_draining: bool,
--- a/xtask/src/checks.rs
+++ b/xtask/src/checks.rs
@@ -19,6 +19,10 @@
 /// File that lists tests which fail for a known fault.
 const KNOWN_RED_FILE: &str = "KNOWN-RED.txt";
 
+/// Traits of the standard library that can be derived.
+const STANDARD_DERIVES: [&str; 9] =
+    ["Clone", "Copy", "Debug", "Default", "Eq", "Hash", "Ord", "PartialEq", "PartialOrd"];
+
 /// Runs the tests of the workspace, except those listed in [`KNOWN_RED_FILE`], which are printed;
 /// `passed` is handed on to `cargo test`.
 pub(crate) fn test(passed: &[String]) -> Result<()> {
@@ -83,7 +87,8 @@
     Ok(())
 }
 
-/// Checks that a file is not named `mod.rs` and that each `use` line imports one item.
+/// Checks that a file is not named `mod.rs`, that each `use` line imports one item and that derives
+/// of the standard library are on lines of their own.
 fn check_file(path: &Path) -> Result<()> {
     if path.file_name().is_some_and(|it| it == "mod.rs") {
         bail!(
@@ -97,9 +102,21 @@
         if is_import && line.contains('{') {
             bail!("{}:{}: import one item per `use` line", path.display(), index + 1);
         }
+        if mixes_derives(line) {
+            bail!("{}:{}: split derives of std and of other crates", path.display(), index + 1);
+        }
     }
     Ok(())
 }
 
+/// Returns `true` if a line derives traits of the standard library and of another crate.
+fn mixes_derives(line: &str) -> bool {
+    let Some(list) = line.trim().strip_prefix("#[derive(") else { return false };
+    let traits = list.trim_end_matches(")]").split(',').map(str::trim);
+    let (standard, foreign): (Vec<_>, Vec<_>) =
+        traits.partition(|it| STANDARD_DERIVES.contains(it));
+    !standard.is_empty() && !foreign.is_empty()
+}
+
 #[cfg(test)]
 mod tests;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -10,7 +10,8 @@
 use eyre::Result;
 use gumdrop::Options;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Cli {
     #[options(no_short, help = "print this help")]
     help: bool,
@@ -18,7 +19,8 @@
     command: Option<Task>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 enum Task {
     #[options(help = "run the demonstration with simulated upstreams (--keep leaves it running)")]
     Demo(Passed),
@@ -39,7 +41,8 @@
 }
 
 /// Arguments for the task itself; they are passed on unparsed.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Passed {
     #[options(free)]
     arguments: Vec<String>,
