fix: upstreams that name a rate limit get no more than that from all VMs together

Cause, of the class of a signal of backpressure that is ignored: the header Server-Limit was not read, and no part of the system could keep a rate of one request a second among many VMs. Ruled out: that each VM keeps the limit for itself (there is no drop at all when it is named), and the planned stop of a VM during the breach. Change: the adapter decodes the header into a notice; the load coordinator of the upstream issues permits at the named rate, which lapse after 0.5 s (coordination::permits); the scheduler sends to the upstream with a permit only, and the relay checks it again before a request is written. Calls go to other upstreams, or are refused with the time of the next permit.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`home`]: choice of the coordinator of a resource by rendezvous hashing.
 //! - [`lease`]: mutual exclusion by leases with fencing tokens.
 //! - [`ledger`]: at-most-once execution of calls that must not be repeated.
+//! - [`permits`]: rate limits that upstreams name for all VMs, kept by permits.
 //! - [`plan`]: configuration changes that are planned, then confirmed by one conditional write.
 //! - [`replica`]: each VM's copy of the configuration, whose version never decreases.
 //! - [`limits`]: rate and concurrency limits of a customer across all VMs.
@@ -40,6 +41,7 @@
 pub mod membership;
 pub mod orders;
 pub mod peer;
+pub mod permits;
 pub mod plan;
 pub mod replica;
 pub mod store;
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -5,6 +5,8 @@
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::PermitRequest;
+use cranberryvalve_core::PermitVerdict;
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_core::StorePosition;
 use cranberryvalve_core::UpstreamId;
@@ -136,6 +138,24 @@
         /// Part of an encoded difference between two routing tables.
         part: Part,
     },
+    /// Asks the coordinator of an upstream that names a rate limit for a permit.
+    PermitRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The request.
+        request: PermitRequest,
+    },
+    /// Response to [`PeerMessage::PermitRequest`].
+    PermitVerdict {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Upstream that the verdict is about.
+        upstream: UpstreamId,
+        /// Start of the upstream.
+        incarnation: u64,
+        /// The verdict.
+        verdict: PermitVerdict,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -208,7 +228,9 @@
             | Self::FeedReport { from, .. }
             | Self::FeedRequest { from, .. }
             | Self::TableRequest { from, .. }
-            | Self::TablePart { from, .. } => from,
+            | Self::TablePart { from, .. }
+            | Self::PermitRequest { from, .. }
+            | Self::PermitVerdict { from, .. } => from,
         }
     }
 }
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -138,7 +138,9 @@
                 | PeerMessage::FeedReport { .. }
                 | PeerMessage::FeedRequest { .. }
                 | PeerMessage::TableRequest { .. }
-                | PeerMessage::TablePart { .. },
+                | PeerMessage::TablePart { .. }
+                | PeerMessage::PermitRequest { .. }
+                | PeerMessage::PermitVerdict { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -109,6 +109,7 @@
         | SchedulerAction::UpstreamLeaving { .. }
         | SchedulerAction::PauseStarted { .. }
         | SchedulerAction::PauseEnded { .. }
+        | SchedulerAction::RateLimitChanged { .. }
         | SchedulerAction::PredictionObserved(_) => None,
     });
     vm_actions.collect()
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -21,6 +21,7 @@
 mod placement;
 mod prefix_cache;
 mod queue;
+mod rate_limit;
 mod reading;
 mod sharing;
 mod snapshot;
@@ -36,6 +37,7 @@
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::IncarnationHash;
 use cranberryvalve_core::PaceStep;
+use cranberryvalve_core::PermitRequest;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::Tier;
@@ -126,6 +128,10 @@
     /// Decode paces received for upstreams that the directory does not list yet.
     pending_paces: HashMap<IncarnationHash, PaceStep>,
     departures: Departures,
+    /// Whether an upstream of the directory may name a rate limit.
+    has_rate_limits: bool,
+    /// Requests for permits that still have to be sent.
+    permit_requests: Vec<PermitRequest>,
 }
 
 /// A call from its arrival until its response is complete or it is concluded or cancelled.
@@ -155,6 +161,8 @@
             prefill_ratios: HashMap::new(),
             pending_paces: HashMap::new(),
             departures: Departures::default(),
+            has_rate_limits: false,
+            permit_requests: Vec::new(),
         }
     }
 
@@ -186,6 +194,9 @@
             SchedulerEvent::NoticeReceived { upstream, incarnation, notice } => {
                 self.on_notice(now, &upstream, incarnation, notice, &mut actions);
             }
+            SchedulerEvent::PermitDecided { upstream, incarnation, verdict } => {
+                self.on_permit_verdict(now, &upstream, incarnation, verdict, &mut actions);
+            }
             SchedulerEvent::PeerDepartures(departures) => {
                 for departure in departures {
                     self.on_departure(now, departure, NoticeSource::Peer, &mut actions);
--- a/crates/policy/src/scheduler/availability.rs
+++ b/crates/policy/src/scheduler/availability.rs
@@ -1,5 +1,5 @@
-//! What upstreams announce about their availability: that they are leaving, or that they want no
-//! requests for a while.
+//! What upstreams announce about their availability: that they are leaving, that they want no
+//! requests for a while, or that they take them at a limited rate.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,12 +21,16 @@
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(600);
 
 /// An announcement that an upstream makes in a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum UpstreamNotice {
     /// The upstream is shutting down and must get no new requests.
     Leaving,
     /// The upstream wants no requests from this VM for this time.
     Pause(Duration),
+    /// The upstream takes this number of requests a second from all VMs together.
+    RateLimit(f64),
+    /// The upstream names no rate limit. It is no news unless it named one before.
+    NoRateLimit,
 }
 
 /// Departures that this VM knows of, including those of upstreams that the directory no longer
@@ -129,7 +133,7 @@
     /// departure or a pause after the request was placed, or the VM may have been suspended.
     pub fn may_send(&self, now: Instant, upstream: &UpstreamId, incarnation: u64) -> bool {
         let known = self.upstreams.get(upstream);
-        known.is_some_and(|it| it.record.incarnation == incarnation && it.is_in_service(now))
+        known.is_some_and(|it| it.record.incarnation == incarnation && it.is_available(now))
     }
 
     pub(super) fn on_notice(
@@ -154,6 +158,12 @@
                 let upstream = upstream.clone();
                 actions.push(SchedulerAction::PauseStarted { upstream, requested, pause });
             }
+            UpstreamNotice::RateLimit(limit_per_s) => {
+                self.on_rate_limit(now, upstream, incarnation, Some(limit_per_s), actions);
+            }
+            UpstreamNotice::NoRateLimit => {
+                self.on_rate_limit(now, upstream, incarnation, None, actions);
+            }
         }
     }
 
--- a/crates/policy/src/scheduler/directory.rs
+++ b/crates/policy/src/scheduler/directory.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::UpstreamId;
 
 use super::Scheduler;
 use super::UpstreamRecord;
@@ -19,6 +20,11 @@
         self.upstreams.values().map(|it| it.record.clone()).collect()
     }
 
+    /// Returns an upstream of the directory, or `None` if it is not listed.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamRecord> {
+        self.upstreams.get(id).map(|it| &it.record)
+    }
+
     pub(super) fn on_directory_changed(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
         let mut previous = std::mem::take(&mut self.upstreams);
         for record in records {
@@ -53,5 +59,7 @@
                 self.departures.is_leaving(&departure.upstream, departure.incarnation);
             self.upstreams.insert(upstream.record.id.clone(), upstream);
         }
+        self.has_rate_limits =
+            self.upstreams.values().any(|it| it.rate_limit.limit_per_s().is_some());
     }
 }
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -48,13 +48,31 @@
         actions: &mut Vec<SchedulerAction>,
     ) {
         let waiting = self.dispatch_order(pool);
+        if waiting.is_empty() {
+            return;
+        }
+        let lacks_permit = self.send_waiting(now, waiting, actions);
+        let has_waiting = self.queues.get(pool).is_some_and(|it| !it.is_empty());
+        self.request_permits(now, pool, lacks_permit || has_waiting);
+    }
+
+    /// Returns `true` if a call found only upstreams that are paused or limited in their rate.
+    fn send_waiting(
+        &mut self,
+        now: Instant,
+        waiting: Vec<(Tier, RequestId)>,
+        actions: &mut Vec<SchedulerAction>,
+    ) -> bool {
+        let mut found_paused = false;
         let mut blocked_tier = None;
         for (tier, id) in waiting {
             if blocked_tier.is_some_and(|it| it < tier) {
-                return;
+                break;
             }
             let Some(tracked) = self.calls.get(&id) else { continue };
-            match self.place(now, tracked) {
+            let placement = self.place(now, tracked);
+            found_paused |= matches!(placement, Placement::Paused(_));
+            match placement {
                 Placement::Chosen(choice) => self.send(now, id, &choice, actions),
                 Placement::Full(_) => blocked_tier = Some(tier),
                 Placement::Paused(wait) if now + wait < tracked.give_up_at => {
@@ -69,6 +87,7 @@
                 }
             }
         }
+        found_paused
     }
 
     /// Returns the calls queued for `pool` in dispatch order: by tier, then retries before new
@@ -151,6 +170,7 @@
             actions.push(SchedulerAction::PauseEnded { upstream });
         }
         upstream.record_attempt(now, &tracked.call, &choice.reason);
+        let send_by = upstream.rate_limit.use_permit(now);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.sent_to = Some(choice.upstream.clone());
@@ -159,6 +179,7 @@
             attempt: tracked.attempts,
             upstream: upstream.record.clone(),
             prefix_source,
+            send_by,
             reason: choice.reason,
         }));
     }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -1,9 +1,11 @@
 //! The events that the scheduler processes and the actions that it requests.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_core::Attempt;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::PermitVerdict;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
@@ -42,7 +44,8 @@
         /// Load in the report.
         load: ReportedLoad,
     },
-    /// An upstream announced in a response that it is leaving or wants a pause.
+    /// An upstream announced in a response that it is leaving, wants a pause or takes requests at a
+    /// limited rate.
     NoticeReceived {
         /// Upstream that sent the response.
         upstream: UpstreamId,
@@ -51,6 +54,15 @@
         /// What the upstream announced.
         notice: UpstreamNotice,
     },
+    /// The coordinator of an upstream that names a rate limit decided on a request for a permit.
+    PermitDecided {
+        /// Upstream that the verdict is about.
+        upstream: UpstreamId,
+        /// Start of the upstream.
+        incarnation: u64,
+        /// The verdict.
+        verdict: PermitVerdict,
+    },
     /// Another VM told that upstreams are leaving.
     PeerDepartures(Vec<Departure>),
     /// An attempt ended.
@@ -136,7 +148,7 @@
 }
 
 /// An action that the caller of the scheduler must carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum SchedulerAction {
     /// Send an attempt to an upstream.
     Send(SendCommand),
@@ -165,6 +177,15 @@
         /// Upstream that gets requests again.
         upstream: UpstreamId,
     },
+    /// Log that an upstream named another rate limit, or lifted it.
+    RateLimitChanged {
+        /// Upstream that the limit is for.
+        upstream: UpstreamId,
+        /// Requests a second from all VMs together; `None` if there is no limit any more.
+        limit_per_s: Option<f64>,
+        /// Who told this VM.
+        source: NoticeSource,
+    },
     /// Record in the metrics how a prediction compares with what was observed.
     PredictionObserved(Prediction),
 }
@@ -240,6 +261,9 @@
     pub upstream: UpstreamRecord,
     /// Engine from whose cache the upstream may fetch the prompt's prefix, if any.
     pub prefix_source: Option<Box<UpstreamRecord>>,
+    /// Time by which the request must be sent, as the permit for it ends then; `None` if the
+    /// upstream names no rate limit.
+    pub send_by: Option<Instant>,
     /// Figures behind the choice of the upstream, for logs.
     pub reason: PlacementReason,
 }
@@ -278,7 +302,8 @@
     NoUpstream,
     /// No upstream had room in time.
     Overloaded,
-    /// All upstreams in service asked for a pause that lasts longer than the call can wait.
+    /// All upstreams in service asked for a pause, or take requests at a limited rate, and the next
+    /// one is taken later than the call can wait.
     UpstreamsPaused,
     /// The route's maximum number of attempts is reached.
     AttemptsExhausted,
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -104,8 +104,8 @@
     Chosen(Choice),
     /// No upstream has room; holds the shortest prefill backlog among them.
     Full(Duration),
-    /// All upstreams asked for a pause; holds the time until the first one takes requests again and
-    /// has prefilled the prompts that it has.
+    /// All upstreams asked for a pause or need a permit; holds the time until the first one takes a
+    /// request and has prefilled the prompts that it has.
     Paused(Duration),
     /// No upstream is in service.
     NoUpstream,
@@ -196,15 +196,15 @@
     untried.into_iter().map(|it| Candidate::new(context, call, it, &factors)).collect()
 }
 
-/// Returns the shortest time until a paused upstream takes requests again and has worked off its
-/// backlog, or `None` if no upstream is paused.
+/// Returns the shortest time until an upstream that is paused, or limited in its rate, takes a
+/// request and has worked off its backlog, or `None` if there is no such upstream.
 fn shortest_pause(
     context: &PlacementContext<'_>,
     call: &Call,
     upstreams: &[&Upstream],
 ) -> Option<Duration> {
     let paused = upstreams.iter().filter(|it| it.is_member() && !it.is_in_service(context.now));
-    paused.map(|it| it.pause.remaining(context.now).max(it.backlog(context.now, call.tier))).min()
+    paused.map(|it| it.wait(context.now).max(it.backlog(context.now, call.tier))).min()
 }
 
 /// Returns the upstreams that match, or all of them if none does.
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -55,6 +55,8 @@
     pub is_gone: bool,
     /// Time, in milliseconds, until a pause that the upstream asked for ends; 0 if there is none.
     pub pause_ms: u64,
+    /// Rate limit that the upstream named, in requests a second; `None` if there is none.
+    pub limit_per_s: Option<f64>,
     /// State of the upstream's circuit breaker.
     pub circuit: CircuitState,
     /// Number of this VM's calls in flight.
@@ -90,6 +92,7 @@
             is_leaving: self.record.is_leaving,
             is_gone: self.is_gone,
             pause_ms: millis(self.pause.remaining(now)),
+            limit_per_s: self.rate_limit.limit_per_s(),
             circuit: self.circuit.state(now),
             own_in_flight: self.own_in_flight(),
             in_flight: self.in_flight(now),
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -26,6 +26,7 @@
 use super::availability::Pause;
 use super::decode_pace::DecodePace;
 use super::prefix_cache::PrefixCache;
+use super::rate_limit::RateLimit;
 use crate::upstream::CircuitBreaker;
 
 /// Age from which a load report of another VM is ignored. A report of the upstream itself counts
@@ -77,6 +78,7 @@
     pub(super) is_gone: bool,
     /// Time during which the upstream asked for no requests.
     pub(super) pause: Pause,
+    pub(super) rate_limit: RateLimit,
     pub(super) circuit: CircuitBreaker,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
@@ -112,6 +114,7 @@
             record,
             is_gone: false,
             pause: Pause::default(),
+            rate_limit: RateLimit::default(),
             circuit: CircuitBreaker::new(),
             cache: PrefixCache::default(),
             is_engine: false,
@@ -141,10 +144,21 @@
     }
 
     /// Returns `true` if the upstream is a member of its pool and has not asked for a pause.
-    pub(super) fn is_in_service(&self, now: Instant) -> bool {
+    pub(super) fn is_available(&self, now: Instant) -> bool {
         self.is_member() && self.pause.remaining(now).is_zero()
     }
 
+    /// Returns `true` if the upstream is available and names no rate limit, or this VM has a permit
+    /// for a request.
+    pub(super) fn is_in_service(&self, now: Instant) -> bool {
+        self.is_available(now) && self.rate_limit.allows(now)
+    }
+
+    /// Returns the time until the pause and the rate limit permit a request, as far as is known.
+    pub(super) fn wait(&self, now: Instant) -> Duration {
+        self.pause.remaining(now).max(self.rate_limit.wait(now))
+    }
+
     /// Records an attempt that is being sent, with the estimates that led to the choice.
     pub(super) fn record_attempt(&mut self, now: Instant, call: &Call, reason: &PlacementReason) {
         if !self.in_flight.values().any(|it| it.is_prefilling) {
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -357,6 +357,7 @@
  | SchedulerAction::UpstreamLeaving { .. }
  | SchedulerAction::PauseStarted { .. }
  | SchedulerAction::PauseEnded { .. }
+ | SchedulerAction::RateLimitChanged { .. }
  | SchedulerAction::PredictionObserved(_) => {}
                 }
             }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -12,6 +12,7 @@
 
 use cranberryvalve_core::Attempt;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::PermitRequest;
 use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
@@ -86,6 +87,8 @@
     state: Mutex<State>,
     /// Signalled when calls start to queue, which is when ticks are needed.
     calls_waiting: Condvar,
+    /// Signalled when there are requests for permits to be sent.
+    permits_needed: Condvar,
 }
 
 struct State {
@@ -99,7 +102,11 @@
     pub(crate) fn new(settings: SchedulerSettings, log: Logger) -> Self {
         let scheduler = Scheduler::new(settings);
         let state = State { scheduler, mailboxes: HashMap::new(), last_id: 0, log };
-        Self { state: Mutex::new(state), calls_waiting: Condvar::new() }
+        Self {
+            state: Mutex::new(state),
+            calls_waiting: Condvar::new(),
+            permits_needed: Condvar::new(),
+        }
     }
 
     /// Submits a call to the scheduler under a new id.
@@ -110,9 +117,7 @@
         call.id = id;
         state.mailboxes.insert(id, mailbox.clone());
         state.handle(SchedulerEvent::Arrived(Box::new(call)), Some(id));
-        if state.scheduler.has_queued_calls() {
-            self.calls_waiting.notify_one();
-        }
+        self.notify_threads(&state);
         drop(state);
         CallGuard { id, dispatcher: self.clone(), is_finished: false }
     }
@@ -127,9 +132,26 @@
     fn handle_from(&self, origin: Option<RequestId>, event: SchedulerEvent) {
         let mut state = self.lock();
         state.handle(event, origin);
+        self.notify_threads(&state);
+    }
+
+    /// Wakes the threads that have something to do after an event.
+    fn notify_threads(&self, state: &State) {
         if state.scheduler.has_queued_calls() {
             self.calls_waiting.notify_one();
         }
+        if state.scheduler.has_permit_requests() {
+            self.permits_needed.notify_one();
+        }
+    }
+
+    /// Waits until there are requests for permits to be sent, and takes them.
+    pub(crate) fn wait_for_permit_requests(&self) -> Vec<PermitRequest> {
+        let mut state = self.lock();
+        while !state.scheduler.has_permit_requests() {
+            state = self.permits_needed.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        state.scheduler.take_permit_requests()
     }
 
     /// Makes `table` the active routing table.
@@ -199,6 +221,11 @@
         self.lock().scheduler.snapshot(Instant::now())
     }
 
+    /// Returns an upstream of the directory, or `None` if it is not listed.
+    pub(crate) fn upstream(&self, id: &UpstreamId) -> Option<UpstreamRecord> {
+        self.lock().scheduler.upstream(id).cloned()
+    }
+
     /// Returns the current directory of upstreams.
     pub(crate) fn directory(&self) -> Vec<UpstreamRecord> {
         self.lock().scheduler.directory()
@@ -215,6 +242,7 @@
             std::thread::sleep(TICK_INTERVAL);
             state = self.lock();
             state.handle(SchedulerEvent::Tick, None);
+            self.notify_threads(&state);
         }
     }
 
@@ -254,6 +282,14 @@
                     info!(self.log, "upstream pause ended"; "upstream" => &*upstream);
                     continue;
                 }
+                SchedulerAction::RateLimitChanged { upstream, limit_per_s, source } => {
+                    info!(self.log, "upstream rate limit changed"; "upstream" => &*upstream,
+                        "limit_per_s" => limit_per_s, "announced_by" => source.name());
+                    metrics::counter!("cranberryvalve_upstream_limits_total",
+                        "announced_by" => source.name())
+                    .increment(1);
+                    continue;
+                }
                 SchedulerAction::PredictionObserved(it) => {
                     record_prediction_error(it);
                     continue;
@@ -300,6 +336,7 @@
         state.mailboxes.remove(&self.id);
         if !self.is_finished {
             state.handle(SchedulerEvent::CallCancelled { id: self.id }, None);
+            self.dispatcher.notify_threads(&state);
         }
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -221,11 +221,13 @@
         }
     }
 
-    /// Returns `true` if the upstream still takes requests. Establishing a connection takes time in
-    /// which it may have announced its departure, and the VM may have been suspended.
+    /// Returns `true` if the upstream still takes requests and the permit for this one holds.
+    /// Establishing a connection takes time in which the upstream may have announced its departure,
+    /// and the VM may have been suspended.
     fn may_send(&self, command: &SendCommand) -> bool {
         let upstream = &command.upstream;
-        self.relay.dispatcher.may_send(&upstream.id, upstream.incarnation)
+        command.send_by.is_none_or(|it| Instant::now() < it)
+            && self.relay.dispatcher.may_send(&upstream.id, upstream.incarnation)
     }
 
     /// Connects to the upstream. Returns `None` if it cannot be reached.
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -5,6 +5,7 @@
 
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
+use cranberryvalve_policy::scheduler::UpstreamNotice;
 
 use super::AttemptError;
 use super::AttemptOutcome;
@@ -75,10 +76,16 @@
                 let upstream = self.command.upstream.id.clone();
                 self.notify_scheduler(SchedulerEvent::LoadReported { upstream, load });
             }
+            let verdict = dialect.classify_response(&head, self.exchange.caller_id);
+            // A late response to another request says nothing about the present.
+            let is_response = matches!(verdict, Verdict::Match | Verdict::NotRun { .. });
+            let shows_limit_end = is_response && self.command.send_by.is_some();
             for notice in dialect.notices(&head) {
-                self.exchange.relay.handle_notice(&self.command.upstream, notice);
+                if notice != UpstreamNotice::NoRateLimit || shows_limit_end {
+                    self.exchange.relay.handle_notice(&self.command.upstream, notice);
+                }
             }
-            match dialect.classify_response(&head, self.exchange.caller_id) {
+            match verdict {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
                     self.relay_stream(&head, decoder)?;
                     return Ok((AttemptOutcome::Streamed, Some(head)));
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod link_key;
 mod load_queries;
+mod permits;
 mod tables;
 
 use std::collections::HashMap;
@@ -41,6 +42,7 @@
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
+pub(crate) use self::permits::PermitCoordinator;
 pub(crate) use self::tables::TableExchange;
 
 /// Maximum time that a call waits for load replies: a round trip between the failure domains of a
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -26,7 +26,7 @@
 
 /// Number of VMs assumed until another one is known, so that a VM without peers claims only a small
 /// part of the limits that all VMs share.
-const INITIAL_VM_COUNT: u32 = 8;
+pub(super) const INITIAL_VM_COUNT: u32 = 8;
 
 impl Peers {
     /// Sends heartbeats periodically. Never returns.
@@ -145,6 +145,12 @@
                     self.send_table_part(&from, &request);
                 }
                 Some(PeerMessage::TablePart { from, part }) => self.handle_table_part(&from, &part),
+                Some(PeerMessage::PermitRequest { from, request }) => {
+                    self.handle_permit_request(&from, request);
+                }
+                Some(PeerMessage::PermitVerdict { upstream, incarnation, verdict, .. }) => {
+                    self.relay.apply_permit_verdict(upstream, incarnation, verdict);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Some(
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -40,6 +40,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::peers::Peers;
+use crate::peers::PermitCoordinator;
 use crate::peers::TableExchange;
 use crate::service::serve_connection;
 use crate::socket::Waker;
@@ -83,6 +84,7 @@
     /// Latest era in which the store was restored while this VM ran; 0 before that.
     store_era: AtomicU64,
     pub(crate) shared_directory: SharedDirectory,
+    pub(crate) permits: PermitCoordinator,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -115,6 +117,7 @@
             last_responses: Mutex::default(),
             store_era: AtomicU64::new(0),
             shared_directory: SharedDirectory::new(Instant::now()),
+            permits: PermitCoordinator::default(),
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
@@ -135,6 +138,8 @@
             .spawn(move || relay.accept_loop(&listener))?;
         let dispatcher = self.dispatcher.clone();
         thread::Builder::new().name("tick".to_owned()).spawn(move || dispatcher.run_ticks())?;
+        let relay = self.clone();
+        thread::Builder::new().name("permits".to_owned()).spawn(move || relay.run_permits())?;
         Ok(())
     }
 
