fix(relay): responses that are skipped without end do not hold a call until its deadline

What callers saw: 504 at the deadline from an upstream that sends interim responses, or responses to other requests, without end; the VM read them at full speed meanwhile. Cause: only the size of a head was bounded, not the number of responses that are skipped. Evidence: endless_heads_end_the_call_before_its_deadline, a booking, status 504 before and 502 now. At most 8 are skipped; the upstream is judged as for any broken response.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -197,8 +197,16 @@
             return AttemptOutcome::Withdrawn;
         }
         let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id));
-        let mut attempt =
-            Attempt { exchange: self, command, call_guard, caller, delivery, connection, request };
+        let mut attempt = Attempt {
+            exchange: self,
+            command,
+            call_guard,
+            caller,
+            delivery,
+            connection,
+            request,
+            skipped_responses: 0,
+        };
         if is_reused && !attempt.start_request() {
             // The upstream closed the idle connection before it accepted a single byte.
             match self.connect(command, attempt.caller) {
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -31,6 +31,10 @@
 /// Maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum number of interim responses and of responses to other requests that are skipped before
+/// the response.
+const MAX_SKIPPED_RESPONSES: usize = 8;
+
 /// One request on one connection.
 pub(super) struct Attempt<'a> {
     pub(super) exchange: &'a Exchange<'a>,
@@ -40,6 +44,8 @@
     pub(super) delivery: &'a mut Delivery,
     pub(super) connection: Connection,
     pub(super) request: RequestWriter,
+    /// Number of responses that were skipped.
+    pub(super) skipped_responses: usize,
 }
 
 impl Attempt<'_> {
@@ -106,6 +112,7 @@
                 }
                 Verdict::Unrelated => {
                     self.receive_body(&mut decoder)?;
+                    self.count_skipped_response()?;
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
             }
@@ -121,6 +128,7 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    self.count_skipped_response()?;
                     continue;
                 }
                 Ok(None) if self.connection.input.len() > MAX_RESPONSE_HEAD_BYTES => {
@@ -136,6 +144,12 @@
         }
     }
 
+    fn count_skipped_response(&mut self) -> Result<(), AttemptError> {
+        self.skipped_responses += 1;
+        let is_permitted = self.skipped_responses <= MAX_SKIPPED_RESPONSES;
+        is_permitted.then_some(()).ok_or(AttemptError::Incomplete)
+    }
+
     fn receive_body(&mut self, decoder: &mut BodyDecoder) -> Result<Vec<u8>, AttemptError> {
         let mut body = Vec::new();
         loop {
