fix(relay): a refusal is acted on at its head, whatever its body does

What callers saw: 504 at the deadline although another upstream could have run the call. Cause: the body of a refusal was read to its end before the call was tried elsewhere, so that the connection can be reused. A body that gets a byte now and then held the call until its deadline. Evidence: refusal_with_an_endless_body_is_tried_elsewhere, status 504 before and 200 now. The connection is reused if the whole body has arrived with the head, and closed otherwise.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -31,6 +31,9 @@
 /// Maximum size of a response head, in bytes.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Maximum size of the body of a refusal that is read to reuse the connection, in bytes.
+const MAX_DROPPED_BYTES: usize = 64 * 1024;
+
 /// Maximum number of interim responses and of responses to other requests that are skipped before
 /// the response.
 const MAX_SKIPPED_RESPONSES: usize = 8;
@@ -105,9 +108,10 @@
                     ));
                 }
                 Verdict::NotRun { misdirected } => {
-                    // The head alone confirms that the call was not run; the body is read only to
-                    // reuse the connection.
-                    let reusable_head = self.receive_body(&mut decoder).is_ok().then_some(head);
+                    // The head alone confirms that the call was not run. The connection is reused only
+                    // if the body has arrived with it.
+                    let is_complete = self.drop_received_body(&mut decoder);
+                    let reusable_head = is_complete.then_some(head);
                     return Ok((AttemptOutcome::NotRun { misdirected }, reusable_head));
                 }
                 Verdict::Unrelated => {
@@ -144,6 +148,23 @@
         }
     }
 
+    /// Discards what has arrived of a body, without waiting for more than is already received.
+    /// Returns `true` if that is all of it.
+    fn drop_received_body(&mut self, decoder: &mut BodyDecoder) -> bool {
+        let mut body = Vec::new();
+        let has_more =
+            |connection: &mut Connection| matches!(connection.fill(), Ok(ReadOutcome::Data));
+        while decoder.decode(&mut self.connection.input, &mut body).is_ok() {
+            if decoder.is_complete() {
+                return true;
+            }
+            if body.len() > MAX_DROPPED_BYTES || !has_more(&mut self.connection) {
+                return false;
+            }
+        }
+        false
+    }
+
     fn count_skipped_response(&mut self) -> Result<(), AttemptError> {
         self.skipped_responses += 1;
         let is_permitted = self.skipped_responses <= MAX_SKIPPED_RESPONSES;
