fix(relay): responses held in memory share a budget

What callers saw: nothing in the test; a VM of 110 MB held 153 MB of bodies that 24 calls received from an upstream that sends without end, and would have been killed with all its calls. Cause: each response was bounded (16 MB), their sum was not. Evidence: endless_bodies_do_not_exhaust_memory, 153,071,616 bytes at the peak before, within 110 MB now. All bodies and unfinished events in flight share a quarter of the memory that the settings name; a response that does not fit ends as any broken one.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -6,6 +6,7 @@
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
 use cranberryvalve_policy::scheduler::UpstreamNotice;
+use slog::warn;
 
 use super::AttemptError;
 use super::AttemptOutcome;
@@ -18,6 +19,7 @@
 use crate::dispatch::CallGuard;
 use crate::events::EventBatch;
 use crate::events::EventReader;
+use crate::memory::Reservation;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
 use crate::socket::Connection;
@@ -100,12 +102,11 @@
                     return Ok((AttemptOutcome::Streamed, Some(head)));
                 }
                 Verdict::Match => {
-                    let body = self.receive_body(&mut decoder)?;
+                    let mut reservation = self.exchange.relay.response_memory.reserve();
+                    let body = self.receive_body(&mut decoder, &mut reservation)?;
                     let reusable_head = head.clone();
-                    return Ok((
-                        AttemptOutcome::Buffered(BufferedResponse { head, body }),
-                        Some(reusable_head),
-                    ));
+                    let response = BufferedResponse { head, body, _reservation: reservation };
+                    return Ok((AttemptOutcome::Buffered(response), Some(reusable_head)));
                 }
                 Verdict::NotRun { misdirected } => {
                     // The head alone confirms that the call was not run. The connection is reused only
@@ -115,7 +116,8 @@
                     return Ok((AttemptOutcome::NotRun { misdirected }, reusable_head));
                 }
                 Verdict::Unrelated => {
-                    self.receive_body(&mut decoder)?;
+                    let mut reservation = self.exchange.relay.response_memory.reserve();
+                    self.receive_body(&mut decoder, &mut reservation)?;
                     self.count_skipped_response()?;
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
@@ -171,7 +173,12 @@
         is_permitted.then_some(()).ok_or(AttemptError::Incomplete)
     }
 
-    fn receive_body(&mut self, decoder: &mut BodyDecoder) -> Result<Vec<u8>, AttemptError> {
+    /// Receives a whole body, within the memory for responses.
+    fn receive_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        reservation: &mut Reservation,
+    ) -> Result<Vec<u8>, AttemptError> {
         let mut body = Vec::new();
         loop {
             decoder
@@ -180,7 +187,9 @@
             if decoder.is_complete() {
                 return Ok(body);
             }
-            if body.len() > MAX_RESPONSE_BYTES {
+            if body.len() > MAX_RESPONSE_BYTES || reservation.extend_to(body.capacity()).is_err() {
+                warn!(self.exchange.relay.log, "response is too large";
+                    "upstream" => &*self.command.upstream.id, "received_bytes" => body.len());
                 return Err(AttemptError::Incomplete);
             }
             if self.wait_and_read(false)? == ReadOutcome::Closed {
@@ -200,6 +209,7 @@
         mut decoder: BodyDecoder,
     ) -> Result<(), AttemptError> {
         let mut reader = EventReader::after(self.delivery.last_event_id);
+        let mut reservation = self.exchange.relay.response_memory.reserve();
         let mut is_response_started = false;
         loop {
             let decode_result = decoder.decode(&mut self.connection.input, reader.buffer());
@@ -214,6 +224,9 @@
                 self.delivery.last_event_id = reader.last_id();
             }
             decode_result.map_err(|_| AttemptError::Incomplete)?;
+            reservation
+                .extend_to(reader.buffer().capacity())
+                .map_err(|_| AttemptError::Incomplete)?;
             if decoder.is_complete() {
                 break;
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod exchange;
 pub mod health;
 mod lifecycle;
+mod memory;
 pub mod peers;
 mod response;
 mod service;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -39,6 +39,7 @@
 use crate::connections::IdleConnections;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::memory::ResponseMemory;
 use crate::peers::Peers;
 use crate::peers::PermitCoordinator;
 use crate::peers::TableExchange;
@@ -55,12 +56,14 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Settings of a relay that do not change at run time.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RelaySettings {
     /// Settings of the scheduler.
     pub scheduler: SchedulerSettings,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
+    /// Memory for all responses that are held until they are complete, in bytes.
+    pub response_memory_bytes: usize,
 }
 
 /// Relays calls from callers to the upstreams chosen by the scheduler, on one VM.
@@ -70,6 +73,7 @@
     pub(crate) log: Logger,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) idle_connections: IdleConnections,
+    pub(crate) response_memory: ResponseMemory,
     /// Limits the log lines of routine calls.
     pub(crate) call_log_limiter: LogRateLimiter,
     /// Wakes the threads of idle connections when the relay closes.
@@ -103,6 +107,7 @@
     ) -> io::Result<Arc<Self>> {
         let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone(), log.clone()));
         Ok(Arc::new(Self {
+            response_memory: ResponseMemory::new(settings.response_memory_bytes),
             settings,
             dialect,
             log,
