fix(coordination): a receiver's first heartbeats carry all members

Cause: the outbox of a receiver began empty, so that members learned before the first heartbeat to it were never sent.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -338,8 +338,12 @@
         let mut updates = vec![own];
         let is_wrong = |it: &&Member| it.state != MemberState::Alive || it.is_outdated;
         updates.extend(self.members.get(receiver).filter(is_wrong).map(Member::update));
-        // A member that is new to this VM's list is told of the others by the list itself.
-        let outbox = self.outboxes.entry(receiver.into()).or_default();
+        // What this VM learned before the first heartbeat to a receiver may be unknown there.
+        let outbox = self.outboxes.entry(receiver.into()).or_insert_with(|| {
+            let mut outbox = Outbox::default();
+            self.members.iter().for_each(|(vm, it)| outbox.push(vm, it.state));
+            outbox
+        });
         let due = outbox.take_due();
         updates.extend(due.iter().filter_map(|it| self.members.get(it)).map(Member::update));
         updates
--- /dev/null
+++ b/crates/coordination/tests/member_discovery.rs
@@ -0,0 +1,76 @@
+//! VMs that know one seed each find all others.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_coordination::membership::Membership;
+use cranberryvalve_coordination::peer::Heartbeat;
+use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_core::PressureDigest;
+use quickcheck::quickcheck;
+
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Rounds after which all VMs know each other: more than enough for any order of messages.
+const MAX_ROUNDS: usize = 30;
+
+fn address(number: usize) -> PeerAddress {
+    PeerAddress {
+        vm: format!("vm-{number}").into(),
+        address: ([127, 0, 0, 1], 1_000 + number as u16).into(),
+        failure_domain: "a".into(),
+    }
+}
+
+fn send(vms: &mut [Membership], now: Instant, from: usize, to: usize) {
+    let receiver = address(to);
+    let heartbeat = Heartbeat {
+        from: vms[from].local().clone(),
+        incarnation: vms[from].incarnation(),
+        sequence: 1,
+        acknowledged: 0,
+        config_version: 0,
+        config_fresh: false,
+        pressure: PressureDigest::default(),
+        members: vms[from].updates_for(&receiver.vm),
+    };
+    let relation = vms[to].on_heartbeat(now, &heartbeat);
+    if !relation.is_neighbour {
+        send_updates(vms, now, to, from);
+    }
+}
+
+/// Sends the reply to a heartbeat of a VM that is not a neighbour.
+fn send_updates(vms: &mut [Membership], now: Instant, from: usize, to: usize) {
+    let receiver = address(to);
+    let sender = vms[from].local().clone();
+    let incarnation = vms[from].incarnation();
+    let members = vms[from].updates_for(&receiver.vm);
+    vms[to].on_direct_message(now, &sender, incarnation);
+    members.iter().for_each(|it| vms[to].on_update(now, it));
+}
+
+quickcheck! {
+    fn all_vms_find_each_other(seeds: Vec<usize>) -> bool {
+        let start = Instant::now();
+        let count = seeds.len().min(12) + 1;
+        let mut vms: Vec<_> = (0..count).map(|it| Membership::new(address(it), 1)).collect();
+        // Each VM starts later than the one before and knows one of those.
+        let seeds: Vec<usize> = (1..count).map(|it| seeds[it - 1] % it).collect();
+        let mut now = start;
+        for round in 0..MAX_ROUNDS {
+            now += ROUND;
+            for vm in 0..count.min(round + 1) {
+                vms[vm].on_tick(now);
+                if vms[vm].alive_count() == 1 && vm > 0 {
+                    send(&mut vms, now, vm, seeds[vm - 1]);
+                }
+                for neighbour in vms[vm].neighbours() {
+                    let to = usize::from(neighbour.address.port()) - 1_000;
+                    send(&mut vms, now, vm, to);
+                }
+            }
+        }
+        vms.iter().all(|it| it.alive_count() == count)
+    }
+}
