fix: a call is not sent for a caller that left while the VM was suspended

What callers saw: nothing, they had left; an upstream ran calls that nobody waited for, and a booking that its caller had given up. Cause: after a suspension the room that ended calls left was given to queued calls, also past their deadline, and a request was written to an idle connection without a look at the caller.

--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -70,6 +70,11 @@
                 break;
             }
             let Some(tracked) = self.calls.get(&id) else { continue };
+            if now >= tracked.call.deadline {
+                // The VM was suspended, or it would have been refused in time.
+                self.conclude(id, ConclusionReason::Overloaded, MIN_RETRY_AFTER, actions);
+                continue;
+            }
             let placement = self.place(now, tracked);
             found_paused |= matches!(placement, Placement::Paused(_));
             match placement {
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -31,6 +31,19 @@
 use calls::two_services;
 use calls::upstream;
 
+#[test]
+fn call_is_not_sent_after_its_deadline() {
+    let mut harness = Harness::new(vec![upstream("p-near", SERVICES, "near")]);
+    let mut running = 0;
+    while harness.submit(CallKind::Idempotent, SERVICES, 0, None) != CallState::Queued {
+        running += 1;
+    }
+    // The VM is suspended, and a response that arrived meanwhile makes room.
+    harness.now += 8 * TARGET;
+    let state = harness.end(running, 1, AttemptEnd::Complete);
+    assert_eq!(state, CallState::Concluded(ConclusionReason::Overloaded));
+}
+
 #[test]
 fn calls_without_prompt_stay_in_their_failure_domain() {
     let mut harness = Harness::new(two_services());
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -196,6 +196,10 @@
             Ok(None) => return AttemptOutcome::NotSent,
             Err(error) => return error.into(),
         };
+        // The wait for a new connection also watches the caller.
+        if is_reused && self.has_caller_left(caller) {
+            return AttemptOutcome::CallerDisconnected;
+        }
         if !self.may_send(command) {
             return AttemptOutcome::Withdrawn;
         }
@@ -232,6 +236,13 @@
         }
     }
 
+    /// Returns `true` if the caller has closed its connection, as it may have while the VM was
+    /// suspended.
+    fn has_caller_left(&self, caller: &CallerConnection) -> bool {
+        let interest = Interest { caller: Some(&caller.connection), ..Interest::default() };
+        wait(interest, Instant::now()).is_ok_and(|it| it.caller_disconnected)
+    }
+
     /// Returns `true` if the upstream still takes requests and the permit for this one holds.
     /// Establishing a connection takes time in which the upstream may have announced its departure,
     /// and the VM may have been suspended.
