perf(relay): each difference between two tables is encoded once

Found on reading: the first request of each of up to 9 neighbours encoded the difference anew, as the cache was looked up by the identifier that only later requests carry. Now by version and base. No decision changes.

--- a/crates/relay/src/peers/tables.rs
+++ b/crates/relay/src/peers/tables.rs
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 struct Difference {
     id: TransferId,
-    bytes: Arc<[u8]>,
+    bytes: Vec<u8>,
 }
 
 /// Result of a part that arrived.
@@ -113,20 +113,10 @@
     /// Returns the requested part, or `None` if this VM has no such version.
     fn part(&self, request: &PartRequest) -> Option<Part> {
         let mut state = self.lock();
-        if let Some(id) = request.id
-            && let Some(known) = state.differences.iter().find(|it| it.id == id)
-        {
-            return part_of(id, &known.bytes, request.offset);
-        }
         let difference = state.difference(request)?;
-        let is_continued = request.id == Some(difference.id);
-        let offset = if is_continued { request.offset } else { 0 };
-        let part = part_of(difference.id, &difference.bytes, offset);
-        if !state.differences.iter().any(|it| it.id == difference.id) {
-            state.differences.push_front(difference);
-            state.differences.truncate(KEPT_DIFFERENCES);
-        }
-        part
+        // The first part, unless the receiver has parts of this very difference.
+        let offset = if request.id == Some(difference.id) { request.offset } else { 0 };
+        part_of(difference.id, &difference.bytes, offset)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -134,28 +124,47 @@
     }
 }
 
+impl Difference {
+    /// Encodes a difference. Returns `None` if that fails.
+    fn new(base: Option<&RoutingTable>, table: &RoutingTable) -> Option<Self> {
+        let delta = TableDelta::between(base, table);
+        let bytes = postcard::to_stdvec(&delta).ok()?;
+        let id = TransferId {
+            version: delta.version(),
+            base: delta.base_version(),
+            checksum: stable_hash(&bytes),
+        };
+        Some(Self { id, bytes })
+    }
+}
+
 impl State {
     fn table(&self, version: ConfigVersion) -> Option<&Arc<RoutingTable>> {
         self.tables.iter().find(|it| it.version() == version)
     }
 
-    /// Encodes the difference from the version that a receiver has to the newest one, or to the one
+    /// Returns the difference from the version that a receiver has to the newest one, or the one
     /// that it has received parts of.
-    fn difference(&self, request: &PartRequest) -> Option<Difference> {
-        let started = request.id.and_then(|it| self.table(it.version));
-        let table = started.or_else(|| self.tables.front())?;
-        if table.version() < request.version {
-            return None;
-        }
-        let base = request.base.and_then(|it| self.table(it));
-        let delta = TableDelta::between(base.map(|it| &**it), table);
-        let bytes: Arc<[u8]> = postcard::to_stdvec(&delta).ok()?.into();
-        let id = TransferId {
-            version: delta.version(),
-            base: delta.base_version(),
-            checksum: stable_hash(&bytes),
+    fn difference(&mut self, request: &PartRequest) -> Option<&Difference> {
+        let started = request.id.filter(|id| self.differences.iter().any(|it| it.id == *id));
+        let table = match started {
+            Some(id) => self.table(id.version)?,
+            None => self.tables.front().filter(|it| it.version() >= request.version)?,
+        };
+        let base_version = started.map_or(request.base, |it| it.base);
+        let base = base_version.and_then(|it| self.table(it));
+        let key = (table.version(), base.map(|it| it.version()));
+        let is_known = |it: &Difference| (it.id.version, it.id.base) == key;
+        let index = match self.differences.iter().position(is_known) {
+            Some(index) => index,
+            None => {
+                let difference = Difference::new(base.map(|it| &**it), table)?;
+                self.differences.push_front(difference);
+                self.differences.truncate(KEPT_DIFFERENCES);
+                0
+            }
         };
-        Some(Difference { id, bytes })
+        self.differences.get(index)
     }
 
     /// Decodes a difference and applies it.
