--- a/crates/policy/src/scheduler/rate_limit.rs
+++ b/crates/policy/src/scheduler/rate_limit.rs
@@ -106,11 +106,15 @@
         Some(RateLimitNotice { limit_per_s: Some(named.limit_per_s), age })
     }
 
+    /// Records a coordinator's verdict. The lifetime of a permit counts from the request for it, so
+    /// that one that was held up on the way is not used late.
     fn record_verdict(&mut self, now: Instant, verdict: PermitVerdict) {
         let Some(named) = &mut self.0 else { return };
         match verdict {
             PermitVerdict::Granted(lifetime) => {
-                named.permit = PermitState::Granted { until: now + lifetime };
+                if let PermitState::Requested { at } = named.permit {
+                    named.permit = PermitState::Granted { until: at + lifetime };
+                }
             }
             PermitVerdict::NotBefore(delay) => {
                 named.permit = PermitState::Missing { ask_at: now + delay };
--- a/crates/policy/tests/rate_limits.rs
+++ b/crates/policy/tests/rate_limits.rs
@@ -80,6 +80,16 @@
     assert_eq!(read(&mut harness), sent_to("p-far"));
 }
 
+#[test]
+fn permit_that_arrives_late_is_not_used() {
+    let mut harness = Harness::new(two_services());
+    notify(&mut harness, "p-near", UpstreamNotice::RateLimit(1.0));
+    read(&mut harness);
+    harness.advance(LIFETIME);
+    decide(&mut harness, "p-near", PermitVerdict::Granted(LIFETIME));
+    assert_eq!(read(&mut harness), sent_to("p-far"));
+}
+
 #[test]
 fn request_must_be_sent_while_its_permit_holds() {
     let mut harness = Harness::new(vec![upstream("p-near", SERVICES, "near")]);
