--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -141,11 +141,8 @@
             due.push(vm.clone());
         }
         self.losses.retain(|_, transmissions_left| *transmissions_left > 0);
-        let alive = self.alive.iter().take(MAX_ALIVE_UPDATES).cloned().collect::<Vec<_>>();
-        alive.iter().for_each(|it| {
-            self.alive.remove(it);
-        });
-        due.extend(alive);
+        let alive = std::iter::from_fn(|| self.alive.pop_first());
+        due.extend(alive.take(MAX_ALIVE_UPDATES));
         due
     }
 }
