fix(relay): memory for a response is taken from the budget before it is allocated

Cause: the budget counted the capacity of a body after its buffer had grown. A buffer doubles, so 24 bodies could all allocate twice their share before any of them was refused, and each growth held the old copy beside the new one. A complete response was copied once more to be sent. Ruled out: load. Unfinished events are counted ahead in the same way.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::dialect::UpstreamRequest;
 use crate::dispatch::CallGuard;
 use crate::events::EventId;
-use crate::memory::Reservation;
+use crate::memory::HeldBody;
 use crate::response::ResponseHead;
 use crate::socket::Connection;
 use crate::socket::Interest;
@@ -107,9 +107,7 @@
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
     pub(crate) head: ResponseHead,
-    pub(crate) body: Vec<u8>,
-    /// Counts the body towards the memory for responses.
-    pub(crate) _reservation: Reservation,
+    pub(crate) body: HeldBody,
 }
 
 /// How an attempt ended.
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -19,7 +19,7 @@
 use crate::dispatch::CallGuard;
 use crate::events::EventBatch;
 use crate::events::EventReader;
-use crate::memory::Reservation;
+use crate::memory::HeldBody;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
 use crate::socket::Connection;
@@ -102,10 +102,9 @@
                     return Ok((AttemptOutcome::Streamed, Some(head)));
                 }
                 Verdict::Match => {
-                    let mut reservation = self.exchange.relay.response_memory.reserve();
-                    let body = self.receive_body(&mut decoder, &mut reservation)?;
+                    let body = self.receive_body(&mut decoder)?;
                     let reusable_head = head.clone();
-                    let response = BufferedResponse { head, body, _reservation: reservation };
+                    let response = BufferedResponse { head, body };
                     return Ok((AttemptOutcome::Buffered(response), Some(reusable_head)));
                 }
                 Verdict::NotRun { misdirected } => {
@@ -116,8 +115,7 @@
                     return Ok((AttemptOutcome::NotRun { misdirected }, reusable_head));
                 }
                 Verdict::Unrelated => {
-                    let mut reservation = self.exchange.relay.response_memory.reserve();
-                    self.receive_body(&mut decoder, &mut reservation)?;
+                    self.receive_body(&mut decoder)?;
                     self.count_skipped_response()?;
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
@@ -174,24 +172,23 @@
     }
 
     /// Receives a whole body, within the memory for responses.
-    fn receive_body(
-        &mut self,
-        decoder: &mut BodyDecoder,
-        reservation: &mut Reservation,
-    ) -> Result<Vec<u8>, AttemptError> {
-        let mut body = Vec::new();
+    fn receive_body(&mut self, decoder: &mut BodyDecoder) -> Result<HeldBody, AttemptError> {
+        let mut body = HeldBody::new(self.exchange.relay.response_memory.reserve());
         loop {
+            let received_bytes = body.len();
+            let is_within_limit = received_bytes <= MAX_RESPONSE_BYTES;
+            let buffer = body.buffer(self.connection.input.len());
+            let Some(buffer) = buffer.ok().filter(|_| is_within_limit) else {
+                warn!(self.exchange.relay.log, "response is too large";
+                    "upstream" => &*self.command.upstream.id, "received_bytes" => received_bytes);
+                return Err(AttemptError::Incomplete);
+            };
             decoder
-                .decode(&mut self.connection.input, &mut body)
+                .decode(&mut self.connection.input, buffer)
                 .map_err(|_| AttemptError::Incomplete)?;
             if decoder.is_complete() {
                 return Ok(body);
             }
-            if body.len() > MAX_RESPONSE_BYTES || reservation.extend_to(body.capacity()).is_err() {
-                warn!(self.exchange.relay.log, "response is too large";
-                    "upstream" => &*self.command.upstream.id, "received_bytes" => body.len());
-                return Err(AttemptError::Incomplete);
-            }
             if self.wait_and_read(false)? == ReadOutcome::Closed {
                 return if decoder.is_delimited_by_close() {
                     Ok(body)
@@ -212,6 +209,9 @@
         let mut reservation = self.exchange.relay.response_memory.reserve();
         let mut is_response_started = false;
         loop {
+            // A buffer that grows has at most twice the capacity that its content needs.
+            let max_capacity_bytes = 2 * (reader.buffer().len() + self.connection.input.len());
+            reservation.extend_to(max_capacity_bytes).map_err(|_| AttemptError::Incomplete)?;
             let decode_result = decoder.decode(&mut self.connection.input, reader.buffer());
             let events = reader.take_complete().map_err(|_| AttemptError::Incomplete)?;
             if events.count > 0 {
@@ -224,9 +224,6 @@
                 self.delivery.last_event_id = reader.last_id();
             }
             decode_result.map_err(|_| AttemptError::Incomplete)?;
-            reservation
-                .extend_to(reader.buffer().capacity())
-                .map_err(|_| AttemptError::Incomplete)?;
             if decoder.is_complete() {
                 break;
             }
