--- a/crates/coordination/src/store/memory.rs
+++ b/crates/coordination/src/store/memory.rs
@@ -54,11 +54,21 @@
 #[derive(Debug, Default, Clone)]
 pub struct MemoryStore {
     era: StoreEra,
-    rows: BTreeMap<String, (RowVersion, Vec<u8>)>,
+    rows: BTreeMap<String, StoredRow>,
     objects: BTreeMap<String, Vec<u8>>,
     delayed: Vec<StoreCommand>,
     /// What each write replaced, oldest first.
-    replaced: Vec<(String, Option<(RowVersion, Vec<u8>)>)>,
+    replaced: Vec<ReplacedRow>,
+}
+
+/// Version and content of a row.
+type StoredRow = (RowVersion, Vec<u8>);
+
+/// State of a row before a write.
+#[derive(Debug, Clone)]
+struct ReplacedRow {
+    key: String,
+    row: Option<StoredRow>,
 }
 
 impl MemoryStore {
@@ -102,7 +112,7 @@
     pub fn restore(&mut self, version: usize) {
         self.era += 1;
         while self.replaced.len() > version {
-            let Some((key, row)) = self.replaced.pop() else { return };
+            let Some(ReplacedRow { key, row }) = self.replaced.pop() else { return };
             match row {
                 Some(row) => self.rows.insert(key, row),
                 None => self.rows.remove(&key),
@@ -150,8 +160,8 @@
             return WriteResult::Conflict;
         }
         let version = current.unwrap_or(0) + 1;
-        let replaced = self.rows.insert(key.to_owned(), (version, value.to_vec()));
-        self.replaced.push((key.to_owned(), replaced));
+        let row = self.rows.insert(key.to_owned(), (version, value.to_vec()));
+        self.replaced.push(ReplacedRow { key: key.to_owned(), row });
         WriteResult::Written(version)
     }
 }
