fix(adapters): links are closed without holding up the other links

Cause, of the class of a blocking call under a lock: closing a socket of nng waits for the library's threads, 0.3 to 3.5 s on a VM with 0.12 of a core under load. All links that were silent were closed one after the other while the lock was held that each message to a peer needs: heartbeats, reports of the directory, tables, load queries before a long prompt is placed. Ruled out: polls of the store (they end with their timeout), large tables (49 routes), a full link. Sockets are behind a trait, so that a test can make them slow. slow_close_does_not_hold_up_other_links failed before ('closing links does not block').

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -3,7 +3,11 @@
 //! Each VM listens on one pull socket and dials one push socket per peer that it sends to. Sending
 //! never blocks: messages to a peer that does not accept them are dropped, and the next heartbeat
 //! carries the state again. A link whose peer acknowledges no heartbeats is closed and redialled,
-//! since a connection may stay open without ever delivering anything again.
+//! since a connection may stay open without ever delivering anything again. Closing may block, so it
+//! is left to threads of its own.
+
+mod closer;
+mod socket;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -19,35 +23,34 @@
 use nng::Protocol;
 use nng::Socket;
 use nng::options::Options;
-use nng::options::ReconnectMaxTime;
-use nng::options::ReconnectMinTime;
 use nng::options::RecvMaxSize;
-use nng::options::SendBufferSize;
 
 use crate::shared_key::MAC_BYTES;
 use crate::shared_key::SharedKey;
 
+use closer::Closer;
+
+pub use socket::Dialer;
+pub use socket::LinkSocket;
+pub use socket::NngDialer;
+
 /// Time without a new acknowledgement after which a link is closed and redialled.
 pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum size of a received message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Maximum number of messages queued for a peer.
-const SEND_BUFFER_MESSAGES: i32 = 16;
-
-/// Interval between attempts to connect to a peer.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// The links between this VM and its peers.
 pub struct Links {
     listener: Socket,
     key: RwLock<SharedKey>,
+    dialer: Box<dyn Dialer>,
+    closer: Closer,
     peers: Mutex<HashMap<VmId, Link>>,
 }
 
 struct Link {
-    socket: Socket,
+    socket: Box<dyn LinkSocket>,
     address: SocketAddr,
     /// When the peer last acknowledged a new heartbeat, or when the link was dialled.
     acknowledged_at: Instant,
@@ -77,10 +80,24 @@
     ///
     /// Fails if the address is in use or does not belong to this machine.
     pub fn listen(address: SocketAddr, key: SharedKey) -> nng::Result<Self> {
+        Self::listen_with(address, key, Box::new(NngDialer))
+    }
+
+    /// Starts listening like [`Links::listen`], and opens the sockets to peers by `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is in use or does not belong to this machine.
+    pub fn listen_with(
+        address: SocketAddr,
+        key: SharedKey,
+        dialer: Box<dyn Dialer>,
+    ) -> nng::Result<Self> {
         let listener = Socket::new(Protocol::Pull0)?;
         listener.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
         listener.listen(&url(address))?;
-        Ok(Self { listener, key: RwLock::new(key), peers: Mutex::new(HashMap::new()) })
+        let closer = Closer::start().map_err(|_| nng::Error::OutOfMemory)?;
+        Ok(Self { listener, key: RwLock::new(key), dialer, closer, peers: Mutex::default() })
     }
 
     /// Waits for the next message.
@@ -124,8 +141,8 @@
     fn send_bytes(&self, to: &PeerAddress, bytes: &[u8]) -> bool {
         let size = bytes.len() as u64;
         let mut peers = self.lock();
-        let Some(link) = open_link(&mut peers, to) else { return false };
-        let sent = link.socket.try_send(bytes).is_ok();
+        let Some(link) = self.open_link(&mut peers, to) else { return false };
+        let sent = link.socket.try_send(bytes);
         drop(peers);
         if sent {
             metrics::counter!("cranberryvalve_peer_bytes_total", "direction" => "out")
@@ -139,7 +156,9 @@
     /// Starts the next heartbeat to `peer` and returns the sequence numbers that it carries.
     pub fn next_heartbeat(&self, peer: &PeerAddress) -> HeartbeatSequence {
         let mut peers = self.lock();
-        let Some(link) = open_link(&mut peers, peer) else { return HeartbeatSequence::default() };
+        let Some(link) = self.open_link(&mut peers, peer) else {
+            return HeartbeatSequence::default();
+        };
         link.sent_sequence += 1;
         link.heartbeat_sent_at = Some(Instant::now());
         HeartbeatSequence { sequence: link.sent_sequence, acknowledged: link.received_sequence }
@@ -155,7 +174,7 @@
     /// Records the sequence numbers of a heartbeat from `peer`.
     pub fn on_heartbeat(&self, peer: &PeerAddress, sequence: u64, acknowledged: u64) {
         let mut peers = self.lock();
-        let Some(link) = open_link(&mut peers, peer) else { return };
+        let Some(link) = self.open_link(&mut peers, peer) else { return };
         link.received_sequence = sequence;
         if acknowledged != link.acknowledged_sequence {
             link.acknowledged_sequence = acknowledged;
@@ -163,25 +182,21 @@
         }
     }
 
-    /// Closes the links without a new acknowledgement for [`ACKNOWLEDGEMENT_TIMEOUT`].
+    /// Closes the links without a new acknowledgement for [`ACKNOWLEDGEMENT_TIMEOUT`]; some of them
+    /// only the next time, if many wait to be closed.
     ///
     /// Returns the peers among `wanted` whose link was closed. A closed link is redialled when it is
     /// next used.
     pub fn close_timed_out(&self, wanted: &[PeerAddress]) -> Vec<VmId> {
-        let mut closed = Vec::new();
-        self.lock().retain(|vm, link| {
-            let is_wanted = wanted.iter().any(|it| it.vm == *vm);
-            let is_timed_out = link.acknowledged_at.elapsed() >= ACKNOWLEDGEMENT_TIMEOUT;
-            if is_wanted && is_timed_out {
-                closed.push(vm.clone());
-            }
-            let keep = !is_timed_out;
-            if !keep {
-                link.socket.close();
-            }
-            keep
-        });
-        closed
+        let mut peers = self.lock();
+        let is_timed_out = |link: &Link| link.acknowledged_at.elapsed() >= ACKNOWLEDGEMENT_TIMEOUT;
+        let timed_out = peers.iter().filter(|(_, link)| is_timed_out(link));
+        let vms: Vec<VmId> =
+            timed_out.map(|(vm, _)| vm.clone()).take(self.closer.capacity()).collect();
+        let links: Vec<Link> = vms.iter().filter_map(|it| peers.remove(it)).collect();
+        drop(peers);
+        links.into_iter().for_each(|it| self.closer.close(it.socket));
+        vms.into_iter().filter(|vm| wanted.iter().any(|it| it.vm == *vm)).collect()
     }
 
     /// Stops listening, so that [`receive`](Self::receive) fails.
@@ -189,11 +204,43 @@
         self.listener.close();
     }
 
+    /// Returns the link to `peer`, dialling it first if it is missing or the address has changed.
+    fn open_link<'a>(
+        &self,
+        peers: &'a mut HashMap<VmId, Link>,
+        peer: &PeerAddress,
+    ) -> Option<&'a mut Link> {
+        if peers.get(&peer.vm).is_some_and(|it| it.address != peer.address)
+            && let Some(old) = peers.remove(&peer.vm)
+        {
+            self.closer.close(old.socket);
+        }
+        if !peers.contains_key(&peer.vm) {
+            let link = Link::new(self.dialer.dial(peer.address)?, peer.address);
+            peers.insert(peer.vm.clone(), link);
+        }
+        peers.get_mut(&peer.vm)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<VmId, Link>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Link {
+    fn new(socket: Box<dyn LinkSocket>, address: SocketAddr) -> Self {
+        Self {
+            socket,
+            address,
+            acknowledged_at: Instant::now(),
+            sent_sequence: 0,
+            acknowledged_sequence: 0,
+            received_sequence: 0,
+            heartbeat_sent_at: None,
+        }
+    }
+}
+
 /// Encodes a message as its authentication code, followed by its `postcard` encoding.
 ///
 /// Returns `None` if the message cannot be encoded.
@@ -215,37 +262,6 @@
     postcard::from_bytes(body).ok()
 }
 
-/// Returns the link to `peer`, dialling it first if it is missing or the address has changed.
-fn open_link<'a>(peers: &'a mut HashMap<VmId, Link>, peer: &PeerAddress) -> Option<&'a mut Link> {
-    if peers.get(&peer.vm).is_some_and(|it| it.address != peer.address)
-        && let Some(old) = peers.remove(&peer.vm)
-    {
-        old.socket.close();
-    }
-    if !peers.contains_key(&peer.vm) {
-        let link = dial(peer.address).ok()?;
-        peers.insert(peer.vm.clone(), link);
-    }
-    peers.get_mut(&peer.vm)
-}
-
-fn dial(address: SocketAddr) -> nng::Result<Link> {
-    let socket = Socket::new(Protocol::Push0)?;
-    socket.set_opt::<SendBufferSize>(SEND_BUFFER_MESSAGES)?;
-    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_INTERVAL))?;
-    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_INTERVAL))?;
-    socket.dial_async(&url(address))?;
-    Ok(Link {
-        socket,
-        address,
-        acknowledged_at: Instant::now(),
-        sent_sequence: 0,
-        acknowledged_sequence: 0,
-        received_sequence: 0,
-        heartbeat_sent_at: None,
-    })
-}
-
 fn url(address: SocketAddr) -> String {
     format!("tcp://{address}")
 }
