--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod command;
 mod prepare;
 mod regress;
+mod soak;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,8 @@
     Campaign(Passed),
     #[options(help = "score the listed deployments on the users' bench, or those named")]
     Regress(Passed),
+    #[options(help = "play random faults against processes of the platform's program (--help)")]
+    Soak(Passed),
 }
 
 /// Arguments for the task itself; they are passed on unparsed.
@@ -81,6 +84,7 @@
         Task::Fleet(_) => checks::lab("fleet", passed),
         Task::Campaign(_) => checks::lab("campaign", passed),
         Task::Regress(_) => regress::regress(passed),
+        Task::Soak(_) => soak::run(passed),
     }
 }
 
