fix(coordination): a VM that left is contacted again, since it may have started anew without a living seed

What operators would see: a VM that was stopped and started again, and whose seeds are gone or empty, stays alone for good: it has no peers, reads the store itself, and coordinates limits and loads for itself. Cause: members that died are probed, members that left are not; and a VM that restarts knows its seeds only. Pure restarted_vm_without_a_living_seed_is_found failed before with [1, 2, 2]. Ruled out: the key of the links (the same), a lost message (it stayed so until the end of the run). Change: members that left are probed like dead ones, one a round, until they are forgotten after 60 s.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -304,14 +304,15 @@
         self.outboxes.retain(|receiver, _| self.members.contains_key(receiver));
     }
 
-    /// Returns a dead member to send a heartbeat to, in case it has recovered.
+    /// Returns a member that died or left to send a heartbeat to, in case it has recovered or
+    /// started again. Such a VM may know no other one, since its seeds may be gone.
     ///
-    /// `round` selects the member in round-robin order. Returns `None` if no member is dead.
+    /// `round` selects the member in round-robin order. Returns `None` if all members are alive.
     pub fn probe_target(&self, round: usize) -> Option<PeerAddress> {
-        let dead = self.members.values().filter(|it| it.state == MemberState::Dead);
-        let dead: Vec<&Member> = dead.collect();
-        let index = round.checked_rem(dead.len())?;
-        Some(dead[index].address.clone())
+        let gone = self.members.values().filter(|it| it.state != MemberState::Alive);
+        let gone: Vec<&Member> = gone.collect();
+        let index = round.checked_rem(gone.len())?;
+        Some(gone[index].address.clone())
     }
 
     /// Marks this VM as stopping, which is announced in its next heartbeats.
--- a/crates/coordination/tests/member_discovery.rs
+++ b/crates/coordination/tests/member_discovery.rs
@@ -50,6 +50,38 @@
     members.iter().for_each(|it| vms[to].on_update(now, it));
 }
 
+#[test]
+fn restarted_vm_without_a_living_seed_is_found() {
+    let mut now = Instant::now();
+    let mut vms: Vec<_> = (0..3).map(|it| Membership::new(address(it), 1)).collect();
+    for vm in 1..3 {
+        send(&mut vms, now, vm, 0);
+    }
+    let run = |vms: &mut [Membership], now: &mut Instant, rounds: usize, running: &[usize]| {
+        for round in 0..rounds {
+            *now += ROUND;
+            for vm in running {
+                vms[*vm].on_tick(*now);
+                let mut receivers = vms[*vm].neighbours();
+                receivers.extend(vms[*vm].probe_target(round));
+                for receiver in receivers {
+                    let to = usize::from(receiver.address.port()) - 1_000;
+                    if running.contains(&to) {
+                        send(vms, *now, *vm, to);
+                    }
+                }
+            }
+        }
+    };
+    run(&mut vms, &mut now, 5, &[0, 1, 2]);
+    vms[0].stop();
+    run(&mut vms, &mut now, 2, &[0, 1, 2]);
+    run(&mut vms, &mut now, 5, &[1, 2]);
+    vms[0] = Membership::new(address(0), 2);
+    run(&mut vms, &mut now, MAX_ROUNDS, &[0, 1, 2]);
+    assert_eq!(vms.iter().map(Membership::alive_count).collect::<Vec<_>>(), [3, 3, 3]);
+}
+
 quickcheck! {
     fn all_vms_find_each_other(seeds: Vec<usize>) -> bool {
         let start = Instant::now();
