fix(daemon): attempt ids of plain calls differ after a restart, and callers of plain calls that leave are counted

Change: Node::attempt_id, with the start of the process, for both kinds of call; RequestMetrics::record_disconnect.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -26,6 +26,7 @@
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_policy::Event;
 use cranberryvalve_policy::RouterSettings;
+use cranberryvalve_policy::SendCommand;
 use eyre::Result;
 use eyre::WrapErr;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -127,6 +128,12 @@
         self.replica().freshness(Instant::now())
     }
 
+    /// Returns an identifier that no other attempt has, on any VM and after any restart.
+    pub(crate) fn attempt_id(&self, order: &SendCommand) -> Arc<str> {
+        let (vm, started_unix_ms) = (&self.settings.vm, self.started_unix_ms);
+        format!("{vm}-{started_unix_ms}-{}-{}", order.id, order.attempt).into()
+    }
+
     /// Handles the leaving state that an upstream reported of itself in a response or load report.
     pub(crate) fn on_upstream_report(&self, upstream: &UpstreamId, leaving: bool) {
         let change = self.leaving().on_self_report(upstream, leaving);
--- a/crates/daemon/src/request_metrics.rs
+++ b/crates/daemon/src/request_metrics.rs
@@ -70,6 +70,12 @@
         Some(self.first_token_at?.elapsed() / intervals)
     }
 
+    /// Records that the caller disconnected before the response was complete.
+    pub(crate) fn record_disconnect(&self) {
+        metrics::counter!("cranberryvalve_callers_left_total", "class" => self.class.clone())
+            .increment(1);
+    }
+
     /// Records the outcome of the request.
     pub(crate) fn record_outcome(&self, outcome: &Outcome) {
         let class = self.class.clone();
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -184,7 +184,7 @@
     ) -> CallResult {
         let request = EngineRequest {
             body: self.body.fields.clone(),
-            attempt_id: self.attempt_id(order),
+            attempt_id: self.node.attempt_id(order),
             priority: order.priority,
             position: self.assembler.position(),
         };
@@ -304,19 +304,11 @@
     }
 
     fn on_disconnect(&self, responder: &mut Responder<'s>) -> Result<(), Problem> {
-        metrics::counter!("cranberryvalve_callers_left_total",
-            "class" => self.class.id.to_string())
-        .increment(1);
+        self.metrics.record_disconnect();
         responder.close();
         Ok(())
     }
 
-    fn attempt_id(&self, order: &SendCommand) -> Arc<str> {
-        let vm = &self.node.settings.vm;
-        let boot = self.node.started_unix_ms;
-        format!("{vm}-{boot}-{}-{}", order.id, order.attempt).into()
-    }
-
     fn timeouts(&self) -> Timeouts {
         let idle_timeout = Duration::from_millis(self.class.silence_limit_ms);
         let first_token = Duration::from_millis(self.class.first_token_target_ms);
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -131,6 +131,7 @@
             match handle.next_directive() {
                 Directive::Conclude(conclusion) => return Err(self.problem_for(conclusion.outcome)),
                 Directive::CallerDisconnected => {
+                    self.metrics.record_disconnect();
                     responder.close();
                     return Ok(());
                 }
@@ -250,11 +251,10 @@
         &self,
         order: &SendCommand,
     ) -> Result<ureq::http::Request<Vec<u8>>, CallError> {
-        let attempt_id = format!("{}-{}-{}", self.node.settings.vm, order.id, order.attempt);
         let mut builder = ureq::http::Request::builder()
             .method(&*self.request.head.method)
             .uri(&*self.request.head.target)
-            .header(ATTEMPT_HEADER, attempt_id)
+            .header(ATTEMPT_HEADER, &*self.node.attempt_id(order))
             .header("x-customer", &*self.customer)
             .header("x-priority", order.priority.to_string());
         for name in ["content-type", "accept", IDEMPOTENCY_HEADER] {
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -11,6 +11,8 @@
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
 use cranberryvalve_standins::config;
+use cranberryvalve_standins::service::Service;
+use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -61,6 +63,45 @@
     assert_eq!(effects(&cluster, "booking"), 1);
 }
 
+#[test]
+fn attempt_ids_differ_after_a_restart() {
+    let mut cluster = start(1);
+    assert_eq!(book(&cluster, 0, "before").outcome, "completed");
+    let vm = &mut cluster.vms[0];
+    vm.kill();
+    let addresses = [vm.caller_address, vm.operator_address, vm.peer_address];
+    *vm = Vm::start_at(vm.settings.clone(), addresses).expect("the daemon starts");
+    cluster.vms[0].wait_ready(WAIT_TIMEOUT);
+    assert_eq!(book(&cluster, 0, "after").outcome, "completed");
+    let effects: Vec<_> = cluster.services.iter().flat_map(Service::effects).collect();
+    let ids: Vec<&str> = effects.iter().map(|it| &*it.attempt_id).collect();
+    assert_eq!(ids.len(), 2);
+    assert_ne!(ids[0], ids[1]);
+}
+
+#[test]
+fn callers_of_services_that_leave_are_counted() {
+    let cluster = start(1);
+    for service in &cluster.services {
+        service.set_faults(|it| it.delay = Duration::from_secs(3));
+    }
+    let vm = &cluster.vms[0];
+    let request = format!(
+        "GET /berths/4 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {}\r\n\r\n",
+        config::api_key(0)
+    );
+    let mut stream = TcpStream::connect(vm.caller_address).expect("the VM listens");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    thread::sleep(Duration::from_millis(500));
+    drop(stream);
+    let is_counted = || {
+        let metrics = client::operator(vm.operator_address, "GET", "/metrics", None);
+        let metrics = metrics.map(|it| it.body.as_str().unwrap_or_default().to_owned());
+        metrics.is_some_and(|it| it.contains("cranberryvalve_callers_left_total{"))
+    };
+    assert!(wait_until(WAIT_TIMEOUT, is_counted));
+}
+
 #[test]
 fn late_claim_write_does_not_block_the_key() {
     let cluster = start(1);
