fix(coordination): a VM that restarts is told of all members again

What operators would see: a VM that was restarted lacks a living member for as long as it runs. The two choose different coordinators for the same upstream, so that loads and limits are coordinated twice. Cause: what a receiver was told is kept under its name, over its restart; its new process is only told of later changes. Pure restarted_vm_is_told_of_all_members failed before with [3, 4, 4, 4]. Change: a higher incarnation of a member discards what it was told. A refutation raises the incarnation, too, and costs one full list.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -405,6 +405,11 @@
         Self { key, token, done: true }
     }
 
+    /// Returns the key of the row.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
     /// Returns whether the row is released, so that no command is left to execute.
     pub const fn is_done(&self) -> bool {
         self.done
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -272,6 +272,10 @@
             self.add(now, update);
             return;
         };
+        if update.incarnation > member.incarnation {
+            // A process that started anew knows nothing of what its predecessor was told.
+            self.outboxes.remove(&update.member.vm);
+        }
         if (update.incarnation, update.state) > (member.incarnation, member.state) {
             let address = update.member.clone();
             *member = Member::new(now, address, update.incarnation);
--- a/crates/coordination/tests/member_discovery.rs
+++ b/crates/coordination/tests/member_discovery.rs
@@ -50,6 +50,46 @@
     members.iter().for_each(|it| vms[to].on_update(now, it));
 }
 
+/// Lets the running VMs send heartbeats for some rounds.
+fn run(vms: &mut [Membership], now: &mut Instant, rounds: usize, running: &[usize]) {
+    for round in 0..rounds {
+        *now += ROUND;
+        for vm in running {
+            vms[*vm].on_tick(*now);
+            let mut receivers = vms[*vm].neighbours();
+            receivers.extend(vms[*vm].probe_target(round));
+            for receiver in receivers {
+                let to = usize::from(receiver.address.port()) - 1_000;
+                if running.contains(&to) {
+                    send(vms, *now, *vm, to);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn restarted_vm_is_told_of_all_members() {
+    let mut now = Instant::now();
+    let mut vms: Vec<_> = (0..4).map(|it| Membership::new(address(it), 1)).collect();
+    for vm in 1..4 {
+        send(&mut vms, now, vm, 0);
+    }
+    let all = [0, 1, 2, 3];
+    run(&mut vms, &mut now, MAX_ROUNDS, &all);
+    for (restarted, seed) in all.iter().flat_map(|vm| all.map(|seed| (*vm, seed))) {
+        // It is back before its silence is noticed, and knows one of the others.
+        let incarnation = vms[restarted].incarnation() + 1;
+        vms[restarted] = Membership::new(address(restarted), incarnation);
+        if seed != restarted {
+            send(&mut vms, now, restarted, seed);
+        }
+        run(&mut vms, &mut now, MAX_ROUNDS, &all);
+        let counts: Vec<usize> = vms.iter().map(Membership::alive_count).collect();
+        assert_eq!(counts, [4; 4], "after a restart of VM {restarted} with seed {seed}");
+    }
+}
+
 #[test]
 fn restarted_vm_without_a_living_seed_is_found() {
     let mut now = Instant::now();
@@ -57,22 +97,6 @@
     for vm in 1..3 {
         send(&mut vms, now, vm, 0);
     }
-    let run = |vms: &mut [Membership], now: &mut Instant, rounds: usize, running: &[usize]| {
-        for round in 0..rounds {
-            *now += ROUND;
-            for vm in running {
-                vms[*vm].on_tick(*now);
-                let mut receivers = vms[*vm].neighbours();
-                receivers.extend(vms[*vm].probe_target(round));
-                for receiver in receivers {
-                    let to = usize::from(receiver.address.port()) - 1_000;
-                    if running.contains(&to) {
-                        send(vms, *now, *vm, to);
-                    }
-                }
-            }
-        }
-    };
     run(&mut vms, &mut now, 5, &[0, 1, 2]);
     vms[0].stop();
     run(&mut vms, &mut now, 2, &[0, 1, 2]);
