fix(daemon): the log tells plans that were applied from others, and releases that are dropped

Beyond 10,000 releases that wait for the store, a release was dropped without a trace; now with a warning that names the key, and cranberryvalve_releases_dropped_total. No test: both are log lines.

--- a/crates/daemon/src/operator/confirm.rs
+++ b/crates/daemon/src/operator/confirm.rs
@@ -36,7 +36,12 @@
 pub(super) fn serve(node: &Node, request: &ConfirmRequest) -> Result<Response, OperatorProblem> {
     check_plan(node, request)?;
     let outcome = confirm_plan(node, &request.plan);
-    info!(node.log, "plan confirmed"; "plan" => &*request.plan.id,
+    let message = match outcome {
+        ConfirmOutcome::Applied { .. } => "plan applied",
+        ConfirmOutcome::Unknown => "plan may be applied",
+        _ => "plan not applied",
+    };
+    info!(node.log, "{message}"; "plan" => &*request.plan.id,
         "operator" => &*request.plan.operator, "outcome" => format!("{outcome:?}"));
     let status = match outcome {
         ConfirmOutcome::Applied { .. } => 200,
--- a/crates/daemon/src/service/claims.rs
+++ b/crates/daemon/src/service/claims.rs
@@ -12,6 +12,7 @@
 use cranberryvalve_coordination::store::execute;
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::Digest;
+use slog::warn;
 
 use crate::node::Node;
 
@@ -64,10 +65,18 @@
 ///
 /// The row is released as soon as the store can be reached.
 pub(super) fn queue_release(node: &Node, release: Release) {
+    if release.is_done() {
+        return;
+    }
     let mut releases = node.releases();
-    if !release.is_done() && releases.len() < MAX_PENDING_RELEASES {
+    if releases.len() < MAX_PENDING_RELEASES {
         releases.push(release);
+        return;
     }
+    drop(releases);
+    metrics::counter!("cranberryvalve_releases_dropped_total").increment(1);
+    warn!(node.log, "too many releases wait for the store; a key stays claimed";
+        "key" => release.key());
 }
 
 /// Returns a token that no other claim has: on any VM, before or after a restart.
