--- a/crates/lab/src/campaign.rs
+++ b/crates/lab/src/campaign.rs
@@ -12,6 +12,7 @@
 use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 use eyre::Result;
+use eyre::eyre;
 use gumdrop::Options;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -68,7 +69,6 @@
         ClusterSettings { vms: VMS, engines: ENGINES, services: 2, ..ClusterSettings::default() };
     let mut cluster = Cluster::start(&programs::daemon()?, settings)?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut observations = Observations::default();
     let targets = [rng.random_range(1..VMS), rng.random_range(0..ENGINES)];
     let callers: Vec<_> = cluster.vms.iter().map(|it| it.caller_address).collect();
     let operators: Vec<_> = cluster.vms.iter().map(|it| it.operator_address).collect();
@@ -81,9 +81,7 @@
     for fault in pair {
         fault.stop(&mut cluster, targets);
     }
-    if let Ok(observed) = workload.join() {
-        observations = observed;
-    }
+    let mut observations = workload.join().map_err(|_| eyre!("the workload panicked"))?;
     observe_effects(&cluster, &mut observations);
     observe_versions(&cluster, &mut observations);
     Ok(checker::check(&observations))
@@ -106,7 +104,9 @@
     wait_until(CONVERGENCE_TIMEOUT, || {
         let versions = versions();
         let newest = observations.newest_applied();
-        versions.iter().all(|it| *it == versions[0] && *it >= newest)
+        versions.len() == cluster.vms.len()
+            && versions.iter().all(|it| *it == versions[0] && *it >= newest)
     });
     observations.final_versions = versions();
+    observations.vm_count = cluster.vms.len();
 }
--- a/crates/lab/src/campaign/checker.rs
+++ b/crates/lab/src/campaign/checker.rs
@@ -12,7 +12,9 @@
     pub(crate) plans: Vec<PlanObservation>,
     /// Idempotency keys of the calls that the services ran, one for each run.
     pub(crate) effects: Vec<String>,
-    /// Active configuration version of each VM at the end.
+    /// Number of VMs.
+    pub(crate) vm_count: usize,
+    /// Active configuration version of each VM that runs at the end.
     pub(crate) final_versions: Vec<u64>,
 }
 
@@ -62,9 +64,10 @@
     CompletedWithoutRun { key: String },
     /// Two plans with the same base version were applied.
     TwoPlansApplied { base_version: u64 },
-    /// At the end, a VM has an older version than the newest applied one, the VMs differ,
-    /// or no version could be read.
+    /// At the end, a VM has an older version than the newest applied one, or the VMs differ.
     VersionLost { versions: Vec<u64>, applied: u64 },
+    /// At the end, some VMs do not run.
+    VmsLost { running: usize, vms: usize },
 }
 
 impl fmt::Display for Breach {
@@ -145,7 +148,11 @@
     let applied = observations.newest_applied();
     let is_lost = observations.final_versions.iter().any(|it| *it < applied);
     let is_divergent = observations.final_versions.windows(2).any(|pair| pair[0] != pair[1]);
-    if is_lost || is_divergent || observations.final_versions.is_empty() {
+    let (running, vms) = (observations.final_versions.len(), observations.vm_count);
+    if running != vms {
+        breaches.push(Breach::VmsLost { running, vms });
+    }
+    if is_lost || is_divergent {
         let versions = observations.final_versions.clone();
         breaches.push(Breach::VersionLost { versions, applied });
     }
--- a/crates/lab/src/campaign/checker/tests.rs
+++ b/crates/lab/src/campaign/checker/tests.rs
@@ -27,6 +27,7 @@
         bookings: vec![booking("completed"), booking("unknown"), booking("not_run")],
         plans: vec![plan(1, "applied"), plan(1, "stale"), plan(2, "unknown")],
         effects: vec!["k".to_owned()],
+        vm_count: 2,
         final_versions: vec![2, 2],
     }
 }
@@ -82,4 +83,6 @@
     assert_eq!(lost, [Breach::VersionLost { versions: vec![2, 1], applied: 2 }]);
     let divergent = breaches_after(|it| it.final_versions[1] = 3);
     assert_eq!(divergent, [Breach::VersionLost { versions: vec![2, 3], applied: 2 }]);
+    let stopped = breaches_after(|it| it.final_versions.truncate(1));
+    assert_eq!(stopped, [Breach::VmsLost { running: 1, vms: 2 }]);
 }
