fix(policy): overdue requests are not hidden by patient ones of their tier, and retries are charged once

A request of a class with a short promote_after behind one of a patient class of the same tier was not promoted ('left: None'). - A request that was put back for a retry was charged to its customer again: of 11 completed calls 4 were of the customer whose attempts failed once each, and 7 of the other. Change: the entry that becomes overdue first counts, wherever it stands; a request that is put back is refunded.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -25,3 +25,6 @@
     /// Time at which it is given up if it is still queued.
     pub(crate) expires_at: Instant,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -33,7 +33,8 @@
         self.len
     }
 
-    /// Adds a request to the end of its customer's queue, or to the front if `front` is set.
+    /// Adds a request to the end of its customer's queue, or to the front if `front` is set, for a
+    /// request that was dequeued before: its customer is not charged again for it.
     pub(super) fn push(
         &mut self,
         customer: &CustomerId,
@@ -47,10 +48,13 @@
             weight: 1.0,
             start_tag: virtual_time,
         });
+        queue.weight = f64::from(weight.max(1));
+        if front {
+            queue.start_tag -= 1.0 / queue.weight;
+        }
         if queue.requests.is_empty() {
             queue.start_tag = queue.start_tag.max(virtual_time);
         }
-        queue.weight = f64::from(weight.max(1));
         if front {
             queue.requests.push_front(queued);
         } else {
@@ -65,10 +69,10 @@
         queue.requests.front().copied()
     }
 
-    /// Returns the earliest arrival among the first requests of all customers.
-    pub(super) fn oldest(&self) -> Option<QueuedRequest> {
-        let fronts = self.customers.values().filter_map(|it| it.requests.front());
-        fronts.min_by_key(|it| it.arrived_at).copied()
+    /// Returns the request that is or becomes overdue first. Classes of a tier differ in when that
+    /// is, so that it may stand behind others.
+    pub(super) fn first_overdue(&self) -> Option<QueuedRequest> {
+        self.iter().min_by_key(|it| it.promote_at).copied()
     }
 
     /// Removes a request, and advances the virtual time and the start tag of its customer.
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -85,8 +85,8 @@
         if !is_due {
             return None;
         }
-        let oldest = self.tiers.values().filter_map(FairQueue::oldest);
-        oldest.filter(|it| it.promote_at <= now).min_by_key(|it| it.promote_at)
+        let candidates = self.tiers.values().filter_map(FairQueue::first_overdue);
+        candidates.filter(|it| it.promote_at <= now).min_by_key(|it| it.promote_at)
     }
 
     /// Returns the next request of each tier, highest tier first.
