fix(adapters): a peer that goes away does not abort the process

What callers saw: all connections of a VM cut at once, with answers on their way, when another VM was killed, stopped or suspended at the wrong moment. Cause: push sockets of nng 1.4 may send over a connection that they have freed, if the peer closes it while messages are on their way; nothing of ours is unsafe. Change: a socket has one connection in its life.

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -29,6 +29,7 @@
 use crate::shared_key::SharedKey;
 
 use closer::Closer;
+use socket::RECONNECT_INTERVAL;
 
 pub use socket::Dialer;
 pub use socket::LinkSocket;
@@ -51,6 +52,7 @@
 
 struct Link {
     socket: Box<dyn LinkSocket>,
+    dialled_at: Instant,
     address: SocketAddr,
     /// When the peer last acknowledged a new heartbeat, or when the link was dialled.
     acknowledged_at: Instant,
@@ -182,21 +184,23 @@
         }
     }
 
-    /// Closes the links without a new acknowledgement for [`ACKNOWLEDGEMENT_TIMEOUT`]; some of them
-    /// only the next time, if many wait to be closed.
+    /// Closes the links without a new acknowledgement for [`ACKNOWLEDGEMENT_TIMEOUT`], and those that
+    /// lost their connection; some of them only the next time, if many wait to be closed.
     ///
-    /// Returns the peers among `wanted` whose link was closed. A closed link is redialled when it is
-    /// next used.
+    /// Returns the peers among `wanted` whose link was closed for its silence. A closed link is
+    /// redialled when it is next used.
     pub fn close_timed_out(&self, wanted: &[PeerAddress]) -> Vec<VmId> {
         let mut peers = self.lock();
-        let is_timed_out = |link: &Link| link.acknowledged_at.elapsed() >= ACKNOWLEDGEMENT_TIMEOUT;
-        let timed_out = peers.iter().filter(|(_, link)| is_timed_out(link));
-        let vms: Vec<VmId> =
-            timed_out.map(|(vm, _)| vm.clone()).take(self.closer.capacity()).collect();
-        let links: Vec<Link> = vms.iter().filter_map(|it| peers.remove(it)).collect();
+        let ended = peers.iter().filter(|(_, it)| it.is_timed_out() || it.socket.is_lost());
+        let vms: Vec<VmId> = ended.map(|(vm, _)| vm.clone()).take(self.closer.capacity()).collect();
+        let links: Vec<(VmId, Link)> =
+            vms.into_iter().filter_map(|vm| peers.remove_entry(&vm)).collect();
         drop(peers);
-        links.into_iter().for_each(|it| self.closer.close(it.socket));
-        vms.into_iter().filter(|vm| wanted.iter().any(|it| it.vm == *vm)).collect()
+        let is_reported =
+            |(vm, link): &(VmId, Link)| link.is_timed_out() && wanted.iter().any(|it| it.vm == *vm);
+        let reported = links.iter().filter(|it| is_reported(it)).map(|it| it.0.clone()).collect();
+        links.into_iter().for_each(|(_, it)| self.closer.close(it.socket));
+        reported
     }
 
     /// Stops listening, so that [`receive`](Self::receive) fails.
@@ -204,7 +208,8 @@
         self.listener.close();
     }
 
-    /// Returns the link to `peer`, dialling it first if it is missing or the address has changed.
+    /// Returns the link to `peer`, dialling it first if it is missing or lost, or if the address has
+    /// changed.
     fn open_link<'a>(
         &self,
         peers: &'a mut HashMap<VmId, Link>,
@@ -219,7 +224,13 @@
             let link = Link::new(self.dialer.dial(peer.address)?, peer.address);
             peers.insert(peer.vm.clone(), link);
         }
-        peers.get_mut(&peer.vm)
+        let link = peers.get_mut(&peer.vm)?;
+        if link.socket.is_lost() && link.dialled_at.elapsed() >= RECONNECT_INTERVAL {
+            let socket = self.dialer.dial(peer.address)?;
+            self.closer.close(std::mem::replace(&mut link.socket, socket));
+            link.dialled_at = Instant::now();
+        }
+        Some(link)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<VmId, Link>> {
@@ -231,6 +242,7 @@
     fn new(socket: Box<dyn LinkSocket>, address: SocketAddr) -> Self {
         Self {
             socket,
+            dialled_at: Instant::now(),
             address,
             acknowledged_at: Instant::now(),
             sent_sequence: 0,
@@ -239,6 +251,10 @@
             heartbeat_sent_at: None,
         }
     }
+
+    fn is_timed_out(&self) -> bool {
+        self.acknowledged_at.elapsed() >= ACKNOWLEDGEMENT_TIMEOUT
+    }
 }
 
 /// Encodes a message as its authentication code, followed by its `postcard` encoding.
--- a/crates/adapters/tests/peer_links.rs
+++ b/crates/adapters/tests/peer_links.rs
@@ -1,6 +1,7 @@
 //! Links to peers that do not respond do not hold up the others.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -9,6 +10,7 @@
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_adapters::links::ACKNOWLEDGEMENT_TIMEOUT;
 use cranberryvalve_adapters::links::Dialer;
@@ -17,10 +19,17 @@
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
+use nng::Protocol;
+use nng::Socket;
+use nng::options::Options;
+use nng::options::RecvTimeout;
 
 /// Time within which an operation that does not block ends on any machine.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Number of peers that come and go.
+const PEERS: u16 = 16;
+
 /// What the sockets of a test share.
 #[derive(Debug, Default)]
 struct Shared {
@@ -47,6 +56,10 @@
         true
     }
 
+    fn is_lost(&self) -> bool {
+        false
+    }
+
     fn close(&self) {
         let guard = self.0.is_released.lock().expect("no panic");
         drop(self.0.released.wait_while(guard, |it| !*it).expect("no panic"));
@@ -114,6 +127,45 @@
     assert_eq!(shared.sent.load(Ordering::SeqCst), 8);
 }
 
+/// Receives messages at `url` for a time, then closes all connections.
+fn receive_for(url: &str, time: Duration) {
+    let receiver = Socket::new(Protocol::Pull0).expect("a socket");
+    let end = Instant::now() + time;
+    receiver.set_opt::<RecvTimeout>(Some(time)).expect("an option of receivers");
+    if receiver.listen(url).is_ok() {
+        while Instant::now() < end {
+            let _ = receiver.recv();
+        }
+    }
+    receiver.close();
+}
+
+#[test]
+fn peers_that_go_away_do_not_end_the_process() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let links = Links::listen(address, SharedKey::new(b"key of the tests")).expect("a free port");
+    let end = Instant::now() + Duration::from_secs(8);
+    thread::scope(|scope| {
+        for number in 0..PEERS {
+            let links = &links;
+            let port = TcpListener::bind(address).and_then(|it| it.local_addr());
+            let peer = PeerAddress { address: port.expect("a free port"), ..peer(number) };
+            let url = format!("tcp://{}", peer.address);
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    receive_for(&url, Duration::from_millis(220));
+                }
+            });
+            scope.spawn(move || {
+                let message = PeerMessage::DocumentRequest { from: peer.clone(), version: 1 };
+                while Instant::now() < end {
+                    links.send(&peer, &message);
+                }
+            });
+        }
+    });
+}
+
 #[test]
 fn few_sockets_wait_to_be_closed() {
     let (links, shared) = links();
