--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -328,8 +328,8 @@
     }
 }
 
-/// State machine that writes the row of a call that was sent, also if the store was restored from a
-/// copy that lacks it.
+/// State machine that writes the row of a call, also if the store was restored from a copy that lacks
+/// it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RowUpdate {
     key: RowKey,
@@ -388,36 +388,36 @@
 /// State machine that makes the row of a call that was not run available to other claimants.
 ///
 /// Until it is done, the row may still be claimed, and the outcome of a repeated request is
-/// reported as unknown.
+/// reported as unknown. A void row of another claimant is rewritten too, so that its version changes
+/// and a delayed claim of ours that expects the old version fails.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Release {
-    key: RowKey,
-    token: ClaimToken,
-    done: bool,
-}
+pub struct Release(RowUpdate);
 
 impl Release {
-    const fn new(key: RowKey, token: ClaimToken) -> Self {
-        Self { key, token, done: false }
+    fn new(key: RowKey, token: ClaimToken) -> Self {
+        let row = LedgerRow::Void { token: token.clone() };
+        Self(RowUpdate { key, token, row, done: None })
     }
 
-    const fn already_done(key: RowKey, token: ClaimToken) -> Self {
-        Self { key, token, done: true }
+    fn already_done(key: RowKey, token: ClaimToken) -> Self {
+        let mut release = Self::new(key, token);
+        release.0.done = Some(true);
+        release
     }
 
     /// Returns the key of the row.
     pub fn key(&self) -> &str {
-        &self.key
+        &self.0.key
     }
 
     /// Returns whether the row is released, so that no command is left to execute.
     pub const fn is_done(&self) -> bool {
-        self.done
+        self.0.done.is_some()
     }
 
     /// Returns the first command, which is also the command to restart with after a failure.
     pub fn start(&self) -> StoreCommand {
-        StoreCommand::Read { key: self.key.clone() }
+        self.0.start()
     }
 
     /// Processes the reply to the last command and returns the next one.
@@ -425,36 +425,6 @@
     /// Returns `None` if the release is done or the operation failed; [`Release::is_done`]
     /// distinguishes the two.
     pub fn on_reply(&mut self, reply: &StoreReply) -> Option<StoreCommand> {
-        match reply {
-            StoreReply::Read(snapshot) => self.on_row(snapshot),
-            StoreReply::Write(WriteResult::Written(_)) => {
-                self.done = true;
-                None
-            }
-            StoreReply::Write(WriteResult::Conflict) => Some(self.start()),
-            _ => None,
-        }
-    }
-
-    /// Voids the claim if it is our own. A void row of another claimant is rewritten too, so that
-    /// its version changes and a delayed claim of ours that expects the old version fails.
-    fn on_row(&mut self, snapshot: &Snapshot) -> Option<StoreCommand> {
-        let current = snapshot.row.as_ref().map(|it| LedgerRow::from_bytes(&it.value));
-        let must_write = match current {
-            None => true,
-            Some(Some(LedgerRow::Claimed { token, .. })) => token == self.token,
-            Some(Some(LedgerRow::Void { token })) => token != self.token,
-            Some(Some(LedgerRow::Answered { .. }) | None) => false,
-        };
-        if must_write {
-            return Some(self.write_void(snapshot.unchanged()));
-        }
-        self.done = true;
-        None
-    }
-
-    fn write_void(&self, condition: Condition) -> StoreCommand {
-        let row = LedgerRow::Void { token: self.token.clone() };
-        StoreCommand::Write { key: self.key.clone(), condition, value: row.to_bytes() }
+        self.0.on_reply(reply)
     }
 }
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -23,16 +23,6 @@
         .expect("the deployment starts")
 }
 
-fn book(cluster: &Cluster, vm: usize, key: &str) -> ServiceResponse {
-    let callers = cluster.vms[vm].caller_address;
-    client::call_service(callers, &config::api_key(0), "POST", "/berths/4", key, "{\"barge\":7}")
-}
-
-/// Returns how often the services carried out the call with this idempotency key.
-fn effects(cluster: &Cluster, key: &str) -> usize {
-    cluster.services.iter().map(|it| it.effect_count(key)).sum()
-}
-
 #[test]
 fn runs_duplicates_at_all_vms_once() {
     let cluster = start(4);
@@ -44,10 +34,10 @@
         let responses: Vec<ServiceResponse> = thread::scope(|scope| {
             let (cluster, key) = (&cluster, &key);
             let threads: Vec<_> =
-                (0..8).map(|it| scope.spawn(move || book(cluster, it % 4, key))).collect();
+                (0..8).map(|it| scope.spawn(move || cluster.book(it % 4, key))).collect();
             threads.into_iter().map(|it| it.join().expect("a caller does not panic")).collect()
         });
-        assert_eq!(effects(&cluster, &key), 1);
+        assert_eq!(cluster.effect_count(&key), 1);
         let outcomes: Vec<&str> = responses.iter().map(|it| &*it.outcome).collect();
         assert!(outcomes.contains(&"completed"), "{outcomes:?}");
         assert!(outcomes.iter().all(|it| ["completed", "unknown"].contains(it)), "{outcomes:?}");
@@ -58,21 +48,21 @@
 fn completes_a_call_whose_claim_reply_was_lost() {
     let cluster = start(1);
     cluster.platform.set_faults(|it| it.lost_write_replies = 1);
-    let response = book(&cluster, 0, "booking");
+    let response = cluster.book(0, "booking");
     assert_eq!(response.outcome, "completed");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
 fn attempt_ids_differ_after_a_restart() {
     let mut cluster = start(1);
-    assert_eq!(book(&cluster, 0, "before").outcome, "completed");
+    assert_eq!(cluster.book(0, "before").outcome, "completed");
     let vm = &mut cluster.vms[0];
     vm.kill();
     let addresses = [vm.caller_address, vm.operator_address, vm.peer_address];
     *vm = Vm::start_at(vm.settings.clone(), addresses).expect("the daemon starts");
     cluster.vms[0].wait_ready(WAIT_TIMEOUT);
-    assert_eq!(book(&cluster, 0, "after").outcome, "completed");
+    assert_eq!(cluster.book(0, "after").outcome, "completed");
     let effects: Vec<_> = cluster.services.iter().flat_map(Service::effects).collect();
     let ids: Vec<&str> = effects.iter().map(|it| &*it.attempt_id).collect();
     assert_eq!(ids.len(), 2);
@@ -109,29 +99,29 @@
         it.late_writes = 3;
         it.late_write_delay = Duration::from_millis(400);
     });
-    let first = book(&cluster, 0, "booking");
+    let first = cluster.book(0, "booking");
     assert_eq!(first.outcome, "not_run");
-    assert_eq!(effects(&cluster, "booking"), 0);
+    assert_eq!(cluster.effect_count("booking"), 0);
     let released = wait_until(WAIT_TIMEOUT, || cluster.vms[0].dump()["releases_waiting"] == 0);
     assert!(released, "the ledger row is not released");
     thread::sleep(Duration::from_millis(500));
-    let second = book(&cluster, 0, "booking");
+    let second = cluster.book(0, "booking");
     assert_eq!(second.outcome, "completed");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
 fn reports_not_run_during_a_store_outage() {
     let cluster = start(1);
     cluster.platform.set_faults(|it| it.down = true);
-    let refused = book(&cluster, 0, "booking");
+    let refused = cluster.book(0, "booking");
     assert_eq!((refused.status, &*refused.outcome), (503, "not_run"));
     assert_eq!(refused.body["error"]["reason"], "store_unavailable");
-    assert_eq!(effects(&cluster, "booking"), 0);
+    assert_eq!(cluster.effect_count("booking"), 0);
     cluster.platform.set_faults(|it| it.down = false);
-    let served = wait_until(WAIT_TIMEOUT, || book(&cluster, 0, "booking").outcome == "completed");
+    let served = wait_until(WAIT_TIMEOUT, || cluster.book(0, "booking").outcome == "completed");
     assert!(served, "the key is blocked after the outage");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
@@ -140,12 +130,12 @@
     for service in &cluster.services {
         service.set_faults(|it| it.cut_after_effect = true);
     }
-    assert_eq!(book(&cluster, 0, "booking").outcome, "unknown");
+    assert_eq!(cluster.book(0, "booking").outcome, "unknown");
     for service in &cluster.services {
         service.set_faults(|it| it.cut_after_effect = false);
     }
-    assert_eq!(book(&cluster, 1, "booking").outcome, "unknown");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.book(1, "booking").outcome, "unknown");
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
@@ -153,16 +143,16 @@
     let cluster = start(1);
     cluster.services[0].set_faults(|it| it.rejecting = true);
     for round in 0..4 {
-        assert_eq!(book(&cluster, 0, &format!("booking-{round}")).outcome, "completed");
+        assert_eq!(cluster.book(0, &format!("booking-{round}")).outcome, "completed");
     }
     cluster.services[1].set_faults(|it| it.rejecting = true);
-    let refused = book(&cluster, 0, "refused");
+    let refused = cluster.book(0, "refused");
     assert_eq!(refused.outcome, "not_run");
-    assert_eq!(effects(&cluster, "refused"), 0);
+    assert_eq!(cluster.effect_count("refused"), 0);
     cluster.services[1].set_faults(|it| it.rejecting = false);
-    let served = wait_until(WAIT_TIMEOUT, || book(&cluster, 0, "refused").outcome == "completed");
+    let served = wait_until(WAIT_TIMEOUT, || cluster.book(0, "refused").outcome == "completed");
     assert!(served, "a refused key cannot be used again");
-    assert_eq!(effects(&cluster, "refused"), 1);
+    assert_eq!(cluster.effect_count("refused"), 1);
 }
 
 #[test]
@@ -181,21 +171,21 @@
         body.len()
     )
     .expect("the VM reads");
-    assert!(wait_until(WAIT_TIMEOUT, || effects(&cluster, "booking") == 1));
+    assert!(wait_until(WAIT_TIMEOUT, || cluster.effect_count("booking") == 1));
     drop(caller);
     let replayed = wait_until(WAIT_TIMEOUT, || {
-        let response = book(&cluster, 0, "booking");
+        let response = cluster.book(0, "booking");
         response.replayed && response.outcome == "completed"
     });
     assert!(replayed, "the response is lost because its caller disconnected");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
 fn a_call_takes_two_store_writes() {
     let cluster = start(1);
     let before = cluster.platform.counts().row_writes;
-    assert_eq!(book(&cluster, 0, "booking").outcome, "completed");
+    assert_eq!(cluster.book(0, "booking").outcome, "completed");
     assert_eq!(cluster.platform.counts().row_writes - before, 2);
 }
 
@@ -206,16 +196,16 @@
         service.set_faults(|it| it.delay = Duration::from_millis(300));
     }
     thread::scope(|scope| {
-        let first = scope.spawn(|| book(&cluster, 0, "booking"));
+        let first = scope.spawn(|| cluster.book(0, "booking"));
         wait_until(WAIT_TIMEOUT, || !cluster.platform.keys("ledger/").is_empty());
         cluster.vms[0].pause();
-        let second = book(&cluster, 1, "booking");
+        let second = cluster.book(1, "booking");
         assert!(["unknown", "completed"].contains(&&*second.outcome), "{second:?}");
         cluster.vms[0].resume();
         let first = first.join().expect("a caller does not panic");
         assert_eq!(first.outcome, "completed");
     });
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
@@ -230,20 +220,20 @@
         let thread = thread::spawn(move || {
             client::call_service(callers, &key, "POST", "/berths/4", "booking", "{\"barge\":7}")
         });
-        wait_until(WAIT_TIMEOUT, || effects(&cluster, "booking") == 1);
+        wait_until(WAIT_TIMEOUT, || cluster.effect_count("booking") == 1);
         cluster.vms[0].kill();
         thread.join().expect("a caller does not panic")
     };
     assert_eq!(killed.status, 0);
-    assert_eq!(book(&cluster, 1, "booking").outcome, "unknown");
-    assert_eq!(effects(&cluster, "booking"), 1);
+    assert_eq!(cluster.book(1, "booking").outcome, "unknown");
+    assert_eq!(cluster.effect_count("booking"), 1);
 }
 
 #[test]
 fn key_is_required_and_bound_to_customer_and_request() {
     let cluster = start(1);
-    assert_eq!(book(&cluster, 0, "").status, 400);
-    assert_eq!(book(&cluster, 0, "booking").status, 200);
+    assert_eq!(cluster.book(0, "").status, 400);
+    assert_eq!(cluster.book(0, "booking").status, 200);
     let callers = cluster.vms[0].caller_address;
     let other =
         client::call_service(callers, &config::api_key(0), "POST", "/berths/5", "booking", "{}");
--- a/crates/daemon/tests/store_restorations.rs
+++ b/crates/daemon/tests/store_restorations.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cranberryvalve_standins::client;
 use cranberryvalve_standins::client::ServiceResponse;
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
-use cranberryvalve_standins::config;
 use cranberryvalve_standins::vm::wait_until;
 use serde_json::json;
 
@@ -31,33 +29,23 @@
         .expect("the deployment starts")
 }
 
-fn book(cluster: &Cluster, vm: usize, key: &str) -> ServiceResponse {
-    let callers = cluster.vms[vm].caller_address;
-    client::call_service(callers, &config::api_key(0), "POST", "/berths/4", key, "{\"barge\":7}")
-}
-
-/// Returns how often the services carried out the call with this idempotency key.
-fn effects(cluster: &Cluster, key: &str) -> usize {
-    cluster.services.iter().map(|it| it.effect_count(key)).sum()
-}
-
 #[test]
 fn lost_claims_do_not_run_calls_twice() {
     let cluster = start(3);
     cluster.platform.keep_copy();
-    assert_eq!(book(&cluster, 0, "booked").outcome, "completed");
+    assert_eq!(cluster.book(0, "booked").outcome, "completed");
     cluster.platform.restore();
     let restored_at = Instant::now();
     for vm in 0..3 {
-        let repeated = book(&cluster, vm, "booked");
+        let repeated = cluster.book(vm, "booked");
         assert_eq!(repeated.outcome, "unknown", "VM {vm}: {:?}", repeated.body);
-        assert_eq!(book(&cluster, vm, "new").outcome, "unknown");
+        assert_eq!(cluster.book(vm, "new").outcome, "unknown");
     }
-    assert_eq!((effects(&cluster, "booked"), effects(&cluster, "new")), (1, 0));
-    let is_accepted = || book(&cluster, 1, "new").outcome == "completed";
+    assert_eq!((cluster.effect_count("booked"), cluster.effect_count("new")), (1, 0));
+    let is_accepted = || cluster.book(1, "new").outcome == "completed";
     assert!(wait_until(WAIT_TIMEOUT, is_accepted), "log:\n{}", cluster.vms[1].log());
     assert!(restored_at.elapsed() >= REPEAT_WINDOW);
-    assert_eq!(effects(&cluster, "new"), 1);
+    assert_eq!(cluster.effect_count("new"), 1);
 }
 
 #[test]
@@ -68,7 +56,7 @@
         service.set_faults(|it| it.delay = Duration::from_secs(4));
     }
     thread::scope(|scope| {
-        let running = scope.spawn(|| book(&cluster, 0, "booked"));
+        let running = scope.spawn(|| cluster.book(0, "booked"));
         assert!(wait_until(WAIT_TIMEOUT, || !cluster.platform.keys("ledger/").is_empty()));
         cluster.platform.restore();
         assert!(cluster.platform.keys("ledger/").is_empty());
@@ -76,8 +64,8 @@
         assert!(wait_until(Duration::from_millis(3_500), is_written), "not claimed again");
         assert_eq!(running.join().expect("no panic").outcome, "completed");
     });
-    let repeated = book(&cluster, 1, "booked");
-    assert_eq!((&*repeated.outcome, effects(&cluster, "booked")), ("completed", 1));
+    let repeated = cluster.book(1, "booked");
+    assert_eq!((&*repeated.outcome, cluster.effect_count("booked")), ("completed", 1));
 }
 
 #[test]
@@ -91,8 +79,7 @@
             let threads: Vec<_> = (0..6)
                 .map(|vm| {
                     let (cluster, key) = (&cluster, format!("{}-{round}", keys[vm]));
-                    scope
-                        .spawn(move || [book(cluster, vm, &key), book(cluster, (vm + 1) % 6, &key)])
+                    scope.spawn(move || [cluster.book(vm, &key), cluster.book((vm + 1) % 6, &key)])
                 })
                 .collect();
             let drain =
@@ -103,7 +90,10 @@
             threads.into_iter().flat_map(|it| it.join().expect("no panic")).collect::<Vec<_>>()
         });
         for key in &keys {
-            assert!(effects(&cluster, &format!("{key}-{round}")) <= 1, "{key}-{round} ran twice");
+            assert!(
+                cluster.effect_count(&format!("{key}-{round}")) <= 1,
+                "{key}-{round} ran twice"
+            );
         }
         let is_known = |it: &ServiceResponse| ["completed", "unknown"].contains(&&*it.outcome);
         assert!(responses.iter().all(is_known), "{responses:?}");
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -11,6 +11,7 @@
 
 use crate::client;
 use crate::client::OperatorResponse;
+use crate::client::ServiceResponse;
 use crate::config;
 use crate::engine::Engine;
 use crate::engine::EngineSettings;
@@ -171,6 +172,18 @@
         self.confirm(vm, &plan.body)
     }
 
+    /// Makes a call that must run once at a VM, as the first customer.
+    pub fn book(&self, vm: usize, idempotency_key: &str) -> ServiceResponse {
+        let callers = self.vms[vm].caller_address;
+        let (key, body) = (config::api_key(0), "{\"barge\":7}");
+        client::call_service(callers, &key, "POST", "/berths/4", idempotency_key, body)
+    }
+
+    /// Returns how often the services carried out the call with this idempotency key.
+    pub fn effect_count(&self, idempotency_key: &str) -> usize {
+        self.services.iter().map(|it| it.effect_count(idempotency_key)).sum()
+    }
+
     /// Returns an intent that declares [`Cluster::config`].
     pub fn declare_intent(&self) -> Value {
         json!({ "intent": "declare", "config": self.config })
