fix(policy): departures of two starts of an upstream do not circulate for good

Cause: any incarnation but the known one was new to a VM, an older one as well, so that two departures in circulation replaced each other at every VM and were passed on each time. Ruled out: load (the same VMs without faults know each other beside it), the membership.

--- a/crates/policy/src/scheduler/availability.rs
+++ b/crates/policy/src/scheduler/availability.rs
@@ -81,9 +81,9 @@
             .collect()
     }
 
-    /// Returns `true` if this start of the upstream is known to be shutting down.
+    /// Returns `true` if this start of the upstream, or a later one, is known to be shutting down.
     pub(super) fn is_leaving(&self, upstream: &UpstreamId, incarnation: u64) -> bool {
-        self.known.get(upstream).is_some_and(|it| it.incarnation == incarnation)
+        self.known.get(upstream).is_some_and(|it| it.incarnation >= incarnation)
     }
 }
 
--- a/crates/policy/tests/upstream_notices.rs
+++ b/crates/policy/tests/upstream_notices.rs
@@ -57,6 +57,27 @@
     assert_eq!(read(&mut harness), sent_to("p-near"));
 }
 
+#[test]
+fn departures_of_two_starts_do_not_circulate_forever() {
+    let mut vms = [Harness::new(two_services()), Harness::new(two_services())];
+    let departure = |incarnation| Departure { upstream: "p-near".into(), incarnation };
+    let mut to_first = vec![departure(1)];
+    let mut to_second = vec![departure(2)];
+    for _ in 0..10 {
+        let mut tell = |vm: usize, departures: &[Departure]| -> Vec<Departure> {
+            let event = SchedulerEvent::PeerDepartures(departures.to_vec());
+            let now = vms[vm].now;
+            vms[vm].scheduler.handle(now, event);
+            vms[vm].scheduler.take_departures()
+        };
+        (to_first, to_second) = (tell(1, &to_second), tell(0, &to_first));
+    }
+    assert_eq!((to_first, to_second), (Vec::new(), Vec::new()));
+    for vm in &vms {
+        assert_eq!(vm.scheduler.departures(), [departure(2)]);
+    }
+}
+
 #[test]
 fn leaving_row_is_not_undone_by_an_older_one() {
     let mut harness = Harness::new(two_services());
