feat(relay): log lines name the shared parts of prompts

Cause: the lines of interrupted calls did not tell what their prompts have in common, nor for how long an attempt had run, so that a fault of the engines could not be told from a prompt that crashes them. Change: call ended and attempt failed have shared_parts; attempt failed has attempt_ms and prefix_source.

--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -86,6 +86,12 @@
         self.prefixes().take(shared_parts).last().map(|it| it.hash)
     }
 
+    /// Returns the identifiers of the parts that other prompts may share, in order.
+    pub fn shared_part_ids(&self) -> Vec<u64> {
+        let shared_parts = self.parts.len().saturating_sub(1);
+        self.parts.iter().take(shared_parts).map(|it| it.id).collect()
+    }
+
     /// Returns the length in tokens of the longest prefix that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
         let unshared = self.parts.last().map_or(0, |it| it.tokens);
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -94,6 +94,7 @@
         "cached_tokens" => reason.cached_tokens,
         "peer_age_ms" => millis(reason.peer_age),
         "input_tokens" => progress.input_tokens,
+        "shared_parts" => hex_list(&progress.shared_parts),
         "queue_ms" => progress.sent_at.map(|it| millis(duration_between(request.arrived_at, it))),
         "first_part_ms" => first_part.map(millis),
         "longest_gap_ms" => millis(progress.delivery.longest_gap),
@@ -148,6 +149,12 @@
     end.saturating_duration_since(start)
 }
 
+/// Formats identifiers of prompt parts as callers write them.
+pub(crate) fn hex_list(ids: &[u64]) -> String {
+    let ids: Vec<String> = ids.iter().map(|it| format!("{it:x}")).collect();
+    ids.join(",")
+}
+
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -21,6 +21,7 @@
 use cranberryvalve_policy::scheduler::SendCommand;
 use slog::info;
 
+use crate::call_log::hex_list;
 use crate::call_log::log_call;
 use crate::call_log::millis;
 use crate::caller::CallerConnection;
@@ -211,6 +212,7 @@
                 ..Delivery::default()
             },
             input_tokens: metadata.prompt.as_ref().map_or(0, |it| it.input_tokens),
+            shared_parts: metadata.prompt.as_ref().map(Prompt::shared_part_ids).unwrap_or_default(),
             caller_id: metadata.request_id,
             ..CallProgress::default()
         };
@@ -316,6 +318,7 @@
         progress.attempts += 1;
         progress.sent_at.get_or_insert_with(Instant::now);
         exchange.report_load(&command);
+        let started_at = Instant::now();
         let outcome =
             exchange.run_attempt(&command, call_guard, &mut self.caller, &mut progress.delivery);
         let attempt = command.attempt;
@@ -324,6 +327,9 @@
                 "request" => progress.caller_id.as_deref().unwrap_or("-"),
                 "upstream" => &*command.upstream.id, "attempt" => attempt, "failure" => failure,
                 "events" => progress.delivery.events,
+                "attempt_ms" => millis(started_at.elapsed()),
+                "shared_parts" => hex_list(&progress.shared_parts),
+                "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
                 "candidates" => command.reason.candidates,
                 "backlog_ms" => millis(command.reason.backlog),
                 "peer_age_ms" => millis(command.reason.peer_age));
@@ -387,6 +393,8 @@
     pub(crate) caller_id: Option<Box<str>>,
     /// Number of tokens in the prompt; 0 if the call has none.
     pub(crate) input_tokens: u32,
+    /// Identifiers of the prompt's parts that other prompts may share.
+    pub(crate) shared_parts: Vec<u64>,
     /// Whether an upstream may have started to run the call.
     may_have_run: bool,
     /// Last 5xx response of an upstream.
