feat(relay): log lines of failed attempts identify the content of the request

Cause: callers send a request again under a new identifier, so the logs did not tell whether the same content was at an upstream whenever it crashed. Change: attempt failed has a fingerprint of customer, host, method, target and body.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod config;
 mod departure;
 mod digest;
+mod fingerprint;
 mod hash;
 mod ids;
 mod load;
@@ -46,6 +47,7 @@
 pub use config::UpstreamSpec;
 pub use departure::Departure;
 pub use digest::Digest;
+pub use fingerprint::RequestFingerprint;
 pub use hash::stable_hash;
 pub use ids::Attempt;
 pub use ids::ClassId;
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_coordination::quarantine::Refusal;
+use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_policy::scheduler::AttemptEnd;
 use cranberryvalve_policy::scheduler::SendCommand;
@@ -235,6 +236,13 @@
         attempt.run()
     }
 
+    /// Returns the fingerprint of the call's content.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let host = self.head.header("host").unwrap_or_default();
+        let customer = self.customer.unwrap_or_default();
+        RequestFingerprint::new([customer, host, &self.head.method, &self.head.target], self.body)
+    }
+
     /// Reports the load to the upstream's load coordinator when a long prompt is sent or has been
     /// prefilled.
     pub(crate) fn report_load(&self, command: &SendCommand) {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -286,6 +286,7 @@
                 "events" => progress.delivery.events,
                 "attempt_ms" => millis(started_at.elapsed()),
                 "shared_parts" => hex_list(&progress.shared_parts),
+                "fingerprint" => %exchange.fingerprint(),
                 "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
                 "candidates" => command.reason.candidates,
                 "backlog_ms" => millis(command.reason.backlog),
