fix: requests that crash upstreams are held back on all VMs

Callers of a whole service were refused for seconds, again and again: a request that ends its worker came again under new identifiers, at any VM, and took down every worker that came back. Cause: attempts were counted by call, so nothing recognized the same content; the class of fault is that of the prompt parts. Ruled out: attempts within a call alone (after the restart most crashes had first attempts), workers that fall over under load (the class recovers while the request stays away). Change: the content of a request (customer, host, method, target and body) is a key of the quarantine. Two moments with crashes and no response between them condemn it; nothing else is refused with it. A probe that is answered ends at once.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -50,11 +50,15 @@
 pub use self::update::CrashReport;
 pub use self::update::SuspectUpdate;
 
-/// Number of moments with crashes that condemn a key whose responses nobody remembers.
-const CRASHES_OF_UNPROVEN_KEY: usize = 3;
+/// Number of moments with crashes that condemn a prompt part whose responses nobody remembers.
+const CRASHES_OF_UNPROVEN_PART: usize = 3;
 
-/// Number of moments with crashes that condemn a key that upstreams have responded to before.
-const CRASHES_OF_PROVEN_KEY: usize = 4;
+/// Number of moments with crashes that condemn a prompt part that upstreams have responded to
+/// before.
+const CRASHES_OF_PROVEN_PART: usize = 4;
+
+/// Number of moments with crashes that condemn a request. A wrong verdict concerns no other request.
+const CRASHES_OF_REQUEST: usize = 2;
 
 /// Maximum number of keys with evidence. Those with the fewest crashes are dropped first.
 const MAX_SUSPECTS: usize = 1_024;
@@ -142,7 +146,10 @@
     ) -> Vec<QuarantineChange> {
         let mut is_news = false;
         for key in keys {
-            self.responses.record(key, responded_at);
+            // Most requests never come again.
+            if matches!(key, SuspectKey::PromptPart { .. }) {
+                self.responses.record(key, responded_at);
+            }
             if self.suspects.get_mut(key).is_some_and(|it| it.add_response(responded_at)) {
                 is_news = true;
                 self.untold.insert(key.clone());
@@ -277,7 +284,11 @@
         let candidates = self.suspects.iter().filter(|(_, it)| !it.is_condemned());
         let sufficient = candidates.filter_map(|(key, evidence)| {
             let is_proven = evidence.is_proven();
-            let threshold = if is_proven { CRASHES_OF_PROVEN_KEY } else { CRASHES_OF_UNPROVEN_KEY };
+            let threshold = match key {
+                SuspectKey::Request(_) => CRASHES_OF_REQUEST,
+                SuspectKey::PromptPart { .. } if is_proven => CRASHES_OF_PROVEN_PART,
+                SuspectKey::PromptPart { .. } => CRASHES_OF_UNPROVEN_PART,
+            };
             let moments = evidence.moments(|it| !explained.contains(it));
             (moments >= threshold).then_some((!is_proven, moments, evidence.position(), key))
         });
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -8,6 +8,7 @@
 
 use cranberryvalve_coordination::quarantine::Quarantine;
 use cranberryvalve_coordination::quarantine::QuarantineChange;
+use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_core::UpstreamStart;
 use quickcheck::quickcheck;
@@ -203,6 +204,38 @@
     assert!(!vm.is_refused(&part(7)));
 }
 
+#[test]
+fn second_crash_condemns_a_request_and_no_other() {
+    let request = |body| SuspectKey::Request(RequestFingerprint::new(["alpha", "/read/"], body));
+    let (crashing, other) = (request(b"reel 9"), request(b"reel 8"));
+    let mut vm = Vm::new();
+    vm.crash_times(1, std::slice::from_ref(&crashing));
+    vm.crash_times(1, std::slice::from_ref(&other));
+    assert!(!vm.is_refused(&crashing));
+    vm.crash_times(1, std::slice::from_ref(&crashing));
+    assert_eq!((vm.is_refused(&crashing), vm.is_refused(&other)), (true, false));
+}
+
+#[test]
+fn request_that_crashes_engines_does_not_condemn_its_prompt_parts() {
+    let request = SuspectKey::Request(RequestFingerprint::new(["alpha"], b"plan"));
+    let mut vm = Vm::new();
+    vm.crash_times(4, &[part(1), request.clone()]);
+    assert_eq!((vm.is_refused(&request), vm.is_refused(&part(1))), (true, false));
+}
+
+#[test]
+fn response_between_two_crashes_acquits_a_request() {
+    let polled = SuspectKey::Request(RequestFingerprint::new(["alpha", "/status/"], b""));
+    let mut vm = Vm::new();
+    for _ in 0..5 {
+        vm.crash_times(1, std::slice::from_ref(&polled));
+        vm.wait(0.1);
+        vm.respond(std::slice::from_ref(&polled));
+    }
+    assert!(!vm.is_refused(&polled));
+}
+
 quickcheck! {
     /// VMs agree whatever they hear in which order, and however often.
     fn vms_agree_in_any_order(events: Vec<(u8, u8, bool)>, order: Vec<(u8, u8)>) -> bool {
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::PoolId;
+use crate::RequestFingerprint;
 use crate::UpstreamId;
 
 /// Identifier of a part of a prompt, chosen by the caller.
@@ -22,6 +23,8 @@
         /// Identifier of the part.
         part: PartId,
     },
+    /// The whole content of a request.
+    Request(RequestFingerprint),
 }
 
 impl SuspectKey {
@@ -29,6 +32,7 @@
     pub const fn kind(&self) -> &'static str {
         match self {
             Self::PromptPart { .. } => "prompt_part",
+            Self::Request(_) => "request",
         }
     }
 }
@@ -37,6 +41,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::PromptPart { pool, part } => write!(f, "prompt part {part:x} at {pool}"),
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
         }
     }
 }
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -27,6 +27,8 @@
 use crate::exchange::AttemptOutcome;
 use crate::exchange::Exchange;
 use crate::socket::Connection;
+use crate::socket::Interest;
+use crate::socket::wait;
 use crate::state::Relay;
 
 /// Time for which an upstream may still accept connections after it closed one, as a process that
@@ -126,8 +128,13 @@
         events: u32,
     ) {
         let responded_at = match outcome {
-            AttemptOutcome::Buffered(response) if response.head.is_success() => {
-                Some(Instant::now())
+            AttemptOutcome::Buffered(response) => {
+                let is_sound = |it: &&SuspectKey| {
+                    response.head.is_success() || matches!(it, SuspectKey::Request(_))
+                };
+                let keys: Vec<_> = self.suspect_keys.iter().filter(is_sound).cloned().collect();
+                self.relay.record_response(Instant::now(), &keys);
+                return;
             }
             AttemptOutcome::Streamed => first_part_at,
             _ => first_part_at.filter(|_| events >= MIN_SOUND_EVENTS),
@@ -241,16 +248,23 @@
         |it: &Vec<Interruption>| it.first().map(|it| Connection::connect(it.upstream.address));
     let probes: HashMap<UpstreamStart, _> =
         by_start.iter().filter_map(|(start, it)| Some((start.clone(), probe(it)?))).collect();
-    thread::sleep(PROBE_TIMEOUT);
+    let probe_deadline = Instant::now() + PROBE_TIMEOUT;
     by_start.retain(|start, _| match probes.get(start) {
-        Some(Ok(connection)) => {
-            matches!(connection.connect_error(), Ok(Some(error)) if is_refusal(&error))
-        }
+        Some(Ok(connection)) => refuses(connection, probe_deadline),
         Some(Err(error)) => is_refusal(error),
         None => false,
     });
 }
 
+/// Waits until the connection is established or has failed; returns `true` if it was refused.
+fn refuses(connection: &Connection, deadline: Instant) -> bool {
+    let interest =
+        Interest { upstream: Some(connection), upstream_output: true, ..Interest::default() };
+    // Without an answer within the time, or on an error, the probe shows nothing.
+    wait(interest, deadline).is_ok_and(|it| it.upstream)
+        && matches!(connection.connect_error(), Ok(Some(error)) if is_refusal(&error))
+}
+
 fn is_refusal(error: &std::io::Error) -> bool {
     error.kind() == std::io::ErrorKind::ConnectionRefused
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -236,11 +236,12 @@
         attempt.run()
     }
 
-    /// Returns the fingerprint of the call's content.
-    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
-        let host = self.head.header("host").unwrap_or_default();
-        let customer = self.customer.unwrap_or_default();
-        RequestFingerprint::new([customer, host, &self.head.method, &self.head.target], self.body)
+    /// Returns the fingerprint of the call's content, if it is among the keys.
+    pub(crate) fn fingerprint(&self) -> Option<RequestFingerprint> {
+        self.suspect_keys.iter().find_map(|it| match it {
+            SuspectKey::Request(fingerprint) => Some(*fingerprint),
+            SuspectKey::PromptPart { .. } => None,
+        })
     }
 
     /// Reports the load to the upstream's load coordinator when a long prompt is sent or has been
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -10,6 +10,7 @@
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::PoolId;
+use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::stable_hash;
@@ -165,8 +166,11 @@
             ..CallProgress::default()
         };
         let call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
-        let call_outcome = match self.relay.crash_guard.check(&suspect_keys(&call)) {
-            Ok(()) => self.schedule_and_forward(request, context, call, &mut progress),
+        let suspect_keys = suspect_keys(request, &call);
+        let call_outcome = match self.relay.crash_guard.check(&suspect_keys) {
+            Ok(()) => {
+                self.schedule_and_forward(request, context, call, &suspect_keys, &mut progress)
+            }
             Err(refusal) => progress.quarantine_outcome(&refusal),
         };
         log_call(
@@ -186,10 +190,10 @@
         request: &CallerRequest,
         context: &RequestContext,
         call: Call,
+        suspect_keys: &[SuspectKey],
         progress: &mut CallProgress,
     ) -> CallOutcome {
         let deadline = call.deadline;
-        let suspect_keys = suspect_keys(&call);
         let reports_load = self.query_peer_loads(&call);
         let mut call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
         let caller_id = progress.caller_id.clone();
@@ -203,7 +207,7 @@
             is_stream: context.route.kind.is_stream(),
             deadline,
             reports_load,
-            suspect_keys: &suspect_keys,
+            suspect_keys,
         };
         loop {
             let call_outcome = match self.next_directive(&call_guard, deadline) {
@@ -286,7 +290,7 @@
                 "events" => progress.delivery.events,
                 "attempt_ms" => millis(started_at.elapsed()),
                 "shared_parts" => hex_list(&progress.shared_parts),
-                "fingerprint" => %exchange.fingerprint(),
+                "fingerprint" => exchange.fingerprint().map(|it| it.to_string()),
                 "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
                 "candidates" => command.reason.candidates,
                 "backlog_ms" => millis(command.reason.backlog),
@@ -338,10 +342,15 @@
 }
 
 /// Returns what a call has in common with others that may crash upstreams, the most general first.
-fn suspect_keys(call: &Call) -> Vec<SuspectKey> {
+fn suspect_keys(request: &CallerRequest, call: &Call) -> Vec<SuspectKey> {
     let parts = call.prompt.as_ref().map(Prompt::shared_part_ids).unwrap_or_default();
-    let key = |part| SuspectKey::PromptPart { pool: call.pool.clone(), part };
-    parts.into_iter().map(key).collect()
+    let part_keys =
+        parts.into_iter().map(|part| SuspectKey::PromptPart { pool: call.pool.clone(), part });
+    let customer = call.customer.as_deref().unwrap_or_default();
+    let host = request.head.header("host").unwrap_or_default();
+    let fields = [customer, host, &request.head.method, &request.head.target];
+    let fingerprint = RequestFingerprint::new(fields, &request.body);
+    part_keys.chain([SuspectKey::Request(fingerprint)]).collect()
 }
 
 fn scheduler_call(
