fix(relay): a stream that ends with its connection does not acquit its prompt early

Cause: found by reading. A stream with neither a length nor chunks looks whole when its engine crashes after an event, so it acquitted the prompt part that had crashed the engine; an empty one was no evidence at all. A call that is refused after an upstream had failed it gets that upstream's response, as at other conclusions. Tests: unframed_responses plays calls and streams that end with their connection: whole, inside an event, reset, before the first byte, on a kept connection. They passed before; no test plays the acquittal itself.

--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -136,12 +136,12 @@
                 self.relay.record_response(Instant::now(), &keys);
                 return;
             }
-            AttemptOutcome::Streamed => first_part_at,
+            AttemptOutcome::Streamed { is_delimited_by_close: false } => first_part_at,
             _ => first_part_at.filter(|_| events >= MIN_SOUND_EVENTS),
         };
         if let Some(responded_at) = responded_at {
             self.relay.record_response(responded_at, self.suspect_keys);
-        } else if matches!(outcome, AttemptOutcome::Incomplete) {
+        } else if matches!(outcome, AttemptOutcome::Incomplete | AttemptOutcome::Streamed { .. }) {
             self.relay.record_interruption(upstream, self.suspect_keys);
         }
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -129,7 +129,10 @@
     /// A complete response that has not been sent to the caller yet.
     Buffered(BufferedResponse),
     /// The whole stream was sent to the caller.
-    Streamed,
+    Streamed {
+        /// Whether the stream had no other end than that of its connection, which a crash has, too.
+        is_delimited_by_close: bool,
+    },
     /// The request was sent, but no complete and valid response came back.
     Incomplete,
     /// The caller closed its connection.
@@ -146,7 +149,7 @@
             Self::Withdrawn => AttemptEnd::Withdrawn,
             Self::NotRun { misdirected } => AttemptEnd::Refused { misdirected: *misdirected },
             Self::Buffered(response) if response.head.status >= 500 => AttemptEnd::Failed,
-            Self::Buffered(_) | Self::Streamed => AttemptEnd::Complete,
+            Self::Buffered(_) | Self::Streamed { .. } => AttemptEnd::Complete,
             Self::Incomplete => AttemptEnd::Interrupted,
             Self::CallerDisconnected | Self::DeadlineExceeded | Self::Quarantined(_) => {
                 AttemptEnd::Abandoned
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -98,8 +98,8 @@
             }
             match verdict {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
-                    self.relay_stream(&head, decoder)?;
-                    return Ok((AttemptOutcome::Streamed, Some(head)));
+                    let is_delimited_by_close = self.relay_stream(&head, decoder)?;
+                    return Ok((AttemptOutcome::Streamed { is_delimited_by_close }, Some(head)));
                 }
                 Verdict::Match => {
                     let body = self.receive_body(&mut decoder)?;
@@ -199,12 +199,12 @@
         }
     }
 
-    /// Relays the stream to the caller, event by event.
+    /// Relays the stream to the caller, event by event. Returns whether it ended with its connection.
     fn relay_stream(
         &mut self,
         head: &ResponseHead,
         mut decoder: BodyDecoder,
-    ) -> Result<(), AttemptError> {
+    ) -> Result<bool, AttemptError> {
         let mut reader = EventReader::after(self.delivery.last_event_id);
         let mut reservation = self.exchange.relay.response_memory.reserve();
         let mut is_response_started = false;
@@ -237,7 +237,8 @@
         if reader.has_incomplete_event() {
             return Err(AttemptError::Incomplete);
         }
-        self.end_stream(head)
+        self.end_stream(head)?;
+        Ok(decoder.is_delimited_by_close())
     }
 
     fn forward_events(
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -307,7 +307,7 @@
                 None
             }
             AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
-            AttemptOutcome::Streamed => Some(CallOutcome::Streamed),
+            AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::Incomplete => {
                 progress.may_have_run = true;
                 None
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -132,7 +132,10 @@
             return CallOutcome::Truncated;
         }
         metrics::counter!("cranberryvalve_quarantine_refusals_total").increment(1);
-        if self.may_have_run || self.failed_response.is_some() {
+        if let Some(response) = self.failed_response.take() {
+            return CallOutcome::Response(response);
+        }
+        if self.may_have_run {
             let message = "no whole answer came back, and it may have been run: quarantined";
             return CallOutcome::Refusal(self::refusal(502, None, message));
         }
