--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -15,12 +15,17 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::engine::lock;
-use crate::ports::ANY_PORT;
+use crate::ports::free_address;
 
 /// Interval between two checks whether connections are still stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Number of connections that wait to be accepted.
+const BACKLOG: i32 = 128;
+
 /// Stack size of a thread that copies data, in bytes.
 const STACK_BYTES: usize = 128 * 1024;
 
@@ -48,7 +53,7 @@
     ///
     /// Returns an error if the proxy cannot listen.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(ANY_PORT)?;
+        let listener = TcpListener::bind(free_address())?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             target,
@@ -58,13 +63,7 @@
             delay_ms: AtomicU64::new(0),
             connections: Mutex::default(),
         });
-        let acceptor = shared.clone();
-        let accept_listener = listener.try_clone()?;
-        thread::spawn(move || {
-            while let Ok((caller, _)) = accept_listener.accept() {
-                acceptor.connect(caller);
-            }
-        });
+        shared.accept_from(&listener)?;
         Ok(Self { address, listener, shared })
     }
 
@@ -93,6 +92,30 @@
         }
     }
 
+    /// Closes all open connections and stops listening, as a process does that ends, until
+    /// [`Proxy::open`].
+    pub fn close(&self) {
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        self.cut();
+    }
+
+    /// Listens again at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot listen.
+    pub fn open(&self) -> io::Result<()> {
+        // The socket keeps its port while it does not listen.
+        SockRef::from(&self.listener).listen(BACKLOG)?;
+        self.shared.refusing.store(false, Ordering::SeqCst);
+        self.shared.accept_from(&self.listener)
+    }
+
+    /// Returns `true` if the proxy listens.
+    pub fn is_open(&self) -> bool {
+        SockRef::from(&self.listener).is_listener().unwrap_or(false)
+    }
+
     /// Delays each chunk of data by `delay`, in both directions.
     pub fn delay(&self, delay: Duration) {
         self.shared.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
@@ -111,12 +134,22 @@
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        self.cut();
-        let _ = socket2::SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        self.close();
     }
 }
 
 impl Shared {
+    /// Starts a thread that accepts connections until the listener is shut down.
+    fn accept_from(self: &Arc<Self>, listener: &TcpListener) -> io::Result<()> {
+        let (shared, listener) = (self.clone(), listener.try_clone()?);
+        thread::spawn(move || {
+            while let Ok((caller, _)) = listener.accept() {
+                shared.connect(caller);
+            }
+        });
+        Ok(())
+    }
+
     fn connect(self: &Arc<Self>, caller: TcpStream) {
         let number = self.next_connection.fetch_add(1, Ordering::SeqCst);
         if self.refusing.load(Ordering::SeqCst) {
