perf: evidence with a single crash is not repeated; refusals do not name upstreams to callers

Cause: found by reading. After a crash each VM sent up to 48 keys, about 5 KB, to a neighbour each second for ten minutes, most of them of innocent calls. The next crash under a key is told with all before it, so only keys with two crashes or more are repeated. The response to a quarantined call named the upstreams that crashed; the log line of the call does now.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -234,9 +234,21 @@
         known.map(|(key, evidence)| evidence.update(now, key)).collect()
     }
 
-    /// Returns the strongest evidence, at most `limit` keys, for a VM that may lack it.
+    /// Returns the strongest evidence, at most `limit` keys, for a VM that has just joined.
     pub fn updates(&self, now: Instant, limit: usize) -> Vec<SuspectUpdate> {
-        let mut known: Vec<(&SuspectKey, &Evidence)> = self.suspects.iter().collect();
+        self.strongest(now, limit, 1)
+    }
+
+    /// Returns evidence, at most `limit` keys, for a VM that an earlier update may not have reached.
+    ///
+    /// Keys with a single crash are left out: the next crash is told with all before it.
+    pub fn repeated_updates(&self, now: Instant, limit: usize) -> Vec<SuspectUpdate> {
+        self.strongest(now, limit, 2)
+    }
+
+    fn strongest(&self, now: Instant, limit: usize, min_crashes: usize) -> Vec<SuspectUpdate> {
+        let mut known: Vec<(&SuspectKey, &Evidence)> =
+            self.suspects.iter().filter(|(_, it)| it.strength().1 >= min_crashes).collect();
         known.sort_by_key(|(_, it)| std::cmp::Reverse(it.strength()));
         known.iter().take(limit).map(|(key, evidence)| evidence.update(now, key)).collect()
     }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -194,6 +194,19 @@
     }
 }
 
+#[test]
+fn vm_that_missed_the_first_crash_learns_of_it_with_the_second() {
+    let mut vm = Vm::new();
+    vm.crash_times(1, &[part(7), part(8)]);
+    assert_eq!(vm.quarantine.take_updates(vm.now).len(), 2);
+    assert_eq!(vm.quarantine.repeated_updates(vm.now, usize::MAX), []);
+    vm.crash_times(1, &[part(7)]);
+    let [update] = &vm.quarantine.repeated_updates(vm.now, usize::MAX)[..] else {
+        panic!("one key has two crashes");
+    };
+    assert_eq!((update.key.clone(), update.crashes.len()), (part(7), 2));
+}
+
 #[test]
 fn old_evidence_is_dropped() {
     let mut vm = Vm::new();
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -85,6 +85,7 @@
         "late" => is_late,
         "status" => call_outcome.status(),
         "reason" => call_outcome.reason(),
+        "crashed" => progress.quarantined_for.as_deref(),
         "retry_after_ms" => call_outcome.retry_after().map(millis),
         "upstream" => last_command.map_or("-", |it| &*it.upstream.id),
         "attempts" => progress.attempts,
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -88,6 +88,11 @@
         self.lock().updates(Instant::now(), MAX_SUSPECTS_PER_MESSAGE)
     }
 
+    /// Returns the evidence that is worth being sent again.
+    pub(crate) fn repeated_updates(&self) -> Vec<SuspectUpdate> {
+        self.lock().repeated_updates(Instant::now(), MAX_SUSPECTS_PER_MESSAGE)
+    }
+
     /// Drops outdated evidence.
     pub(crate) fn tick(&self) {
         self.lock().on_tick(Instant::now());
@@ -269,11 +274,7 @@
     error.kind() == std::io::ErrorKind::ConnectionRefused
 }
 
-/// Describes why a call is refused, for its caller and the logs.
-pub(crate) fn describe(refusal: &Refusal) -> String {
-    format!("not run: quarantined: {} crashed {}", refusal.key, join(&refusal.crashed))
-}
-
-fn join(upstreams: &[UpstreamId]) -> String {
+/// Lists the names of upstreams for logs.
+pub(crate) fn join(upstreams: &[UpstreamId]) -> String {
     upstreams.join(" ")
 }
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -8,6 +8,7 @@
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_coordination::quarantine::SuspectUpdate;
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
@@ -48,12 +49,11 @@
         self.relay.crash_guard.tick();
         let neighbours = self.membership().neighbours();
         if let Some(neighbour) = neighbours.get(round % neighbours.len().max(1)) {
-            self.send_all_suspects(neighbour);
+            self.send_suspects_to(neighbour, self.relay.crash_guard.repeated_updates());
         }
     }
 
-    fn send_all_suspects(&self, receiver: &PeerAddress) {
-        let suspects = self.relay.crash_guard.updates();
+    fn send_suspects_to(&self, receiver: &PeerAddress, suspects: Vec<SuspectUpdate>) {
         if !suspects.is_empty() {
             let from = self.own_address();
             self.links.send(receiver, &PeerMessage::Suspects { from, suspects });
@@ -203,7 +203,7 @@
             if !departures.is_empty() {
                 self.links.send(&from, &PeerMessage::Departures { from: own_address, departures });
             }
-            self.send_all_suspects(&from);
+            self.send_suspects_to(&from, self.relay.crash_guard.updates());
         }
         // The minimum interval prevents two VMs that are not neighbours from replying to each other
         // endlessly.
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -9,7 +9,7 @@
 
 use super::DEFAULT_RETRY_AFTER;
 use super::refusal;
-use crate::crashes::describe;
+use crate::crashes::join;
 use crate::dialect::Refusal;
 use crate::exchange::AttemptOutcome;
 use crate::exchange::BufferedResponse;
@@ -88,6 +88,8 @@
     pub(crate) input_tokens: u32,
     /// Identifiers of the prompt's parts that other prompts may share.
     pub(crate) shared_parts: Vec<u64>,
+    /// Upstreams that crashed under calls like this one, if it was refused for that.
+    pub(crate) quarantined_for: Option<String>,
     /// Whether an upstream may have started to run the call.
     pub(super) may_have_run: bool,
     /// Last 5xx response of an upstream.
@@ -140,7 +142,9 @@
             return CallOutcome::Refusal(self::refusal(502, None, message));
         }
         let retry_after = refusal.retry_after.max(DEFAULT_RETRY_AFTER);
-        CallOutcome::Refusal(self::refusal(503, Some(retry_after), describe(refusal)))
+        let message = format!("not run: quarantined: {} crashes upstreams", refusal.key);
+        self.quarantined_for = Some(join(&refusal.crashed));
+        CallOutcome::Refusal(self::refusal(503, Some(retry_after), message))
     }
 
     /// Returns the outcome when the call's deadline has passed.
