fix(coordination): acquittals are repeated as well as evidence

Found by the property vms_agree_in_any_order, which failed on it (a crash at one VM, a response at another). Keys are chosen by all their crashes now.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -248,7 +248,7 @@
 
     fn strongest(&self, now: Instant, limit: usize, min_crashes: usize) -> Vec<SuspectUpdate> {
         let mut known: Vec<(&SuspectKey, &Evidence)> =
-            self.suspects.iter().filter(|(_, it)| it.strength().1 >= min_crashes).collect();
+            self.suspects.iter().filter(|(_, it)| it.starts().count() >= min_crashes).collect();
         known.sort_by_key(|(_, it)| std::cmp::Reverse(it.strength()));
         known.iter().take(limit).map(|(key, evidence)| evidence.update(now, key)).collect()
     }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -207,6 +207,20 @@
     assert_eq!((update.key.clone(), update.crashes.len()), (part(7), 2));
 }
 
+#[test]
+fn acquittal_is_repeated_for_vms_that_missed_it() {
+    let (mut vm, mut other) = (Vm::new(), Vm::new());
+    vm.crash_times(3, &[part(7)]);
+    other.now = vm.now;
+    other.quarantine.merge(vm.now, &vm.quarantine.take_updates(vm.now));
+    assert!(other.is_refused(&part(7)));
+    vm.wait(1.0);
+    vm.respond(&[part(7)]);
+    let updates = vm.quarantine.repeated_updates(vm.now, usize::MAX);
+    let lifted = [QuarantineChange::Lifted { key: part(7) }];
+    assert_eq!(other.quarantine.merge(vm.now, &updates), lifted);
+}
+
 #[test]
 fn old_evidence_is_dropped() {
     let mut vm = Vm::new();
