--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -31,8 +31,8 @@
 use crate::socket::wait;
 use crate::state::Relay;
 
-/// Time for which an upstream may still accept connections after it closed one, as a process that
-/// ends closes its sockets one after the other.
+/// Time for which an upstream may still accept connections after it closed one: a process that ends
+/// closes its sockets one after the other.
 const CLOSING_TIME: Duration = Duration::from_millis(20);
 
 /// Time in which a probe is refused if the upstream's process has ended: a round trip between
@@ -173,7 +173,7 @@
         }
         let upstream = upstream.clone();
         let interruption = Interruption { upstream, keys: keys.to_vec(), at: Instant::now() };
-        // If too many wait, the upstreams have more than one call in common.
+        // Dropped if too many wait: the later crashes of such a series are seen as well.
         let _ = self.crash_guard.interruptions.try_send(interruption);
     }
 
