refactor: the quarantine drops the time of a verdict, which nothing reads; messages to all neighbours are sent in one place

The time when a key was condemned was kept and never read, so a flag serves, and recording a crash or a response needs no present time. Two checks for calls without keys could never hold, as each call has its fingerprint. Behaviour and assertions stay.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -26,7 +26,7 @@
 //! for upstream in ["engine-1", "engine-2", "engine-3"] {
 //!     now += Duration::from_secs(1);
 //!     let start = UpstreamStart { upstream: upstream.into(), incarnation: 1 };
-//!     quarantine.record_crash(now, &start, now, &[key.clone()]);
+//!     quarantine.record_crash(&start, now, &[key.clone()]);
 //! }
 //! assert!(quarantine.check(now, &[key]).is_err());
 //! ```
@@ -112,7 +112,6 @@
     /// A later key of a call is more specific than those before it.
     pub fn record_crash(
         &mut self,
-        now: Instant,
         start: &UpstreamStart,
         at: Instant,
         keys: &[SuspectKey],
@@ -133,14 +132,13 @@
             }
         }
         self.enforce_capacity();
-        self.judge(now)
+        self.judge()
     }
 
     /// Records that an upstream began to respond, at `responded_at`, to a call with these keys and
     /// went on well.
     pub fn record_response(
         &mut self,
-        now: Instant,
         responded_at: Instant,
         keys: &[SuspectKey],
     ) -> Vec<QuarantineChange> {
@@ -155,7 +153,7 @@
                 self.untold.insert(key.clone());
             }
         }
-        if is_news { self.judge(now) } else { Vec::new() }
+        if is_news { self.judge() } else { Vec::new() }
     }
 
     /// Merges what another VM knows.
@@ -172,7 +170,7 @@
                 self.untold.insert(update.key.clone());
             }
         }
-        self.judge(now)
+        self.judge()
     }
 
     /// Returns the refusal of a call with these keys if one of them is condemned and no trial is
@@ -267,7 +265,7 @@
     }
 
     /// Condemns keys, the best explanation first, and lifts verdicts that no longer hold.
-    fn judge(&mut self, now: Instant) -> Vec<QuarantineChange> {
+    fn judge(&mut self) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
         for (key, evidence) in &mut self.suspects {
             if evidence.lift_if_acquitted() {
@@ -276,7 +274,7 @@
         }
         while let Some(key) = self.best_explanation() {
             if let Some(evidence) = self.suspects.get_mut(&key) {
-                evidence.condemn(now);
+                evidence.condemn();
                 let crashed = evidence.crashed_upstreams();
                 changes.push(QuarantineChange::Condemned { key, crashed });
             }
--- a/crates/coordination/src/quarantine/evidence.rs
+++ b/crates/coordination/src/quarantine/evidence.rs
@@ -51,7 +51,7 @@
     position: u16,
     trials: u32,
     last_trial_at: Option<Instant>,
-    condemned_at: Option<Instant>,
+    is_condemned: bool,
 }
 
 impl Evidence {
@@ -152,11 +152,11 @@
     }
 
     pub(super) const fn is_condemned(&self) -> bool {
-        self.condemned_at.is_some()
+        self.is_condemned
     }
 
-    pub(super) const fn condemn(&mut self, now: Instant) {
-        self.condemned_at = Some(now);
+    pub(super) const fn condemn(&mut self) {
+        self.is_condemned = true;
     }
 
     /// Lifts the verdict if a response began after the last crash; returns `true` if there was one.
@@ -164,7 +164,7 @@
         if !self.is_condemned() || self.active_crashes().next().is_some() {
             return false;
         }
-        self.condemned_at = None;
+        self.is_condemned = false;
         true
     }
 
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -42,11 +42,11 @@
 
     fn crash(&mut self, keys: &[SuspectKey]) -> Vec<QuarantineChange> {
         self.crashes += 1;
-        self.quarantine.record_crash(self.now, &start(self.crashes), self.now, keys)
+        self.quarantine.record_crash(&start(self.crashes), self.now, keys)
     }
 
     fn respond(&mut self, keys: &[SuspectKey]) -> Vec<QuarantineChange> {
-        self.quarantine.record_response(self.now, self.now, keys)
+        self.quarantine.record_response(self.now, keys)
     }
 
     fn is_refused(&self, key: &SuspectKey) -> bool {
@@ -127,7 +127,7 @@
     vm.wait(1.0);
     for _ in 0..5 {
         vm.wait(0.2);
-        vm.quarantine.record_crash(vm.now, &start(1), vm.now, &[part(7)]);
+        vm.quarantine.record_crash(&start(1), vm.now, &[part(7)]);
     }
     assert!(!vm.is_refused(&part(7)));
 }
@@ -175,7 +175,7 @@
         for number in 0..1_500 {
             let at = now + Duration::from_millis(number);
             let key = part(number * 3 + vm as u64);
-            quarantine.record_crash(at, &start(number as usize), at, &[key]);
+            quarantine.record_crash(&start(number as usize), at, &[key]);
         }
     }
     let end = now + Duration::from_secs(10);
@@ -272,9 +272,9 @@
             let at = now + Duration::from_millis(100 * number as u64);
             let (vm, keys) = (&mut vms[usize::from(vm % 4)], [part(u64::from(key % 5))]);
             if *is_crash {
-                vm.record_crash(at, &start(number), at, &keys);
+                vm.record_crash(&start(number), at, &keys);
             } else {
-                vm.record_response(at, at, &keys);
+                vm.record_response(at, &keys);
             }
         }
         let end = now + Duration::from_secs(100);
--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -156,12 +156,12 @@
                     }
                     self.push(now + DETECTION, Step::Detect { vm, start, at: now, keys });
                 } else {
-                    self.vms[vm].record_response(now, now, &keys);
+                    self.vms[vm].record_response(now, &keys);
                     self.tell(now, vm);
                 }
             }
             Step::Detect { vm, start, at, keys } => {
-                self.vms[vm].record_crash(now, &start, at, &keys);
+                self.vms[vm].record_crash(&start, at, &keys);
                 self.tell(now, vm);
             }
             Step::Receive { vm, updates } => {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -168,9 +168,6 @@
     /// Queues an attempt to be looked into whose response broke off before it had begun, or right
     /// after.
     fn record_interruption(&self, upstream: &UpstreamRecord, keys: &[SuspectKey]) {
-        if keys.is_empty() {
-            return;
-        }
         let upstream = upstream.clone();
         let interruption = Interruption { upstream, keys: keys.to_vec(), at: Instant::now() };
         // Dropped if too many wait: the later crashes of such a series are seen as well.
@@ -179,10 +176,7 @@
 
     /// Records that an upstream began to respond to a call with these keys, and went on well.
     fn record_response(&self, responded_at: Instant, keys: &[SuspectKey]) {
-        if keys.is_empty() {
-            return;
-        }
-        let changes = self.crash_guard.lock().record_response(Instant::now(), responded_at, keys);
+        let changes = self.crash_guard.lock().record_response(responded_at, keys);
         self.crash_guard.report(&changes);
         self.forward_suspects();
     }
@@ -229,9 +223,8 @@
             "calls" => interruptions.len());
         metrics::counter!("cranberryvalve_upstream_crashes_total").increment(1);
         for interruption in interruptions {
-            let now = Instant::now();
             let keys = &interruption.keys;
-            let changes = self.crash_guard.lock().record_crash(now, start, interruption.at, keys);
+            let changes = self.crash_guard.lock().record_crash(start, interruption.at, keys);
             self.crash_guard.report(&changes);
         }
         self.forward_suspects();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -193,29 +193,26 @@
             return;
         }
         let from = self.own_address();
-        for neighbour in self.membership().neighbours() {
-            let message = PeerMessage::Paces { from: from.clone(), paces: paces.clone() };
-            self.links.send(&neighbour, &message);
-        }
+        self.send_to_neighbours(&PeerMessage::Paces { from, paces });
     }
 
     /// Tells the neighbours of upstreams that are shutting down.
     pub(crate) fn send_departures(&self, departures: &[Departure]) {
         let from = self.own_address();
-        let message = PeerMessage::Departures { from, departures: departures.to_vec() };
-        let neighbours = self.membership().neighbours();
-        neighbours.iter().for_each(|it| {
-            self.links.send(it, &message);
-        });
+        let departures = departures.to_vec();
+        self.send_to_neighbours(&PeerMessage::Departures { from, departures });
     }
 
     /// Tells the neighbours of calls that may crash upstreams.
     pub(crate) fn send_suspects(&self, suspects: &[SuspectUpdate]) {
         let from = self.own_address();
-        let message = PeerMessage::Suspects { from, suspects: suspects.to_vec() };
+        self.send_to_neighbours(&PeerMessage::Suspects { from, suspects: suspects.to_vec() });
+    }
+
+    fn send_to_neighbours(&self, message: &PeerMessage) {
         let neighbours = self.membership().neighbours();
         neighbours.iter().for_each(|it| {
-            self.links.send(it, &message);
+            self.links.send(it, message);
         });
     }
 
