--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -14,6 +14,9 @@
 /// Name of an upstream: a model engine or a worker of a plain service.
 pub type UpstreamId = Arc<str>;
 
+/// Version of the software that an upstream runs. Versions have no order.
+pub type SoftwareVersion = Arc<str>;
+
 /// Name of a pool: the model or plain service that a group of upstreams serves.
 pub type PoolId = Arc<str>;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -60,6 +60,7 @@
 pub use ids::PlanId;
 pub use ids::PoolId;
 pub use ids::RequestId;
+pub use ids::SoftwareVersion;
 pub use ids::Tier;
 pub use ids::UpstreamId;
 pub use ids::VmId;
--- a/crates/model/src/simulation/deployment.rs
+++ b/crates/model/src/simulation/deployment.rs
@@ -53,6 +53,7 @@
         slots: SLOTS as u32,
         is_leaving: false,
         incarnation: 1,
+        software_version: "v1".into(),
     };
     (0..fleet.engines).map(record).collect()
 }
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -4,6 +4,7 @@
 
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::PoolId;
+use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use serde::Serialize;
@@ -49,6 +50,8 @@
     pub pool: PoolId,
     /// Failure domain that the upstream runs in.
     pub failure_domain: FailureDomainId,
+    /// Version of the software that the upstream runs.
+    pub software_version: SoftwareVersion,
     /// Whether the upstream is shutting down and gets no new requests.
     pub is_leaving: bool,
     /// Whether the upstream's address now belongs to another upstream.
@@ -89,6 +92,7 @@
             id: self.record.id.clone(),
             pool: self.record.pool.clone(),
             failure_domain: self.record.failure_domain.clone(),
+            software_version: self.record.software_version.clone(),
             is_leaving: self.record.is_leaving,
             is_gone: self.is_gone,
             pause_ms: millis(self.pause.remaining(now)),
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -10,6 +10,7 @@
 use cranberryvalve_core::IncarnationHash;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::TierBacklog;
 use cranberryvalve_core::UpstreamId;
@@ -50,6 +51,8 @@
     pub is_leaving: bool,
     /// Identifies one start of the upstream: each start under the same name has another value.
     pub incarnation: u64,
+    /// Version of the software that the upstream runs.
+    pub software_version: SoftwareVersion,
 }
 
 /// An attempt in flight.
--- a/crates/policy/tests/support/calls.rs
+++ b/crates/policy/tests/support/calls.rs
@@ -150,6 +150,7 @@
         slots: 8,
         is_leaving: false,
         incarnation: 1,
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -54,8 +54,8 @@
 
 /// Logs and counts a finished call, with the data its placement was based on.
 ///
-/// Calls that failed, missed a target or took more than one attempt are always logged; the others
-/// are rate-limited.
+/// Calls that failed, missed a target, took more than one attempt or resumed a stream are always
+/// logged; the others are rate-limited.
 pub(crate) fn log_call(
     log: &Logger,
     limiter: &LogRateLimiter,
@@ -70,7 +70,10 @@
         progress.delivery.first_part_at.map(|it| duration_between(request.arrived_at, it));
     record_metrics(context, outcome, request.arrived_at, first_part, progress);
     let is_late = missed_target(context, total, first_part, progress);
-    let is_routine = outcome == "completed" && !is_late && progress.attempts == 1;
+    let is_routine = outcome == "completed"
+        && !is_late
+        && progress.attempts == 1
+        && progress.resumed_after.is_none();
     let suppressed = if is_routine { limiter.acquire(Instant::now()) } else { Some(0) };
     let Some(suppressed) = suppressed else { return };
     let last_command = progress.last_command.as_ref();
@@ -88,6 +91,9 @@
         "crashed" => progress.quarantined_for.as_deref(),
         "retry_after_ms" => call_outcome.retry_after().map(millis),
         "upstream" => last_command.map_or("-", |it| &*it.upstream.id),
+        "software_version" => last_command.map_or("-", |it| &*it.upstream.software_version),
+        "resumes" => progress.resumed_request_id.as_deref(),
+        "resumed_after" => progress.resumed_after,
         "attempts" => progress.attempts,
         "failures" => &*progress.failed_attempts,
         "candidates" => reason.candidates,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -24,6 +24,9 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event the caller received, for resuming a stream. `None` for a new stream.
     pub last_event_id: Option<u64>,
+    /// Identifier of the request that brought the first event of the stream that this call resumes.
+    /// `None` if the caller names none.
+    pub resumed_request_id: Option<Box<str>>,
 }
 
 /// A call as it is sent to an upstream.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -163,6 +163,8 @@
             input_tokens: metadata.prompt.as_ref().map_or(0, |it| it.input_tokens),
             shared_parts: metadata.prompt.as_ref().map(Prompt::shared_part_ids).unwrap_or_default(),
             caller_id: metadata.request_id,
+            resumed_request_id: metadata.resumed_request_id,
+            resumed_after: metadata.last_event_id,
             ..CallProgress::default()
         };
         let call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
@@ -286,7 +288,8 @@
         if let Some(failure) = outcome.failure() {
             info!(self.relay.log, "attempt failed";
                 "request" => progress.caller_id.as_deref().unwrap_or("-"),
-                "upstream" => &*command.upstream.id, "attempt" => attempt, "failure" => failure,
+                "upstream" => &*command.upstream.id,
+                "software_version" => &*command.upstream.software_version, "attempt" => attempt, "failure" => failure,
                 "events" => progress.delivery.events,
                 "attempt_ms" => millis(started_at.elapsed()),
                 "shared_parts" => hex_list(&progress.shared_parts),
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -11,6 +11,7 @@
 use super::refusal;
 use crate::crashes::join;
 use crate::dialect::Refusal;
+use crate::events::EventId;
 use crate::exchange::AttemptOutcome;
 use crate::exchange::BufferedResponse;
 use crate::exchange::Delivery;
@@ -84,6 +85,10 @@
     pub(crate) failed_attempts: String,
     /// Request identifier chosen by the caller.
     pub(crate) caller_id: Option<Box<str>>,
+    /// Request that began the stream that this call resumes, if the caller names it.
+    pub(crate) resumed_request_id: Option<Box<str>>,
+    /// Last event that the caller has of the stream, or `None` for a new stream.
+    pub(crate) resumed_after: Option<EventId>,
     /// Number of tokens in the prompt; 0 if the call has none.
     pub(crate) input_tokens: u32,
     /// Identifiers of the prompt's parts that other prompts may share.
--- a/crates/relay/src/sources/directory/tests.rs
+++ b/crates/relay/src/sources/directory/tests.rs
@@ -22,6 +22,7 @@
         slots: 1,
         is_leaving: false,
         incarnation: 1,
+        software_version: "v1".into(),
     }
 }
 
