fix: a stream continues only at the software version that began it

Cause: the directory's decoder dropped the version, so a second attempt within a call, and a caller that took its stream up at any VM, went to any upstream of the pool. After the loss of all VMs nothing was left that told which version had begun a stream.

Not shown: an upstream that restarts under its name as another version.

While versions are mixed, three coordinators of a stream in different failure domains keep its origin, told before the first event leaves. The store has the versions that may have open streams, so that after the loss of all VMs a stream of unknown origin continues only where one version is possible. Otherwise the caller gets 503 at once.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,10 +16,12 @@
 //! - [`membership`]: which VMs are alive, and which of them exchange heartbeats.
 //! - [`leaving`]: which upstreams are leaving, from sources that lag and disagree.
 //! - [`orders`]: orders that an engine has yet to carry out.
+//! - [`origins`]: which software version began a stream.
 //! - [`peer`]: messages exchanged between VMs.
 //! - [`quarantine`]: calls that crash upstreams are held back on all VMs.
 //! - [`store`]: interface to the table service and the object store.
 //! - [`transfer`]: transfer of a large versioned value between VMs, in parts.
+//! - [`versions`]: which software versions of a pool may have open streams.
 //! - [`watch`]: which VMs of a failure domain read a source for all of them.
 //!
 //! ```
@@ -43,6 +45,7 @@
 pub mod limits;
 pub mod membership;
 pub mod orders;
+pub mod origins;
 pub mod peer;
 pub mod permits;
 pub mod plan;
@@ -50,4 +53,5 @@
 pub mod replica;
 pub mod store;
 pub mod transfer;
+pub mod versions;
 pub mod watch;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -201,6 +201,12 @@
         if names.is_empty() { self.alive_names() } else { names }
     }
 
+    /// Returns the addresses of the living members, including this VM.
+    pub fn alive_addresses(&self) -> Vec<PeerAddress> {
+        let others = self.alive_members().map(|it| it.address.clone());
+        std::iter::once(self.local.clone()).chain(others).collect()
+    }
+
     /// Returns the number of known members in any state, excluding this VM.
     pub fn known_count(&self) -> usize {
         self.members.len()
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -20,6 +20,8 @@
 use crate::limits::LimitDemand;
 use crate::limits::LimitShare;
 use crate::membership::MemberUpdate;
+use crate::origins::StreamKey;
+use crate::origins::StreamOrigin;
 use crate::quarantine::SuspectUpdate;
 use crate::transfer::Part;
 use crate::transfer::PartRequest;
@@ -164,6 +166,31 @@
         /// What the sender knows of each key.
         suspects: Vec<SuspectUpdate>,
     },
+    /// Origins of streams, for VMs that coordinate them.
+    StreamOrigins {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The streams.
+        streams: Vec<(StreamKey, StreamOrigin)>,
+    },
+    /// Requests the origin of a stream.
+    OriginRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Identifier of the request.
+        request_id: QuestionId,
+        /// The stream.
+        stream: StreamKey,
+    },
+    /// Response to [`PeerMessage::OriginRequest`].
+    OriginResponse {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Identifier of the request that this message responds to.
+        request_id: QuestionId,
+        /// Origin of the stream, or `None` if the sender does not know it.
+        origin: Option<StreamOrigin>,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -239,7 +266,10 @@
             | Self::TablePart { from, .. }
             | Self::PermitRequest { from, .. }
             | Self::PermitVerdict { from, .. }
-            | Self::Suspects { from, .. } => from,
+            | Self::Suspects { from, .. }
+            | Self::StreamOrigins { from, .. }
+            | Self::OriginRequest { from, .. }
+            | Self::OriginResponse { from, .. } => from,
         }
     }
 }
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -141,7 +141,10 @@
                 | PeerMessage::TablePart { .. }
                 | PeerMessage::PermitRequest { .. }
                 | PeerMessage::PermitVerdict { .. }
-                | PeerMessage::Suspects { .. },
+                | PeerMessage::Suspects { .. }
+                | PeerMessage::StreamOrigins { .. }
+                | PeerMessage::OriginRequest { .. }
+                | PeerMessage::OriginResponse { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -252,6 +252,7 @@
             deadline: arrived_at + traffic.deadline,
             prompt: Some(request.prompt.clone()),
             body_bytes: traffic.body_bytes,
+            software_version: None,
         }
     }
 
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -40,6 +40,7 @@
 use cranberryvalve_core::PermitRequest;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::table::RoutingTable;
@@ -142,6 +143,8 @@
     tried: Vec<UpstreamId>,
     /// Upstream that the current attempt was sent to; `None` while the call is queued.
     sent_to: Option<UpstreamId>,
+    /// Software version of the upstream that the last attempt was sent to.
+    sent_version: Option<SoftwareVersion>,
     may_have_run: bool,
     give_up_at: Instant,
 }
@@ -272,6 +275,7 @@
             attempts: 0,
             tried: Vec::new(),
             sent_to: None,
+            sent_version: None,
             may_have_run: false,
             give_up_at,
         };
@@ -287,7 +291,13 @@
         attempt: Attempt,
         actions: &mut Vec<SchedulerAction>,
     ) {
-        let Some(tracked) = self.calls.get(&id).filter(|it| it.attempts == attempt) else { return };
+        let Some(tracked) = self.calls.get_mut(&id).filter(|it| it.attempts == attempt) else {
+            return;
+        };
+        if tracked.call.route.kind.is_stream() {
+            // The caller has a part of the stream, which no other version can continue.
+            tracked.call.software_version.clone_from(&tracked.sent_version);
+        }
         let (pool, tier) = (tracked.call.pool.clone(), tracked.call.tier);
         if let Some(upstream) = tracked.sent_to.as_ref().and_then(|it| self.upstreams.get_mut(it))
             && let Some(prediction) = upstream.record_response_start(now, id)
--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -6,6 +6,7 @@
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::stable_hash;
 use cranberryvalve_core::table::RouteRule;
@@ -31,6 +32,9 @@
     pub prompt: Option<Prompt>,
     /// Size of the request body in bytes.
     pub body_bytes: usize,
+    /// Software version that the upstream must run, as the call continues a stream that such an
+    /// upstream began. `None` if any version will do.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl Call {
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -88,7 +88,11 @@
                     self.conclude(id, ConclusionReason::UpstreamsPaused, retry_after, actions);
                 }
                 Placement::NoUpstream => {
-                    self.conclude(id, ConclusionReason::NoUpstream, RETRY_AFTER_FAILURE, actions);
+                    let reason = match tracked.call.software_version {
+                        Some(_) => ConclusionReason::NoSuchVersion,
+                        None => ConclusionReason::NoUpstream,
+                    };
+                    self.conclude(id, reason, RETRY_AFTER_FAILURE, actions);
                 }
             }
         }
@@ -179,6 +183,7 @@
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.sent_to = Some(choice.upstream.clone());
+        tracked.sent_version = Some(upstream.record.software_version.clone());
         actions.push(SchedulerAction::Send(SendCommand {
             id,
             attempt: tracked.attempts,
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -300,6 +300,9 @@
 pub enum ConclusionReason {
     /// No upstream of the pool is known to be in service.
     NoUpstream,
+    /// The call continues a stream, and no upstream in service runs the software version that began
+    /// it.
+    NoSuchVersion,
     /// No upstream had room in time.
     Overloaded,
     /// All upstreams in service asked for a pause, or take requests at a limited rate, and the next
@@ -318,6 +321,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NoUpstream => "no_upstream",
+            Self::NoSuchVersion => "no_such_version",
             Self::Overloaded => "overloaded",
             Self::UpstreamsPaused => "upstreams_paused",
             Self::AttemptsExhausted => "attempts_used",
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -170,8 +170,11 @@
     tried: &[UpstreamId],
 ) -> Vec<Candidate<'a>> {
     let members: Vec<&Upstream> = upstreams.iter().copied().filter(|it| it.is_member()).collect();
-    let in_service: Vec<&Upstream> =
-        members.iter().copied().filter(|it| it.is_in_service(context.now)).collect();
+    let in_service: Vec<&Upstream> = members
+        .iter()
+        .copied()
+        .filter(|it| it.is_in_service(context.now) && it.may_serve(call))
+        .collect();
     let healthy: Vec<&Upstream> = filter_or_all(&in_service, |it| it.accepts_work(context.now));
     // A pause concerns one VM only, so that lanes without the paused upstreams would differ from
     // those of the other VMs.
@@ -203,7 +206,9 @@
     call: &Call,
     upstreams: &[&Upstream],
 ) -> Option<Duration> {
-    let paused = upstreams.iter().filter(|it| it.is_member() && !it.is_in_service(context.now));
+    let paused = upstreams
+        .iter()
+        .filter(|it| it.is_member() && it.may_serve(call) && !it.is_in_service(context.now));
     paused.map(|it| it.wait(context.now).max(it.backlog(context.now, call.tier))).min()
 }
 
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -146,6 +146,11 @@
         !self.record.is_leaving && !self.is_gone
     }
 
+    /// Returns `true` unless the call continues a stream of another software version.
+    pub(super) fn may_serve(&self, call: &Call) -> bool {
+        call.software_version.as_ref().is_none_or(|it| *it == self.record.software_version)
+    }
+
     /// Returns `true` if the upstream is a member of its pool and has not asked for a pause.
     pub(super) fn is_available(&self, now: Instant) -> bool {
         self.is_member() && self.pause.remaining(now).is_zero()
--- a/crates/policy/tests/support/calls.rs
+++ b/crates/policy/tests/support/calls.rs
@@ -138,6 +138,7 @@
         deadline: now + 8 * TARGET,
         prompt,
         body_bytes: 1_000,
+        software_version: None,
     }
 }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -60,6 +60,8 @@
     pub(crate) customer: Option<&'a str>,
     pub(crate) tier: u8,
     pub(crate) is_stream: bool,
+    /// Identifier of the request that began the stream, if its caller may resume it.
+    pub(crate) stream_id: Option<&'a str>,
     pub(crate) deadline: Instant,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -218,6 +218,9 @@
                 if !is_response_started {
                     is_response_started = true;
                     self.call_guard.response_started(self.command.attempt);
+                    if let Some(stream) = self.exchange.stream_id {
+                        self.exchange.relay.record_stream(stream, &self.command.upstream);
+                    }
                     self.exchange.report_load(self.command);
                 }
                 self.forward_events(head, &events)?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod socket;
 pub mod sources;
 mod state;
+mod streams;
 
 pub use dialect::CallMetadata;
 pub use dialect::Dialect;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -10,8 +10,9 @@
 mod directory;
 mod gossip;
 mod link_key;
-mod load_queries;
+mod origins;
 mod permits;
+mod queries;
 mod tables;
 
 use std::collections::HashMap;
@@ -29,6 +30,7 @@
 use cranberryvalve_adapters::telemetry::unix_time_ms;
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_coordination::membership::Membership;
+use cranberryvalve_coordination::origins::StreamOrigin;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
@@ -39,7 +41,7 @@
 use slog::info;
 use slog::warn;
 
-use self::load_queries::LoadQueries;
+use self::queries::PendingQueries;
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
@@ -82,7 +84,8 @@
     links: Links,
     membership: Mutex<Membership>,
     seeds: Vec<SocketAddr>,
-    load_queries: LoadQueries,
+    load_queries: PendingQueries<UpstreamLoad>,
+    origin_queries: PendingQueries<StreamOrigin>,
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
     key: Mutex<Vec<u8>>,
@@ -126,7 +129,8 @@
         links: Links::listen(settings.address, SharedKey::new(&key)).map_err(io::Error::other)?,
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
-        load_queries: LoadQueries::default(),
+        load_queries: PendingQueries::default(),
+        origin_queries: PendingQueries::default(),
         secret,
         key: Mutex::new(key),
     });
@@ -158,7 +162,7 @@
             let message = PeerMessage::LoadRequest { from: from.clone(), request_id, upstreams };
             self.links.send(&coordinator, &message);
         }
-        self.load_queries.wait(request_id, LOAD_QUERY_TIMEOUT)
+        self.load_queries.wait(request_id, LOAD_QUERY_TIMEOUT, |_| false)
     }
 
     /// Reports this VM's load on `upstream` to its load coordinator.
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -173,6 +173,15 @@
                 Some(PeerMessage::Suspects { suspects, .. }) => {
                     self.relay.merge_suspects(&suspects);
                 }
+                Some(PeerMessage::StreamOrigins { streams, .. }) => {
+                    self.relay.streams.record_all(streams);
+                }
+                Some(PeerMessage::OriginRequest { from, request_id, stream }) => {
+                    self.send_origin(&from, request_id, stream);
+                }
+                Some(PeerMessage::OriginResponse { request_id, origin, .. }) => {
+                    self.origin_queries.record_reply(request_id, origin);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Some(
--- /dev/null
+++ b/crates/relay/src/peers/origins.rs
@@ -0,0 +1,77 @@
+//! Exchange of the origins of streams.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cranberryvalve_coordination::home::coordinators_of;
+use cranberryvalve_coordination::origins::ORIGIN_COORDINATORS;
+use cranberryvalve_coordination::origins::StreamKey;
+use cranberryvalve_coordination::origins::StreamOrigin;
+use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_coordination::peer::QuestionId;
+use cranberryvalve_core::VmId;
+
+use super::Peers;
+
+/// Maximum time that a call waits for the origin of the stream that it resumes: a round trip between
+/// regions, plus the processing time on two small VMs. Only coordinators that are gone, or do not
+/// know the stream, make it wait so long.
+const ORIGIN_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Maximum number of streams in one message; about 30 bytes each.
+const MAX_STREAMS_PER_MESSAGE: usize = 256;
+
+impl Peers {
+    /// Sends the origins of streams to their coordinators.
+    pub(crate) fn send_origins(&self, streams: &[(StreamKey, StreamOrigin)]) {
+        let (own, alive) = self.own_and_alive();
+        let mut by_coordinator: HashMap<&VmId, (&PeerAddress, Vec<_>)> = HashMap::new();
+        for (stream, origin) in streams {
+            for coordinator in coordinators_of(*stream, &alive, ORIGIN_COORDINATORS) {
+                let entry =
+                    by_coordinator.entry(&coordinator.vm).or_insert((coordinator, Vec::new()));
+                entry.1.push((*stream, origin.clone()));
+            }
+        }
+        by_coordinator.remove(&own.vm);
+        for (coordinator, streams) in by_coordinator.into_values() {
+            for part in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
+                let message =
+                    PeerMessage::StreamOrigins { from: own.clone(), streams: part.to_vec() };
+                self.links.send(coordinator, &message);
+            }
+        }
+    }
+
+    /// Asks the coordinators of a stream for its origin. Returns `None` if none of them knows it.
+    pub(crate) fn query_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+        let (own, alive) = self.own_and_alive();
+        let mut coordinators = coordinators_of(stream, &alive, ORIGIN_COORDINATORS);
+        coordinators.retain(|it| it.vm != own.vm);
+        if coordinators.is_empty() {
+            return None;
+        }
+        let request_id = self.origin_queries.open(coordinators.len());
+        for coordinator in coordinators {
+            let message = PeerMessage::OriginRequest { from: own.clone(), request_id, stream };
+            if !self.links.send(coordinator, &message) {
+                self.origin_queries.record_reply(request_id, None);
+            }
+        }
+        let origins =
+            self.origin_queries.wait(request_id, ORIGIN_QUERY_TIMEOUT, |it| !it.is_empty());
+        origins.into_iter().next()
+    }
+
+    pub(super) fn send_origin(&self, to: &PeerAddress, request_id: QuestionId, stream: StreamKey) {
+        let origin = self.relay.streams.origin(stream);
+        let message = PeerMessage::OriginResponse { from: self.own_address(), request_id, origin };
+        self.links.send(to, &message);
+    }
+
+    fn own_and_alive(&self) -> (PeerAddress, Vec<PeerAddress>) {
+        let membership = self.membership();
+        (membership.local().clone(), membership.alive_addresses())
+    }
+}
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -167,12 +167,15 @@
             resumed_after: metadata.last_event_id,
             ..CallProgress::default()
         };
-        let call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
+        let mut call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
         let suspect_keys = suspect_keys(request, &call);
         let call_outcome = match self.relay.crash_guard.check(&suspect_keys) {
-            Ok(()) => {
-                self.schedule_and_forward(request, context, call, &suspect_keys, &mut progress)
-            }
+            Ok(()) => match self.constrain_continuation(&mut call, &progress) {
+                Ok(()) => {
+                    self.schedule_and_forward(request, context, call, &suspect_keys, &mut progress)
+                }
+                Err(refusal) => CallOutcome::Refusal(refusal),
+            },
             Err(refusal) => progress.quarantine_outcome(&refusal),
         };
         log_call(
@@ -186,6 +189,30 @@
         call_outcome
     }
 
+    /// Limits a call that continues a stream to the upstreams that can continue it.
+    fn constrain_continuation(
+        &self,
+        call: &mut Call,
+        progress: &CallProgress,
+    ) -> Result<(), Refusal> {
+        if !progress.continues_stream(&call.route) {
+            return Ok(());
+        }
+        let continuation =
+            self.relay.continuation(&call.route, progress.resumed_request_id.as_deref());
+        match continuation {
+            Ok(origin) => {
+                call.pool = origin.pool;
+                call.software_version = Some(origin.software_version);
+                Ok(())
+            }
+            Err(error) => {
+                metrics::counter!("cranberryvalve_continuations_refused_total").increment(1);
+                Err(refusal(503, Some(DEFAULT_RETRY_AFTER), error.message()))
+            }
+        }
+    }
+
     /// Submits the call to the scheduler and follows its directives until the call has an outcome.
     fn schedule_and_forward(
         &mut self,
@@ -199,6 +226,7 @@
         let reports_load = self.query_peer_loads(&call);
         let mut call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
         let caller_id = progress.caller_id.clone();
+        let stream_id = progress.stream_id(&context.route).map(ToOwned::to_owned);
         let exchange = Exchange {
             relay: self.relay,
             head: &request.head,
@@ -207,6 +235,7 @@
             customer: context.customer.as_deref(),
             tier: context.tier,
             is_stream: context.route.kind.is_stream(),
+            stream_id: stream_id.as_deref(),
             deadline,
             reports_load,
             suspect_keys,
@@ -373,6 +402,7 @@
         deadline: request.arrived_at + timeout,
         prompt,
         body_bytes: request.body.len(),
+        software_version: None,
         route,
     }
 }
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::quarantine;
+use cranberryvalve_core::table::CallKind;
+use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_policy::scheduler::Conclusion;
 use cranberryvalve_policy::scheduler::SendCommand;
 
@@ -115,6 +117,21 @@
         self.last_command = Some(command);
     }
 
+    /// Returns `true` if the caller has a part of the stream, which the call continues.
+    pub(super) fn continues_stream(&self, route: &RouteRule) -> bool {
+        self.resumed_after.is_some() && route.kind == CallKind::ResumableStream
+    }
+
+    /// Returns the identifier of the request that began the stream, as the caller names it to resume
+    /// the stream, or `None` if it cannot.
+    pub(super) fn stream_id(&self, route: &RouteRule) -> Option<&str> {
+        if route.kind != CallKind::ResumableStream {
+            return None;
+        }
+        let resumed = self.resumed_request_id.as_ref().filter(|_| self.continues_stream(route));
+        resumed.or(self.caller_id.as_ref()).map(|it| &**it)
+    }
+
     /// Returns the outcome when the scheduler makes no further attempt.
     pub(super) fn final_outcome(&mut self, conclusion: &Conclusion) -> CallOutcome {
         if self.delivery.is_head_sent {
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -9,6 +9,7 @@
 mod follower;
 mod secret;
 mod shared;
+mod versions;
 
 use std::fmt;
 use std::time::Duration;
@@ -22,12 +23,15 @@
 pub use cranberryvalve_coordination::feed::Row;
 pub use cranberryvalve_coordination::feed::RowChange;
 pub use cranberryvalve_coordination::feed::Snapshot;
+pub use cranberryvalve_coordination::versions::VersionRecord;
 pub use follow::follow_directory;
 pub use follow::follow_tables;
 pub use secret::SecretStore;
 pub use secret::read_or_create;
 pub use secret::read_or_write;
 pub(crate) use shared::SharedDirectory;
+pub use versions::VersionStore;
+pub use versions::record_versions;
 
 /// Error of a call to a source.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- /dev/null
+++ b/crates/relay/src/sources/versions.rs
@@ -0,0 +1,134 @@
+//! The record of software versions in the store.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use cranberryvalve_coordination::versions::VersionRecord;
+use cranberryvalve_core::StoreEra;
+use rand::RngExt;
+use slog::info;
+use slog::warn;
+
+use super::FeedError;
+use crate::state::Relay;
+
+/// Interval at which the record is checked while the directory does not change. Versions that have
+/// left are removed from it within this time.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time over which the VMs of a system that starts for the first time, or whose store was restored,
+/// spread their reads, so that most of them find the record written.
+const READ_SPREAD: Duration = Duration::from_secs(1);
+
+/// Delay between attempts while the record cannot be read or written.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Storage of the software versions of each pool.
+pub trait VersionStore: Send + Sync + 'static {
+    /// Reads the records of all pools.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is unreachable.
+    fn read(&self) -> Result<Vec<VersionRecord>, FeedError>;
+
+    /// Writes a record if its row still has the revision that the record names. Returns `false` if
+    /// another VM has written it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store is unreachable. The record may have been written nevertheless.
+    fn write(&self, record: &VersionRecord) -> Result<bool, FeedError>;
+}
+
+/// Starts a thread that keeps the record of software versions.
+///
+/// Every VM reads the record when it starts and after a restoration of the store, and writes it if
+/// there is none; the watchers of the failure domains keep it. When the whole system starts for the
+/// first time, there is none.
+///
+/// # Errors
+///
+/// Returns an error if the thread cannot be spawned.
+pub fn record_versions(
+    relay: &Arc<Relay>,
+    store: Arc<dyn VersionStore>,
+    is_first_start: bool,
+) -> io::Result<()> {
+    if is_first_start {
+        relay.streams.set_first_start();
+    }
+    let mut recorder = Recorder { relay: relay.clone(), store, store_era: 0, is_failing: false };
+    thread::Builder::new().name("versions".to_owned()).spawn(move || {
+        if is_first_start {
+            wait_for_turn();
+        }
+        loop {
+            recorder.run_once();
+        }
+    })?;
+    Ok(())
+}
+
+struct Recorder {
+    relay: Arc<Relay>,
+    store: Arc<dyn VersionStore>,
+    store_era: StoreEra,
+    is_failing: bool,
+}
+
+impl Recorder {
+    /// Reads and writes what is due, and waits for the next change.
+    fn run_once(&mut self) {
+        let streams = &self.relay.streams;
+        let store_era = self.relay.store_era();
+        if store_era > self.store_era {
+            self.store_era = store_era;
+            streams.forget_records();
+            wait_for_turn();
+        }
+        let result = if streams.lacks_records() { self.read() } else { Ok(()) };
+        let result = result.and_then(|()| self.write_due());
+        let is_failing = result.is_err();
+        if let Err(error) = result
+            && !self.is_failing
+        {
+            warn!(self.relay.log, "cannot keep the record of software versions; retrying";
+                "error" => error.to_string());
+        }
+        self.is_failing = is_failing;
+        if is_failing {
+            thread::sleep(RETRY_INTERVAL);
+        } else {
+            self.relay.streams.wait_for_change(CHECK_INTERVAL);
+        }
+    }
+
+    fn read(&self) -> Result<(), FeedError> {
+        let records = self.store.read()?;
+        self.relay.merge_version_records(&records);
+        Ok(())
+    }
+
+    fn write_due(&self) -> Result<(), FeedError> {
+        let is_watcher = self.relay.is_source_reader();
+        let due = self.relay.streams.due_records().into_iter();
+        for record in due.filter(|it| is_watcher || it.revision == 0) {
+            if self.store.write(&record)? {
+                let versions: Vec<&str> = record.versions.iter().map(|it| &**it).collect();
+                info!(self.relay.log, "software versions recorded"; "pool" => &*record.pool,
+                    "versions" => versions.join(" "));
+            }
+            // The revision of the row is known from the next read only.
+            self.read()?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits for a random part of [`READ_SPREAD`].
+fn wait_for_turn() {
+    thread::sleep(READ_SPREAD.mul_f64(rand::rng().random()));
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -49,6 +49,7 @@
 use crate::sources::RoutingTableFeed;
 use crate::sources::Row;
 use crate::sources::SharedDirectory;
+use crate::streams::Streams;
 
 /// Stack size of a thread that serves a connection, in bytes.
 const HANDLER_STACK_BYTES: usize = 256 * 1024;
@@ -91,6 +92,7 @@
     pub(crate) shared_directory: SharedDirectory,
     pub(crate) permits: PermitCoordinator,
     pub(crate) crash_guard: CrashGuard,
+    pub(crate) streams: Streams,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -125,6 +127,7 @@
             shared_directory: SharedDirectory::new(Instant::now()),
             permits: PermitCoordinator::default(),
             crash_guard: CrashGuard::new(log.clone()),
+            streams: Streams::new(Instant::now()),
             log,
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
@@ -206,6 +209,8 @@
     pub fn replace_directory(&self, records: Vec<UpstreamRecord>) {
         let active_ids = records.iter().filter(|it| !it.is_leaving).map(|it| it.id.clone());
         let active_ids: HashSet<UpstreamId> = active_ids.collect();
+        // The coordinators of open streams have to know of a further version before it serves.
+        self.observe_versions(&records);
         self.dispatcher.handle(SchedulerEvent::DirectoryChanged(records));
         self.idle_connections.retain(|it| active_ids.contains(it));
     }
