--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -26,6 +26,12 @@
 /// Number of connections that wait to be accepted.
 const BACKLOG: i32 = 128;
 
+/// Maximum number of connections that fill the queue of a listener with the shortest one.
+const MAX_QUEUED: usize = 4;
+
+/// Time after which a connection attempt shows that the queue is full.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Stack size of a thread that copies data, in bytes.
 const STACK_BYTES: usize = 128 * 1024;
 
@@ -44,6 +50,8 @@
     refusing: AtomicBool,
     delay_ms: AtomicU64,
     connections: Mutex<Vec<(TcpStream, TcpStream)>>,
+    /// Connections that fill the queue of those that wait to be accepted.
+    queued: Mutex<Vec<TcpStream>>,
 }
 
 impl Proxy {
@@ -62,6 +70,7 @@
             refusing: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
             connections: Mutex::default(),
+            queued: Mutex::default(),
         });
         shared.accept_from(&listener)?;
         Ok(Self { address, listener, shared })
@@ -92,6 +101,45 @@
         }
     }
 
+    /// Drops what is sent on open connections and all attempts to connect, as a partition does, until
+    /// [`Proxy::heal_links`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot listen.
+    pub fn drop_packets(&self) -> io::Result<()> {
+        self.stall_all();
+        self.refuse_new();
+        // With a full queue of connections that nobody accepts, the system drops further ones.
+        SockRef::from(&self.listener).listen(0)?;
+        let mut queued = lock(&self.shared.queued);
+        while queued.len() < MAX_QUEUED {
+            match TcpStream::connect_timeout(&self.address, QUEUE_TIMEOUT) {
+                Ok(stream) => queued.push(stream),
+                Err(_) => break,
+            }
+        }
+        Ok(())
+    }
+
+    /// Refuses new connections while the open ones go on, until [`Proxy::heal_links`].
+    pub fn refuse_new(&self) {
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+    }
+
+    /// Ends [`Proxy::drop_packets`], [`Proxy::refuse_new`] and [`Proxy::close`]. Open connections go
+    /// on, with what was held up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket cannot listen.
+    pub fn heal_links(&self) -> io::Result<()> {
+        self.refuse_new();
+        lock(&self.shared.queued).clear();
+        self.shared.stalled_below.store(0, Ordering::SeqCst);
+        self.open()
+    }
+
     /// Closes all open connections and stops listening, as a process does that ends, until
     /// [`Proxy::open`].
     pub fn close(&self) {
