fix: calls of a VM that reaches no upstream are forwarded by other VMs

Cause: a VM knew no way to an upstream but its own links, and held each failed connection against that upstream alone.

Ruled out: leaving the balancer's rotation instead. Callers on open connections stay, and where a whole failure domain is cut, the balancer uses all of its VMs or none.

Change: connections that fail at two upstreams, in two failure domains if there are, with none that succeeds, make a VM suspect its own links; so do probes after 600 ms without anything from any upstream while attempts wait. It asks a few VMs for offers; a VM that upstreams serve offers to forward. The call goes there as its caller sent it, once, at a port for VMs, whose calls are not forwarded again; all decisions are taken by that VM. Without an offer the upstreams are down for all, and calls end as before.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`ledger`]: at-most-once execution of calls that must not be repeated.
 //! - [`permits`]: rate limits that upstreams name for all VMs, kept by permits.
 //! - [`plan`]: configuration changes that are planned, then confirmed by one conditional write.
+//! - [`reachability`]: whether a VM reaches the upstreams, and which VMs can forward its calls.
 //! - [`replica`]: each VM's copy of the configuration, whose version never decreases.
 //! - [`limits`]: rate and concurrency limits of a customer across all VMs.
 //! - [`membership`]: which VMs are alive, and which of them exchange heartbeats.
@@ -50,6 +51,7 @@
 pub mod permits;
 pub mod plan;
 pub mod quarantine;
+pub mod reachability;
 pub mod replica;
 pub mod store;
 pub mod transfer;
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -191,6 +191,18 @@
         /// Origin of the stream, or `None` if the sender does not know it.
         origin: Option<StreamOrigin>,
     },
+    /// Asks for an offer to forward calls, as the sender reaches no upstream.
+    ForwardRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+    },
+    /// Offers to forward calls to upstreams, which have served the sender lately.
+    ForwardOffer {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Address at which the sender takes calls of other VMs.
+        address: SocketAddr,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -269,7 +281,9 @@
             | Self::Suspects { from, .. }
             | Self::StreamOrigins { from, .. }
             | Self::OriginRequest { from, .. }
-            | Self::OriginResponse { from, .. } => from,
+            | Self::OriginResponse { from, .. }
+            | Self::ForwardRequest { from }
+            | Self::ForwardOffer { from, .. } => from,
         }
     }
 }
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -144,7 +144,9 @@
                 | PeerMessage::Suspects { .. }
                 | PeerMessage::StreamOrigins { .. }
                 | PeerMessage::OriginRequest { .. }
-                | PeerMessage::OriginResponse { .. },
+                | PeerMessage::OriginResponse { .. }
+                | PeerMessage::ForwardRequest { .. }
+                | PeerMessage::ForwardOffer { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/model/src/simulation.rs
+++ b/crates/model/src/simulation.rs
@@ -251,6 +251,7 @@
             arrived_at,
             deadline: arrived_at + traffic.deadline,
             prompt: Some(request.prompt.clone()),
+            max_attempts: self.routes[request.kind].max_attempts,
             body_bytes: traffic.body_bytes,
             software_version: None,
         }
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -369,7 +369,7 @@
         let may_repeat = tracked.call.route.kind.is_retryable() || !tracked.may_have_run;
         let reason = if !may_repeat {
             Some(ConclusionReason::MayHaveRun)
-        } else if tracked.sent_attempts() >= tracked.call.route.max_attempts
+        } else if tracked.sent_attempts() >= tracked.call.max_attempts
             || tracked.attempts >= MAX_CALL_ATTEMPTS
         {
             Some(ConclusionReason::AttemptsExhausted)
--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -30,6 +30,8 @@
     pub deadline: Instant,
     /// Prompt sizes, or `None` if the call is not for a language-model engine.
     pub prompt: Option<Prompt>,
+    /// Maximum number of attempts that reach upstreams.
+    pub max_attempts: u32,
     /// Size of the request body in bytes.
     pub body_bytes: usize,
     /// Software version that the upstream must run, as the call continues a stream that such an
--- a/crates/policy/tests/support/calls.rs
+++ b/crates/policy/tests/support/calls.rs
@@ -137,6 +137,7 @@
         arrived_at: now,
         deadline: now + 8 * TARGET,
         prompt,
+        max_attempts: 2,
         body_bytes: 1_000,
         software_version: None,
     }
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -92,6 +92,7 @@
         "retry_after_ms" => call_outcome.retry_after().map(millis),
         "upstream" => last_command.map_or("-", |it| &*it.upstream.id),
         "software_version" => last_command.map_or("-", |it| &*it.upstream.software_version),
+        "forwarded_by" => progress.forwarded_by.as_deref(),
         "resumes" => progress.resumed_request_id.as_deref(),
         "resumed_after" => progress.resumed_after,
         "attempts" => progress.attempts,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -27,6 +27,9 @@
     /// Identifier of the request that brought the first event of the stream that this call resumes.
     /// `None` if the caller names none.
     pub resumed_request_id: Option<Box<str>>,
+    /// Number of attempts that reached upstreams, as the VM states that forwards the call; 0 if none
+    /// does.
+    pub upstream_attempts: u32,
 }
 
 /// A call as it is sent to an upstream.
@@ -47,6 +50,19 @@
     pub last_event_id: Option<u64>,
 }
 
+/// What has changed of a call since its caller sent it, when it is sent to another VM.
+#[derive(Debug, Clone, Copy)]
+pub struct ForwardedCall<'a> {
+    /// Time until the call's deadline.
+    pub remaining_time: Duration,
+    /// Id of the last event that the caller has, or `None` if it has none.
+    pub last_event_id: Option<u64>,
+    /// Identifier of the request that began the stream, if the caller has a part of it.
+    pub stream_id: Option<&'a str>,
+    /// Number of attempts that reached upstreams.
+    pub upstream_attempts: u32,
+}
+
 /// Classification of an upstream's response by its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -92,6 +108,10 @@
     /// Returns the headers that the relay adds to the upstream request.
     fn outgoing_headers(&self, request: &UpstreamRequest<'_>) -> Vec<(&'static str, String)>;
 
+    /// Returns the headers that replace those of the caller when the call is sent to another VM, which
+    /// parses them with [`Dialect::parse_call`].
+    fn forwarded_headers(&self, call: &ForwardedCall<'_>) -> Vec<(&'static str, String)>;
+
     /// Classifies the head of an upstream's response to the call with request identifier `id`.
     fn classify_response(&self, head: &ResponseHead, id: Option<&str>) -> Verdict;
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,9 +1,12 @@
 //! One attempt of a call: sends the request to an upstream and relays the response.
 
 mod attempt;
+mod forward;
+mod upstream;
 
 use std::fmt::Write as _;
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,7 +18,9 @@
 use cranberryvalve_policy::scheduler::SendCommand;
 
 use self::attempt::Attempt;
+use self::attempt::Remote;
 use self::attempt::RequestWriter;
+use self::upstream::ScheduledUpstream;
 use crate::caller::CallerConnection;
 use crate::dialect::UpstreamRequest;
 use crate::dispatch::CallGuard;
@@ -159,6 +164,11 @@
         }
     }
 
+    /// Returns `true` if nothing was sent, so that no upstream can have run the call.
+    pub(crate) const fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Withdrawn | Self::Quarantined(_))
+    }
+
     /// Returns the name of the failure in logs, or `None` if the attempt did not fail.
     pub(crate) const fn failure(&self) -> Option<&'static str> {
         match (self, self.end()) {
@@ -219,10 +229,10 @@
             return AttemptOutcome::Quarantined(refusal);
         }
         let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id));
+        let remote = ScheduledUpstream { exchange: self, command, call_guard };
         let mut attempt = Attempt {
             exchange: self,
-            command,
-            call_guard,
+            remote: &remote,
             caller,
             delivery,
             connection,
@@ -238,7 +248,13 @@
                 Err(error) => return error.into(),
             }
         }
-        attempt.run()
+        let _waiting = self.relay.forwarding.track_attempt();
+        let (outcome, reusable) = attempt.run();
+        if let Some((connection, head)) = reusable {
+            let idle_connections = &self.relay.idle_connections;
+            idle_connections.put(&upstream.id, upstream.incarnation, connection, &head);
+        }
+        outcome
     }
 
     /// Returns the fingerprint of the call's content, if it is among the keys.
@@ -282,7 +298,21 @@
         caller: &CallerConnection,
     ) -> Result<Option<Connection>, AttemptError> {
         metrics::counter!("cranberryvalve_upstream_connections_total").increment(1);
-        let Ok(connection) = Connection::connect(command.upstream.address) else { return Ok(None) };
+        let connection = self.connect_to(command.upstream.address, caller)?;
+        match &connection {
+            Some(_) => self.relay.forwarding.record_connected(),
+            None => self.relay.forwarding.record_unreachable(&command.upstream),
+        }
+        Ok(connection)
+    }
+
+    /// Connects to an address. Returns `None` if it cannot be reached.
+    fn connect_to(
+        &self,
+        address: SocketAddr,
+        caller: &CallerConnection,
+    ) -> Result<Option<Connection>, AttemptError> {
+        let Ok(connection) = Connection::connect(address) else { return Ok(None) };
         let connect_deadline = (Instant::now() + CONNECT_TIMEOUT).min(self.deadline);
         loop {
             let interest = Interest {
@@ -331,6 +361,11 @@
         for (name, value) in self.relay.dialect.outgoing_headers(&request) {
             push_header(&mut head, name, &value);
         }
+        self.append_body(head)
+    }
+
+    /// Ends the head and appends the request's body.
+    fn append_body(&self, mut head: String) -> Vec<u8> {
         if !self.body.is_empty() || self.head.header("content-length").is_some() {
             push_header(&mut head, "content-length", &self.body.len().to_string());
         }
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -3,9 +3,6 @@
 use std::io;
 use std::time::Instant;
 
-use cranberryvalve_policy::scheduler::SchedulerEvent;
-use cranberryvalve_policy::scheduler::SendCommand;
-use cranberryvalve_policy::scheduler::UpstreamNotice;
 use slog::warn;
 
 use super::AttemptError;
@@ -16,7 +13,6 @@
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
 use crate::dialect::Verdict;
-use crate::dispatch::CallGuard;
 use crate::events::EventBatch;
 use crate::events::EventReader;
 use crate::memory::HeldBody;
@@ -40,11 +36,31 @@
 /// the response.
 const MAX_SKIPPED_RESPONSES: usize = 8;
 
+/// What an attempt was sent to: an upstream, or another VM that forwards the call to one.
+pub(super) trait Remote {
+    /// Returns the name in logs.
+    fn name(&self) -> &str;
+
+    /// Processes that something has arrived.
+    fn on_input(&self);
+
+    /// Processes the head of a response and classifies it.
+    fn on_response_head(&self, head: &ResponseHead) -> Verdict;
+
+    /// Processes that the first events of a stream have arrived; they are forwarded afterwards.
+    fn on_first_events(&self);
+
+    /// Processes that a stream is complete.
+    fn on_stream_end(&self, delivery: &mut Delivery);
+}
+
+/// A connection that can be used again, and the head of the last response on it.
+pub(super) type ReusableConnection = (Connection, ResponseHead);
+
 /// One request on one connection.
 pub(super) struct Attempt<'a> {
     pub(super) exchange: &'a Exchange<'a>,
-    pub(super) command: &'a SendCommand,
-    pub(super) call_guard: &'a CallGuard,
+    pub(super) remote: &'a dyn Remote,
     pub(super) caller: &'a mut CallerConnection,
     pub(super) delivery: &'a mut Delivery,
     pub(super) connection: Connection,
@@ -59,44 +75,25 @@
         self.request.write_available(&self.connection).is_ok() && self.request.sent > 0
     }
 
-    /// Sends the request and receives the response.
-    pub(super) fn run(mut self) -> AttemptOutcome {
-        let (outcome, head) = match self.receive() {
-            Ok(it) => it,
-            Err(error) => return error.into(),
-        };
-        if self.request.is_complete()
-            && let Some(head) = head
-        {
-            let upstream = &self.command.upstream;
-            let idle_connections = &self.exchange.relay.idle_connections;
-            idle_connections.put(&upstream.id, upstream.incarnation, self.connection, &head);
+    /// Sends the request and receives the response. Returns the connection if it can be reused.
+    pub(super) fn run(mut self) -> (AttemptOutcome, Option<ReusableConnection>) {
+        match self.receive() {
+            Ok((outcome, head)) => {
+                let head = head.filter(|_| self.request.is_complete());
+                (outcome, head.map(|it| (self.connection, it)))
+            }
+            Err(error) => (error.into(), None),
         }
-        outcome
     }
 
     /// Receives the response. The head is returned if the connection can be reused.
     fn receive(&mut self) -> Result<(AttemptOutcome, Option<ResponseHead>), AttemptError> {
-        let dialect = &self.exchange.relay.dialect;
         loop {
             let head = self.receive_head()?;
             let framing =
                 head.framing(&self.exchange.head.method).map_err(|_| AttemptError::Incomplete)?;
             let mut decoder = BodyDecoder::new(framing);
-            if let Some(load) = dialect.reported_load(&head) {
-                let upstream = self.command.upstream.id.clone();
-                self.notify_scheduler(SchedulerEvent::LoadReported { upstream, load });
-            }
-            let verdict = dialect.classify_response(&head, self.exchange.caller_id);
-            // A late response to another request says nothing about the present.
-            let is_response = matches!(verdict, Verdict::Match | Verdict::NotRun { .. });
-            let shows_limit_end = is_response && self.command.send_by.is_some();
-            for notice in dialect.notices(&head) {
-                if notice != UpstreamNotice::NoRateLimit || shows_limit_end {
-                    self.exchange.relay.handle_notice(&self.command.upstream, notice);
-                }
-            }
-            match verdict {
+            match self.remote.on_response_head(&head) {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
                     let is_delimited_by_close = self.relay_stream(&head, decoder)?;
                     return Ok((AttemptOutcome::Streamed { is_delimited_by_close }, Some(head)));
@@ -180,7 +177,7 @@
             let buffer = body.buffer(self.connection.input.len());
             let Some(buffer) = buffer.ok().filter(|_| is_within_limit) else {
                 warn!(self.exchange.relay.log, "response is too large";
-                    "upstream" => &*self.command.upstream.id, "received_bytes" => received_bytes);
+                    "upstream" => self.remote.name(), "received_bytes" => received_bytes);
                 return Err(AttemptError::Incomplete);
             };
             decoder
@@ -217,11 +214,7 @@
             if events.count > 0 {
                 if !is_response_started {
                     is_response_started = true;
-                    self.call_guard.response_started(self.command.attempt);
-                    if let Some(stream) = self.exchange.stream_id {
-                        self.exchange.relay.record_stream(stream, &self.command.upstream);
-                    }
-                    self.exchange.report_load(self.command);
+                    self.remote.on_first_events();
                 }
                 self.forward_events(head, &events)?;
                 self.delivery.last_event_id = reader.last_id();
@@ -267,10 +260,7 @@
     fn end_stream(&mut self, head: &ResponseHead) -> Result<(), AttemptError> {
         self.start_stream(head)?;
         self.caller.end_stream(self.exchange.deadline)?;
-        if let Some(event_gap) = self.delivery.median_gap() {
-            let upstream = self.command.upstream.id.clone();
-            self.notify_scheduler(SchedulerEvent::StreamMeasured { upstream, event_gap });
-        }
+        self.remote.on_stream_end(self.delivery);
         Ok(())
     }
 
@@ -293,11 +283,11 @@
         if !ready.upstream {
             return Ok(ReadOutcome::WouldBlock);
         }
-        self.connection.fill().map_err(|_| AttemptError::Incomplete)
-    }
-
-    fn notify_scheduler(&self, event: SchedulerEvent) {
-        self.exchange.relay.dispatcher.handle(event);
+        let outcome = self.connection.fill().map_err(|_| AttemptError::Incomplete)?;
+        if outcome == ReadOutcome::Data {
+            self.remote.on_input();
+        }
+        Ok(outcome)
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/exchange/forward.rs
@@ -0,0 +1,93 @@
+//! Sends a call to another VM, which forwards it to an upstream.
+
+use std::time::Instant;
+
+use cranberryvalve_coordination::reachability::Forwarder;
+
+use super::Attempt;
+use super::AttemptOutcome;
+use super::Delivery;
+use super::Exchange;
+use super::Remote;
+use super::RequestWriter;
+use super::end_to_end_headers;
+use super::push_header;
+use crate::caller::CallerConnection;
+use crate::dialect::ForwardedCall;
+use crate::dialect::Verdict;
+use crate::response::ResponseHead;
+
+/// A VM that forwards a call. It tells the scheduler and the other VMs what there is to tell.
+struct ForwardingVm<'a> {
+    exchange: &'a Exchange<'a>,
+    forwarder: &'a Forwarder,
+}
+
+impl Remote for ForwardingVm<'_> {
+    fn name(&self) -> &str {
+        &self.forwarder.vm
+    }
+
+    fn on_input(&self) {}
+
+    fn on_response_head(&self, head: &ResponseHead) -> Verdict {
+        self.exchange.relay.dialect.classify_response(head, self.exchange.caller_id)
+    }
+
+    fn on_first_events(&self) {}
+
+    fn on_stream_end(&self, _: &mut Delivery) {}
+}
+
+impl Exchange<'_> {
+    /// Sends the call to `forwarder`, after `upstream_attempts` that reached upstreams, and relays a
+    /// streamed response as it arrives.
+    pub(crate) fn run_forwarded(
+        &self,
+        forwarder: &Forwarder,
+        upstream_attempts: u32,
+        caller: &mut CallerConnection,
+        delivery: &mut Delivery,
+    ) -> AttemptOutcome {
+        let connection = match self.connect_to(forwarder.address, caller) {
+            Ok(Some(connection)) => connection,
+            Ok(None) => return AttemptOutcome::NotSent,
+            Err(error) => return error.into(),
+        };
+        let request = self.encode_forwarded(delivery, upstream_attempts);
+        let remote = ForwardingVm { exchange: self, forwarder };
+        let attempt = Attempt {
+            exchange: self,
+            remote: &remote,
+            caller,
+            delivery,
+            connection,
+            request: RequestWriter::new(request),
+            skipped_responses: 0,
+        };
+        attempt.run().0
+    }
+
+    /// Serializes the request as the caller sent it, but for what has changed since.
+    fn encode_forwarded(&self, delivery: &Delivery, upstream_attempts: u32) -> Vec<u8> {
+        let call = ForwardedCall {
+            remaining_time: self.deadline.saturating_duration_since(Instant::now()),
+            last_event_id: delivery.last_event_id,
+            stream_id: self.stream_id.filter(|_| delivery.last_event_id.is_some()),
+            upstream_attempts,
+        };
+        let replaced = self.relay.dialect.forwarded_headers(&call);
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target);
+        for (name, value) in end_to_end_headers(self.head.headers(), self.head.header("connection"))
+        {
+            if !replaced.iter().any(|(it, _)| *it == name) {
+                push_header(&mut head, name, value);
+            }
+        }
+        for (name, value) in &replaced {
+            push_header(&mut head, name, value);
+        }
+        push_header(&mut head, "connection", "close");
+        self.append_body(head)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exchange/upstream.rs
@@ -0,0 +1,62 @@
+//! What an attempt at an upstream tells the scheduler and the other VMs.
+
+use cranberryvalve_policy::scheduler::SchedulerEvent;
+use cranberryvalve_policy::scheduler::SendCommand;
+use cranberryvalve_policy::scheduler::UpstreamNotice;
+
+use super::Delivery;
+use super::Exchange;
+use super::attempt::Remote;
+use crate::dialect::Verdict;
+use crate::dispatch::CallGuard;
+use crate::response::ResponseHead;
+
+/// The upstream of a scheduled attempt.
+pub(super) struct ScheduledUpstream<'a> {
+    pub(super) exchange: &'a Exchange<'a>,
+    pub(super) command: &'a SendCommand,
+    pub(super) call_guard: &'a CallGuard,
+}
+
+impl Remote for ScheduledUpstream<'_> {
+    fn name(&self) -> &str {
+        &self.command.upstream.id
+    }
+
+    fn on_input(&self) {
+        self.exchange.relay.forwarding.record_served();
+    }
+
+    fn on_response_head(&self, head: &ResponseHead) -> Verdict {
+        let relay = self.exchange.relay;
+        if let Some(load) = relay.dialect.reported_load(head) {
+            let upstream = self.command.upstream.id.clone();
+            relay.dispatcher.handle(SchedulerEvent::LoadReported { upstream, load });
+        }
+        let verdict = relay.dialect.classify_response(head, self.exchange.caller_id);
+        // A late response to another request says nothing about the present.
+        let is_response = matches!(verdict, Verdict::Match | Verdict::NotRun { .. });
+        let shows_limit_end = is_response && self.command.send_by.is_some();
+        for notice in relay.dialect.notices(head) {
+            if notice != UpstreamNotice::NoRateLimit || shows_limit_end {
+                relay.handle_notice(&self.command.upstream, notice);
+            }
+        }
+        verdict
+    }
+
+    fn on_first_events(&self) {
+        self.call_guard.response_started(self.command.attempt);
+        if let Some(stream) = self.exchange.stream_id {
+            self.exchange.relay.record_stream(stream, &self.command.upstream);
+        }
+        self.exchange.report_load(self.command);
+    }
+
+    fn on_stream_end(&self, delivery: &mut Delivery) {
+        let Some(event_gap) = delivery.median_gap() else { return };
+        let upstream = self.command.upstream.id.clone();
+        let event = SchedulerEvent::StreamMeasured { upstream, event_gap };
+        self.exchange.relay.dispatcher.handle(event);
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod dispatch;
 mod events;
 mod exchange;
+mod forwarding;
 pub mod health;
 mod lifecycle;
 mod memory;
@@ -31,6 +32,7 @@
 
 pub use dialect::CallMetadata;
 pub use dialect::Dialect;
+pub use dialect::ForwardedCall;
 pub use dialect::Refusal;
 pub use dialect::UpstreamRequest;
 pub use dialect::Verdict;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,6 +8,7 @@
 //! round trip.
 
 mod directory;
+mod forwarding;
 mod gossip;
 mod link_key;
 mod origins;
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -182,6 +182,10 @@
                 Some(PeerMessage::OriginResponse { request_id, origin, .. }) => {
                     self.origin_queries.record_reply(request_id, origin);
                 }
+                Some(PeerMessage::ForwardRequest { from }) => self.handle_forward_request(&from),
+                Some(PeerMessage::ForwardOffer { from, address }) => {
+                    self.relay.forwarding.record_offer(from, address);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Some(
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of a caller's connection.
 
+mod forward;
 mod progress;
 
 use std::net::TcpStream;
@@ -50,13 +51,23 @@
 /// configuration is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Serves a caller's connection until it is closed.
-pub(crate) fn serve_connection(relay: &Arc<Relay>, stream: TcpStream) {
+/// Who sends the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// Another VM, which reaches no upstream. Its calls are not forwarded once more.
+    Vm,
+}
+
+/// Serves a connection until it is closed.
+pub(crate) fn serve_connection(relay: &Arc<Relay>, stream: TcpStream, sender: Sender) {
     let Ok(connection) = Connection::from_accepted(stream) else { return };
     // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
     let Ok(mailbox) = Mailbox::new() else { return };
     let mut handler = ConnectionHandler {
         relay,
+        sender,
         mailbox: Arc::new(mailbox),
         caller: CallerConnection::new(connection),
     };
@@ -70,6 +81,7 @@
 /// Serves the requests of one connection, one after another.
 struct ConnectionHandler<'a> {
     relay: &'a Arc<Relay>,
+    sender: Sender,
     mailbox: Arc<Mailbox>,
     caller: CallerConnection,
 }
@@ -168,6 +180,9 @@
             ..CallProgress::default()
         };
         let mut call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
+        if self.sender == Sender::Vm {
+            call.max_attempts = call.max_attempts.saturating_sub(metadata.upstream_attempts).max(1);
+        }
         let suspect_keys = suspect_keys(request, &call);
         let call_outcome = match self.relay.crash_guard.check(&suspect_keys) {
             Ok(()) => match self.constrain_continuation(&mut call, &progress) {
@@ -223,11 +238,9 @@
         progress: &mut CallProgress,
     ) -> CallOutcome {
         let deadline = call.deadline;
-        let reports_load = self.query_peer_loads(&call);
-        let mut call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
         let caller_id = progress.caller_id.clone();
         let stream_id = progress.stream_id(&context.route).map(ToOwned::to_owned);
-        let exchange = Exchange {
+        let mut exchange = Exchange {
             relay: self.relay,
             head: &request.head,
             body: &request.body,
@@ -237,15 +250,30 @@
             is_stream: context.route.kind.is_stream(),
             stream_id: stream_id.as_deref(),
             deadline,
-            reports_load,
+            reports_load: false,
             suspect_keys,
         };
+        if self.relay.forwarding.is_partitioned()
+            && let Some(call_outcome) = self.forward(&exchange, &context.route, progress)
+        {
+            return call_outcome;
+        }
+        exchange.reports_load = self.query_peer_loads(&call);
+        let mut call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
         loop {
             let call_outcome = match self.next_directive(&call_guard, deadline) {
                 Ok(Directive::Send(command)) => {
-                    self.run_attempt(&exchange, command, &mut call_guard, progress)
+                    let call_outcome =
+                        self.run_attempt(&exchange, command, &mut call_guard, progress);
+                    call_outcome.or_else(|| {
+                        let is_cut_off = progress.has_failed_to_connect_repeatedly();
+                        is_cut_off.then(|| self.forward(&exchange, &context.route, progress))?
+                    })
+                }
+                Ok(Directive::Conclude(conclusion)) => {
+                    let call_outcome = self.forward(&exchange, &context.route, progress);
+                    Some(call_outcome.unwrap_or_else(|| progress.final_outcome(&conclusion)))
                 }
-                Ok(Directive::Conclude(conclusion)) => Some(progress.final_outcome(&conclusion)),
                 Err(WaitError::CallerDisconnected) => Some(CallOutcome::CallerDisconnected),
                 Err(WaitError::DeadlineExceeded) => Some(progress.outcome_at_deadline()),
             };
@@ -401,6 +429,7 @@
         arrived_at: request.arrived_at,
         deadline: request.arrived_at + timeout,
         prompt,
+        max_attempts: route.max_attempts,
         body_bytes: request.body.len(),
         software_version: None,
         route,
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::quarantine;
+use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_policy::scheduler::Conclusion;
@@ -74,6 +75,9 @@
     }
 }
 
+/// Number of attempts that reached no upstream before other VMs are asked to forward the call.
+const MIN_UNSENT_ATTEMPTS: u32 = 2;
+
 /// State of a call across its attempts.
 #[derive(Debug, Default)]
 pub(crate) struct CallProgress {
@@ -97,6 +101,10 @@
     pub(crate) shared_parts: Vec<u64>,
     /// Upstreams that crashed under calls like this one, if it was refused for that.
     pub(crate) quarantined_for: Option<String>,
+    /// VM that forwarded the call, if this VM reached no upstream.
+    pub(crate) forwarded_by: Option<VmId>,
+    /// Number of attempts that reached no upstream.
+    pub(super) unsent_attempts: u32,
     /// Whether an upstream may have started to run the call.
     pub(super) may_have_run: bool,
     /// Last 5xx response of an upstream.
@@ -114,9 +122,22 @@
             self.failed_attempts.push(':');
             self.failed_attempts.push_str(failure);
         }
+        if outcome.is_unsent() {
+            self.unsent_attempts += 1;
+        }
         self.last_command = Some(command);
     }
 
+    /// Returns the number of attempts that reached upstreams.
+    pub(super) const fn upstream_attempts(&self) -> u32 {
+        self.attempts - self.unsent_attempts
+    }
+
+    /// Returns `true` if so many upstreams could not be reached that the fault may be this VM's.
+    pub(super) const fn has_failed_to_connect_repeatedly(&self) -> bool {
+        self.unsent_attempts >= MIN_UNSENT_ATTEMPTS
+    }
+
     /// Returns `true` if the caller has a part of the stream, which the call continues.
     pub(super) fn continues_stream(&self, route: &RouteRule) -> bool {
         self.resumed_after.is_some() && route.kind == CallKind::ResumableStream
@@ -132,6 +153,30 @@
         resumed.or(self.caller_id.as_ref()).map(|it| &**it)
     }
 
+    /// Returns the outcome of a call that another VM forwarded, or `None` if it was not sent.
+    pub(super) fn forwarded_outcome(&mut self, outcome: AttemptOutcome) -> Option<CallOutcome> {
+        match outcome {
+            AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
+            AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
+            _ if self.delivery.is_head_sent => Some(CallOutcome::Truncated),
+            AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
+            AttemptOutcome::Incomplete => {
+                self.may_have_run = true;
+                let message =
+                    "no whole answer came back through another VM, and it may have been run";
+                Some(CallOutcome::Refusal(refusal(502, None, message)))
+            }
+            AttemptOutcome::DeadlineExceeded => {
+                self.may_have_run = true;
+                Some(self.outcome_at_deadline())
+            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Withdrawn
+            | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Quarantined(_) => None,
+        }
+    }
+
     /// Returns the outcome when the scheduler makes no further attempt.
     pub(super) fn final_outcome(&mut self, conclusion: &Conclusion) -> CallOutcome {
         if self.delivery.is_head_sent {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -23,6 +23,7 @@
 
 use cranberryvalve_coordination::feed::FeedDelta;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::table::RoutingTable;
@@ -40,10 +41,12 @@
 use crate::crashes::CrashGuard;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::forwarding::Forwarding;
 use crate::memory::ResponseMemory;
 use crate::peers::Peers;
 use crate::peers::PermitCoordinator;
 use crate::peers::TableExchange;
+use crate::service::Sender;
 use crate::service::serve_connection;
 use crate::socket::Waker;
 use crate::sources::RoutingTableFeed;
@@ -80,7 +83,8 @@
     pub(crate) call_log_limiter: LogRateLimiter,
     /// Wakes the threads of idle connections when the relay closes.
     pub(crate) closing_waker: Waker,
-    listener: Mutex<Option<TcpListener>>,
+    /// Listeners for callers and for other VMs, until the relay closes.
+    listeners: Mutex<Vec<TcpListener>>,
     active_table: RwLock<Option<Arc<RoutingTable>>>,
     /// Recent routing tables, for the peers.
     pub(crate) tables: TableExchange,
@@ -93,6 +97,7 @@
     pub(crate) permits: PermitCoordinator,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) streams: Streams,
+    pub(crate) forwarding: Forwarding,
     is_draining: AtomicBool,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -109,6 +114,7 @@
         dialect: Arc<dyn Dialect>,
         log: Logger,
     ) -> io::Result<Arc<Self>> {
+        let failure_domain = settings.scheduler.failure_domain.clone().unwrap_or_default();
         let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone(), log.clone()));
         Ok(Arc::new(Self {
             response_memory: ResponseMemory::new(settings.response_memory_bytes),
@@ -118,7 +124,7 @@
             idle_connections: IdleConnections::default(),
             call_log_limiter: LogRateLimiter::new(Instant::now()),
             closing_waker: Waker::new()?,
-            listener: Mutex::default(),
+            listeners: Mutex::default(),
             active_table: RwLock::default(),
             tables: TableExchange::default(),
             peers: OnceLock::new(),
@@ -128,6 +134,7 @@
             permits: PermitCoordinator::default(),
             crash_guard: CrashGuard::new(log.clone()),
             streams: Streams::new(Instant::now()),
+            forwarding: Forwarding::new(failure_domain, Instant::now()),
             log,
             is_draining: AtomicBool::new(false),
             caller_connections: AtomicUsize::new(0),
@@ -141,12 +148,7 @@
     ///
     /// Returns an error if the address is in use or not local, or if a thread cannot be spawned.
     pub fn listen(self: &Arc<Self>, address: SocketAddr) -> io::Result<()> {
-        let listener = TcpListener::bind(address)?;
-        *self.lock_listener() = Some(listener.try_clone()?);
-        let relay = self.clone();
-        thread::Builder::new()
-            .name("accept".to_owned())
-            .spawn(move || relay.accept_loop(&listener))?;
+        self.spawn_accept_loop(address, Sender::Caller)?;
         let dispatcher = self.dispatcher.clone();
         thread::Builder::new().name("tick".to_owned()).spawn(move || dispatcher.run_ticks())?;
         let relay = self.clone();
@@ -155,9 +157,37 @@
         thread::Builder::new()
             .name("crashes".to_owned())
             .spawn(move || relay.run_crash_detection())?;
+        let relay = self.clone();
+        thread::Builder::new().name("links".to_owned()).spawn(move || relay.run_link_checks())?;
+        Ok(())
+    }
+
+    /// Binds to `address` and starts serving calls of VMs that reach no upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is in use or not local, or if a thread cannot be spawned.
+    pub fn listen_for_vms(self: &Arc<Self>, address: SocketAddr) -> io::Result<()> {
+        let address = self.spawn_accept_loop(address, Sender::Vm)?;
+        self.forwarding.set_address(address);
         Ok(())
     }
 
+    fn spawn_accept_loop(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        sender: Sender,
+    ) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        self.lock_listeners().push(listener.try_clone()?);
+        let relay = self.clone();
+        thread::Builder::new()
+            .name("accept".to_owned())
+            .spawn(move || relay.accept_loop(&listener, sender))?;
+        Ok(address)
+    }
+
     /// Decodes a row and activates its routing table if it is newer than the active one.
     pub(crate) fn apply_row(&self, feed: &dyn RoutingTableFeed, row: &Row, source: &'static str) {
         match feed.decode(row) {
@@ -211,6 +241,9 @@
         let active_ids: HashSet<UpstreamId> = active_ids.collect();
         // The coordinators of open streams have to know of a further version before it serves.
         self.observe_versions(&records);
+        let domains: HashSet<&FailureDomainId> =
+            records.iter().map(|it| &it.failure_domain).collect();
+        self.forwarding.set_upstream_domains(domains.len());
         self.dispatcher.handle(SchedulerEvent::DirectoryChanged(records));
         self.idle_connections.retain(|it| active_ids.contains(it));
     }
@@ -326,15 +359,15 @@
 
     /// Stops accepting connections and requests; those in progress continue.
     pub(crate) fn close(&self) {
-        if let Some(listener) = self.lock_listener().take() {
+        for listener in self.lock_listeners().drain(..) {
             // Wakes the accepting thread. An error means that the listener is closed already.
             let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
         }
         self.closing_waker.wake();
     }
 
-    fn lock_listener(&self) -> MutexGuard<'_, Option<TcpListener>> {
-        self.listener.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_listeners(&self) -> MutexGuard<'_, Vec<TcpListener>> {
+        self.listeners.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Counts a request as active until the guard is dropped.
@@ -342,24 +375,24 @@
         CountGuard::new(&self.active_requests)
     }
 
-    fn accept_loop(self: &Arc<Self>, listener: &TcpListener) {
+    fn accept_loop(self: &Arc<Self>, listener: &TcpListener, sender: Sender) {
         loop {
             match listener.accept() {
-                Ok((stream, _)) => self.spawn_handler(stream),
-                Err(_) if self.lock_listener().is_none() => return,
+                Ok((stream, _)) => self.spawn_handler(stream, sender),
+                Err(_) if self.lock_listeners().is_empty() => return,
                 Err(_) => thread::sleep(ACCEPT_RETRY_DELAY),
             }
         }
     }
 
-    fn spawn_handler(self: &Arc<Self>, stream: TcpStream) {
+    fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
         let relay = self.clone();
         let builder =
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
         let _ = builder.spawn(move || {
             let _count = CountGuard::new(&relay.caller_connections);
-            serve_connection(&relay, stream);
+            serve_connection(&relay, stream, sender);
         });
     }
 }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -50,6 +51,8 @@
     refusing: AtomicBool,
     delay_ms: AtomicU64,
     connections: Mutex<Vec<(TcpStream, TcpStream)>>,
+    /// Thread that accepts connections.
+    acceptor: Mutex<Option<JoinHandle<()>>>,
     /// Connections that fill the queue of those that wait to be accepted.
     queued: Mutex<Vec<TcpStream>>,
 }
@@ -70,6 +73,7 @@
             refusing: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
             connections: Mutex::default(),
+            acceptor: Mutex::default(),
             queued: Mutex::default(),
         });
         shared.accept_from(&listener)?;
@@ -124,7 +128,14 @@
 
     /// Refuses new connections while the open ones go on, until [`Proxy::heal_links`].
     pub fn refuse_new(&self) {
-        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        // A socket that is shut down twice passes that on to the connections that it accepts later.
+        if self.is_open() {
+            let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+            // The thread would go on if the socket listened again before it noticed.
+            if let Some(acceptor) = lock(&self.shared.acceptor).take() {
+                let _ = acceptor.join();
+            }
+        }
     }
 
     /// Ends [`Proxy::drop_packets`], [`Proxy::refuse_new`] and [`Proxy::close`]. Open connections go
@@ -143,7 +154,7 @@
     /// Closes all open connections and stops listening, as a process does that ends, until
     /// [`Proxy::open`].
     pub fn close(&self) {
-        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
+        self.refuse_new();
         self.cut();
     }
 
@@ -190,11 +201,12 @@
     /// Starts a thread that accepts connections until the listener is shut down.
     fn accept_from(self: &Arc<Self>, listener: &TcpListener) -> io::Result<()> {
         let (shared, listener) = (self.clone(), listener.try_clone()?);
-        thread::spawn(move || {
+        let acceptor = thread::spawn(move || {
             while let Ok((caller, _)) = listener.accept() {
                 shared.connect(caller);
             }
         });
+        *lock(&self.acceptor) = Some(acceptor);
         Ok(())
     }
 
