fix: refused connections behind a cut are no evidence of crashes

Cause: a refused probe was taken for the end of the upstream's process, whatever became of the others. Now the VM probes upstreams that did not break off as well; if none accepts and another VM is served by upstreams, the evidence is dropped.

Evidence: a_partitioned_vm_reports_no_crashes failed and passes; crashing_work still passes.

--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! When an upstream breaks off a response, its address is probed: if it refuses connections, its
 //! process has ended. An upstream that broke off for another reason still accepts them, and one
-//! behind a cut link does not answer, so neither counts as crashed.
+//! behind a cut link does not answer, so neither counts as crashed. Behind a cut in which connections
+//! are refused no other upstream accepts them either, while other VMs are served.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -206,12 +207,37 @@
                 }
             }
             retain_crashed(&mut by_start);
+            if by_start.is_empty() || self.is_cut_off(&by_start) {
+                continue;
+            }
             for (start, interruptions) in by_start {
                 self.record_crash(&start, &interruptions);
             }
         }
     }
 
+    /// Returns `true` if it is this VM that is cut off from the upstreams: it reaches no other one
+    /// either, and another VM is served by upstreams.
+    fn is_cut_off(&self, refusing: &HashMap<UpstreamStart, Vec<Interruption>>) -> bool {
+        let is_refusing =
+            |it: &UpstreamRecord| refusing.keys().any(|start| start.upstream == it.id);
+        let directory = self.dispatcher.directory();
+        let (refusing, others): (Vec<UpstreamRecord>, Vec<UpstreamRecord>) =
+            directory.into_iter().partition(is_refusing);
+        if self.probe(&self.forwarding.next_probed(&others)) {
+            return false;
+        }
+        refusing.iter().for_each(|it| self.forwarding.record_unreachable(it));
+        let Some(peers) = self.peers() else { return false };
+        peers.request_forwarding();
+        let is_cut_off = !self.forwarding.forwarders().is_empty();
+        if is_cut_off {
+            info!(self.log, "upstreams refuse connections to this VM only";
+                "refusing" => refusing.len());
+        }
+        is_cut_off
+    }
+
     /// Returns `true` if the directory lists this start of the upstream, and not as leaving.
     fn is_in_service(&self, start: &UpstreamStart) -> bool {
         let listed = self.dispatcher.upstream(&start.upstream);
