fix: calls are forwarded within the retry budget, and if there is only one upstream

Two findings of new tests: a VM in a deployment with a single upstream never suspected its links, as it waited for a second one to fail, and a call that the retry budget ended was forwarded all the same, which is a repeat like any other. workers_see_no_header_of_the_vms failed for the first; the second was seen by reading, after a_stream_continues_through_another_vm_when_the_links_fail had failed for its own empty retry budget. Further tests: a stream goes on through another VM when the links fail, a forwarding VM is killed, a caller that leaves ends forwarded work, and calls end at once when the upstreams are down for all.

--- a/crates/coordination/src/reachability.rs
+++ b/crates/coordination/src/reachability.rs
@@ -15,7 +15,8 @@
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::VmId;
 
-/// Number of upstreams that must be unreachable before the VM suspects its own links.
+/// Number of upstreams, and of failure domains, that must be unreachable before the VM suspects its
+/// own links, if there are so many.
 const MIN_UNREACHABLE: usize = 2;
 
 /// Time for which a failed connection attempt counts. A VM that has no calls makes none.
@@ -38,21 +39,31 @@
     pub failure_domain: FailureDomainId,
 }
 
+/// How many upstreams there are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamCount {
+    /// Number of upstreams.
+    pub total: usize,
+    /// Number of failure domains that have upstreams.
+    pub failure_domains: usize,
+}
+
 /// One VM's view of its links to the upstreams.
 ///
 /// ```
 /// use std::time::Instant;
 ///
 /// use cranberryvalve_coordination::reachability::Reachability;
+/// use cranberryvalve_coordination::reachability::UpstreamCount;
 ///
-/// let now = Instant::now();
+/// let (now, count) = (Instant::now(), UpstreamCount { total: 4, failure_domains: 2 });
 /// let mut reachability = Reachability::new("near".into());
 /// reachability.record_unreachable(now, "engine-1".into(), "near".into());
-/// assert!(!reachability.is_suspect(now, 2));
+/// assert!(!reachability.is_suspect(now, count));
 /// reachability.record_unreachable(now, "engine-2".into(), "far".into());
-/// assert!(reachability.is_suspect(now, 2));
+/// assert!(reachability.is_suspect(now, count));
 /// reachability.record_connected();
-/// assert!(!reachability.is_suspect(now, 2));
+/// assert!(!reachability.is_suspect(now, count));
 /// ```
 #[derive(Debug)]
 pub struct Reachability {
@@ -101,13 +112,15 @@
         self.offers.insert(forwarder.vm.clone(), (forwarder, now));
     }
 
-    /// Returns `true` if this VM suspects its own links. `upstream_domains` is the number of failure
-    /// domains that have upstreams.
-    pub fn is_suspect(&self, now: Instant, upstream_domains: usize) -> bool {
+    /// Returns `true` if this VM suspects its own links, given how many upstreams there are.
+    pub fn is_suspect(&self, now: Instant, upstreams: UpstreamCount) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < FAILURE_MEMORY;
         let recent = self.unreachable.values().filter(|(_, at)| is_recent(*at));
         let domains: BTreeSet<&FailureDomainId> = recent.clone().map(|(it, _)| it).collect();
-        recent.count() >= MIN_UNREACHABLE && domains.len() >= upstream_domains.min(2)
+        let needed = MIN_UNREACHABLE.min(upstreams.total);
+        needed > 0
+            && recent.count() >= needed
+            && domains.len() >= MIN_UNREACHABLE.min(upstreams.failure_domains)
     }
 
     /// Returns `true` if an upstream has sent this VM something lately.
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -3,6 +3,7 @@
 //! A thread notices that this VM may be partitioned from the upstreams, asks other VMs for offers to
 //! forward its calls, and finds out when the links are back.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -14,6 +15,7 @@
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::reachability::Forwarder;
 use cranberryvalve_coordination::reachability::Reachability;
+use cranberryvalve_coordination::reachability::UpstreamCount;
 use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::info;
@@ -53,8 +55,7 @@
 #[derive(Debug)]
 struct State {
     reachability: Reachability,
-    /// Number of failure domains that have upstreams.
-    upstream_domains: usize,
+    upstreams: UpstreamCount,
     /// Attempts that wait for a response, and since when nothing has come from any upstream.
     waiting_attempts: usize,
     silent_since: Instant,
@@ -71,7 +72,7 @@
     pub(crate) fn new(failure_domain: FailureDomainId, now: Instant) -> Self {
         let state = State {
             reachability: Reachability::new(failure_domain),
-            upstream_domains: 0,
+            upstreams: UpstreamCount::default(),
             waiting_attempts: 0,
             silent_since: now,
             is_suspect: false,
@@ -90,8 +91,12 @@
         self.lock().address = Some(address);
     }
 
-    pub(crate) fn set_upstream_domains(&self, count: usize) {
-        self.lock().upstream_domains = count;
+    /// Records the upstreams of a new directory.
+    pub(crate) fn observe_upstreams(&self, upstreams: &[UpstreamRecord]) {
+        let domains: HashSet<&FailureDomainId> =
+            upstreams.iter().map(|it| &it.failure_domain).collect();
+        self.lock().upstreams =
+            UpstreamCount { total: upstreams.len(), failure_domains: domains.len() };
     }
 
     /// Counts an attempt that waits for a response, until the guard is dropped.
@@ -180,7 +185,7 @@
 
 impl State {
     fn is_suspect(&self) -> bool {
-        self.reachability.is_suspect(Instant::now(), self.upstream_domains)
+        self.reachability.is_suspect(Instant::now(), self.upstreams)
     }
 
     fn is_silent(&self) -> bool {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -20,6 +20,7 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::AttemptEnd;
 use cranberryvalve_policy::scheduler::Call;
+use cranberryvalve_policy::scheduler::ConclusionReason;
 use cranberryvalve_policy::scheduler::Prompt;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
@@ -271,7 +272,10 @@
                     })
                 }
                 Ok(Directive::Conclude(conclusion)) => {
-                    let call_outcome = self.forward(&exchange, &context.route, progress);
+                    let may_forward = conclusion.reason != ConclusionReason::RetryBudgetExhausted;
+                    let call_outcome = may_forward
+                        .then(|| self.forward(&exchange, &context.route, progress))
+                        .flatten();
                     Some(call_outcome.unwrap_or_else(|| progress.final_outcome(&conclusion)))
                 }
                 Err(WaitError::CallerDisconnected) => Some(CallOutcome::CallerDisconnected),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -23,7 +23,6 @@
 
 use cranberryvalve_coordination::feed::FeedDelta;
 use cranberryvalve_core::Departure;
-use cranberryvalve_core::FailureDomainId;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::table::RoutingTable;
@@ -241,9 +240,7 @@
         let active_ids: HashSet<UpstreamId> = active_ids.collect();
         // The coordinators of open streams have to know of a further version before it serves.
         self.observe_versions(&records);
-        let domains: HashSet<&FailureDomainId> =
-            records.iter().map(|it| &it.failure_domain).collect();
-        self.forwarding.set_upstream_domains(domains.len());
+        self.forwarding.observe_upstreams(&records);
         self.dispatcher.handle(SchedulerEvent::DirectoryChanged(records));
         self.idle_connections.retain(|it| active_ids.contains(it));
     }
