perf: a call asks for a forwarding VM once, and not while the links turn out to work

A call whose attempts did not connect asked up to six times, 150 ms each, when no other VM offers to forward; and it waited for an offer although a probe had shown meanwhile that the links work. Found by reading; the tests of partitioned_vms and crashing_work pass as before.

--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -49,7 +49,8 @@
     state: Mutex<State>,
     /// Signalled when the checking thread has something to do.
     checks_needed: Condvar,
-    offer_received: Condvar,
+    /// Signalled when another VM offers to forward calls, or the links work after all.
+    suspicion_changed: Condvar,
 }
 
 #[derive(Debug)]
@@ -83,7 +84,7 @@
         Self {
             state: Mutex::new(state),
             checks_needed: Condvar::new(),
-            offer_received: Condvar::new(),
+            suspicion_changed: Condvar::new(),
         }
     }
 
@@ -119,7 +120,13 @@
 
     /// Records that a new connection to an upstream was established.
     pub(crate) fn record_connected(&self) {
-        self.lock().reachability.record_connected();
+        let mut state = self.lock();
+        let was_suspect = state.is_suspect();
+        state.reachability.record_connected();
+        drop(state);
+        if was_suspect {
+            self.suspicion_changed.notify_all();
+        }
     }
 
     /// Records that no connection to an upstream could be established.
@@ -137,7 +144,12 @@
         let PeerAddress { vm, failure_domain, .. } = from;
         let forwarder = Forwarder { vm, address, failure_domain };
         self.lock().reachability.record_offer(Instant::now(), forwarder);
-        self.offer_received.notify_all();
+        self.suspicion_changed.notify_all();
+    }
+
+    /// Returns `true` if this VM suspects its links to the upstreams.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.lock().is_suspect()
     }
 
     /// Returns `true` if this VM suspects its links to the upstreams, and another one can forward its
@@ -150,13 +162,14 @@
     /// Returns the VMs that forward calls, in the order in which they are tried; waits for a first
     /// offer if this VM suspects its links.
     pub(crate) fn forwarders(&self) -> Vec<Forwarder> {
-        let state = self.lock();
+        let lacks_offer =
+            |it: &mut State| it.is_suspect() && !it.reachability.has_forwarder(Instant::now());
+        let waited =
+            self.suspicion_changed.wait_timeout_while(self.lock(), OFFER_TIMEOUT, lacks_offer);
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
         if !state.is_suspect() {
             return Vec::new();
         }
-        let lacks_offer = |it: &mut State| !it.reachability.has_forwarder(Instant::now());
-        let waited = self.offer_received.wait_timeout_while(state, OFFER_TIMEOUT, lacks_offer);
-        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
         state.reachability.next_forwarders(Instant::now())
     }
 
--- a/crates/relay/src/service/forward.rs
+++ b/crates/relay/src/service/forward.rs
@@ -26,10 +26,12 @@
     ) -> Option<CallOutcome> {
         let may_repeat = route.kind.is_retryable() || !progress.may_have_run;
         let has_attempts = progress.upstream_attempts() < route.max_attempts;
-        if self.sender == Sender::Vm || !may_repeat || !has_attempts {
+        let is_hopeless = self.sender == Sender::Vm || progress.lacks_forwarders;
+        if is_hopeless || !may_repeat || !has_attempts {
             return None;
         }
         let forwarders = self.relay.forwarding.forwarders();
+        progress.lacks_forwarders = forwarders.is_empty() && self.relay.forwarding.is_suspect();
         let mut call_outcome = None;
         for forwarder in forwarders.iter().take(MAX_FORWARDERS) {
             progress.forwarded_by = Some(forwarder.vm.clone());
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -103,6 +103,8 @@
     pub(crate) quarantined_for: Option<String>,
     /// VM that forwarded the call, if this VM reached no upstream.
     pub(crate) forwarded_by: Option<VmId>,
+    /// Whether no other VM offered to forward the call when it asked.
+    pub(super) lacks_forwarders: bool,
     /// Number of attempts that reached no upstream.
     pub(super) unsent_attempts: u32,
     /// Whether an upstream may have started to run the call.
