fix: brittle upstreams are left alone by all VMs once they are full

Upstreams that say that they fail under more than N refusals a second for want of room went on getting requests from every VM, each of which knew its own refusals only. Cause: the header was read by nobody. Now a refusal pauses the upstream on all VMs for 2/N seconds, and each VM's share of it halves with a refusal and grows by a tenth with each request that is served. Crashes of brittle upstreams are no evidence against calls.

Not simulated for 340 VMs; inert where no upstream says that it is brittle.

--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -12,6 +12,7 @@
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamPace;
+use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::VmId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -203,6 +204,13 @@
         /// Address at which the sender takes calls of other VMs.
         address: SocketAddr,
     },
+    /// Refusals of upstreams that fail under too many of them.
+    Refusals {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The refusals, which the sender saw itself.
+        refusals: Vec<UpstreamRefusal>,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -283,7 +291,8 @@
             | Self::OriginRequest { from, .. }
             | Self::OriginResponse { from, .. }
             | Self::ForwardRequest { from }
-            | Self::ForwardOffer { from, .. } => from,
+            | Self::ForwardOffer { from, .. }
+            | Self::Refusals { from, .. } => from,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 mod permit;
 mod position;
 mod pressure;
+mod refusal;
 mod suspect;
 pub mod table;
 
@@ -78,6 +79,7 @@
 pub use position::StorePosition;
 pub use pressure::PressureDigest;
 pub use pressure::PressureEntry;
+pub use refusal::UpstreamRefusal;
 pub use suspect::PartId;
 pub use suspect::SuspectKey;
 pub use suspect::UpstreamStart;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -146,7 +146,8 @@
                 | PeerMessage::OriginRequest { .. }
                 | PeerMessage::OriginResponse { .. }
                 | PeerMessage::ForwardRequest { .. }
-                | PeerMessage::ForwardOffer { .. },
+                | PeerMessage::ForwardOffer { .. }
+                | PeerMessage::Refusals { .. },
             ) => {}
             None => {
                 metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -10,6 +10,7 @@
 //! [`Router`]: crate::Router
 
 mod availability;
+mod brittleness;
 mod budget;
 mod call;
 mod decode_pace;
@@ -43,6 +44,7 @@
 use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::table::RoutingTable;
 
 pub use availability::UpstreamNotice;
@@ -133,6 +135,8 @@
     has_rate_limits: bool,
     /// Requests for permits that still have to be sent.
     permit_requests: Vec<PermitRequest>,
+    /// Refusals of brittle upstreams that still have to be told to the other VMs.
+    unsent_refusals: Vec<UpstreamRefusal>,
 }
 
 /// A call from its arrival until its response is complete or it is concluded or cancelled.
@@ -166,6 +170,7 @@
             departures: Departures::default(),
             has_rate_limits: false,
             permit_requests: Vec::new(),
+            unsent_refusals: Vec::new(),
         }
     }
 
@@ -205,6 +210,9 @@
                     self.on_departure(now, departure, NoticeSource::Peer, &mut actions);
                 }
             }
+            SchedulerEvent::PeerRefusals(refusals) => {
+                refusals.iter().for_each(|it| self.on_peer_refusal(now, it));
+            }
             SchedulerEvent::AttemptEnded { id, attempt, end } => {
                 self.on_attempt_ended(now, id, attempt, end, &mut actions);
             }
@@ -322,8 +330,12 @@
         };
         let pool = tracked.call.pool.clone();
         tracked.may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Interrupted);
-        if let Some(upstream) = tracked.sent_to.take().and_then(|it| self.upstreams.get_mut(&it)) {
+        let sent_to = tracked.sent_to.take();
+        if let Some(upstream) = sent_to.as_ref().and_then(|it| self.upstreams.get_mut(it)) {
             upstream.remove_attempt(id);
+            if end == AttemptEnd::Complete {
+                upstream.record_room();
+            }
             let accepted_work = upstream.accepts_work(now);
             record_health(now, upstream, end);
             let takes_work = upstream.accepts_work(now);
@@ -336,6 +348,9 @@
                 }));
             }
         }
+        if let (AttemptEnd::Refused { misdirected: false }, Some(upstream)) = (end, &sent_to) {
+            self.on_refused(now, upstream);
+        }
         match end {
             AttemptEnd::Complete | AttemptEnd::Abandoned => {
                 self.calls.remove(&id);
--- a/crates/policy/src/scheduler/availability.rs
+++ b/crates/policy/src/scheduler/availability.rs
@@ -11,6 +11,7 @@
 use super::NoticeSource;
 use super::Scheduler;
 use super::SchedulerAction;
+use super::brittleness::Brittleness;
 
 /// Longest pause that an upstream may ask for. A longer one is cut to this time, so that a
 /// malformed response does not take an upstream out of service for good.
@@ -29,6 +30,9 @@
     Pause(Duration),
     /// The upstream takes this number of requests a second from all VMs together.
     RateLimit(f64),
+    /// The upstream fails if it has to refuse more than this number of requests a second, of all VMs
+    /// together, for want of room.
+    Brittle(u32),
     /// The upstream names no rate limit. It is no news unless it named one before.
     NoRateLimit,
 }
@@ -158,6 +162,12 @@
                 let upstream = upstream.clone();
                 actions.push(SchedulerAction::PauseStarted { upstream, requested, pause });
             }
+            UpstreamNotice::Brittle(max_refusals_per_s) => {
+                let known = self.upstreams.get_mut(upstream);
+                if let Some(known) = known.filter(|it| it.record.incarnation == incarnation) {
+                    known.brittleness = Some(Brittleness { max_refusals_per_s, said_at: now });
+                }
+            }
             UpstreamNotice::RateLimit(limit_per_s) => {
                 self.on_rate_limit(now, upstream, incarnation, Some(limit_per_s), actions);
             }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -10,6 +10,7 @@
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamPace;
+use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::VmId;
 
 use super::Call;
@@ -65,6 +66,8 @@
     },
     /// Another VM told that upstreams are leaving.
     PeerDepartures(Vec<Departure>),
+    /// Other VMs told that brittle upstreams refused requests for want of room.
+    PeerRefusals(Vec<UpstreamRefusal>),
     /// An attempt ended.
     AttemptEnded {
         /// Call that the attempt belongs to.
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -82,6 +82,9 @@
     /// Maximum number of requests that this VM may have in flight at one upstream, so that the VMs
     /// together stay within the upstream's connection limit.
     pub(super) max_own_in_flight: u32,
+    /// Number of VMs that share upstreams which fail under refusals, or `None` if those of the pool do
+    /// not.
+    pub(super) brittle_vm_count: Option<u32>,
     /// Fraction of the pool's capacity that is reserved for long prompts.
     pub(super) long_share: f64,
     /// Ratio of the observed to the estimated prefill time.
@@ -306,14 +309,17 @@
             call.body_bytes as f64 / 1_000.0 * CROSS_DOMAIN_COST_MS_PER_KB + 2.0
         };
         let in_flight = upstream.in_flight(context.now);
-        let has_free_connection = upstream.own_in_flight() < context.max_own_in_flight;
+        let has_free_connection = upstream.own_in_flight() < context.max_own_in_flight
+            && context.brittle_vm_count.is_none_or(|it| upstream.has_brittle_room(it));
         let Some(prompt) = call.prompt.as_ref().filter(|_| upstream.is_engine) else {
             let load = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
+            let is_brittle = context.brittle_vm_count.is_some();
+            let requests_per_slot = if is_brittle { 1 } else { SERVICE_REQUESTS_PER_SLOT };
             return Self {
                 upstream,
                 is_preferred: true,
                 has_room: has_free_connection
-                    && in_flight < upstream.record.slots * SERVICE_REQUESTS_PER_SLOT,
+                    && in_flight < upstream.record.slots * requests_per_slot,
                 has_overflow_room: false,
                 cost_ms: load * load * SERVICE_FULL_DELAY_MS + network_ms,
                 backlog: Duration::ZERO,
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -25,6 +25,7 @@
 use super::Prediction;
 use super::ReportedLoad;
 use super::availability::Pause;
+use super::brittleness::Brittleness;
 use super::decode_pace::DecodePace;
 use super::prefix_cache::PrefixCache;
 use super::rate_limit::RateLimit;
@@ -82,6 +83,11 @@
     /// Time during which the upstream asked for no requests.
     pub(super) pause: Pause,
     pub(super) rate_limit: RateLimit,
+    /// What the upstream last said of its brittleness.
+    pub(super) brittleness: Option<Brittleness>,
+    /// Number of requests that this VM may have in flight there while the upstream is brittle; `None`
+    /// before its first refusal.
+    pub(super) brittle_share: Option<f64>,
     pub(super) circuit: CircuitBreaker,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
@@ -118,6 +124,8 @@
             is_gone: false,
             pause: Pause::default(),
             rate_limit: RateLimit::default(),
+            brittleness: None,
+            brittle_share: None,
             circuit: CircuitBreaker::new(),
             cache: PrefixCache::default(),
             is_engine: false,
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -238,10 +238,15 @@
         is_cut_off
     }
 
-    /// Returns `true` if the directory lists this start of the upstream, and not as leaving.
+    /// Returns `true` if the directory lists this start of the upstream, and not as leaving, and the
+    /// upstream does not fail for want of room.
     fn is_in_service(&self, start: &UpstreamStart) -> bool {
         let listed = self.dispatcher.upstream(&start.upstream);
-        listed.is_some_and(|it| it.incarnation == start.incarnation && !it.is_leaving)
+        listed.is_some_and(|it| {
+            it.incarnation == start.incarnation
+                && !it.is_leaving
+                && !self.dispatcher.is_brittle(&it.pool)
+        })
     }
 
     fn record_crash(&self, start: &UpstreamStart, interruptions: &[Interruption]) {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -17,6 +17,7 @@
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamPace;
+use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::AttemptEnd;
@@ -184,6 +185,16 @@
         self.lock().scheduler.take_departures()
     }
 
+    /// Takes the refusals of brittle upstreams that still have to be sent to the other VMs.
+    pub(crate) fn take_refusals(&self) -> Vec<UpstreamRefusal> {
+        self.lock().scheduler.take_refusals()
+    }
+
+    /// Returns `true` if the upstreams of a pool fail under too many refusals.
+    pub(crate) fn is_brittle(&self, pool: &str) -> bool {
+        self.lock().scheduler.is_brittle(Instant::now(), pool)
+    }
+
     /// Returns all known departures of upstreams.
     pub(crate) fn departures(&self) -> Vec<Departure> {
         self.lock().scheduler.departures()
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -37,8 +37,10 @@
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::UpstreamLoad;
+use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::VmId;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
+use rand::seq::SliceRandom;
 use slog::info;
 use slog::warn;
 
@@ -64,6 +66,9 @@
 /// 340 VMs every half second.
 const MAX_PACES_PER_MESSAGE: usize = 24;
 
+/// Maximum number of VMs that are told of a refusal.
+const MAX_REFUSAL_RECEIVERS: usize = 64;
+
 /// Settings for joining the peers.
 #[derive(Debug, Clone)]
 pub struct PeerSettings {
@@ -214,6 +219,17 @@
         self.send_to_neighbours(&PeerMessage::Suspects { from, suspects: suspects.to_vec() });
     }
 
+    /// Tells the other VMs of refusals: all of them in a small deployment, a random part in a large
+    /// one, where each VM seldom sends to the same upstream.
+    pub(crate) fn send_refusals(&self, refusals: Vec<UpstreamRefusal>) {
+        let from = self.own_address();
+        let mut receivers = self.membership().alive_addresses();
+        receivers.retain(|it| it.vm != from.vm);
+        receivers.shuffle(&mut rand::rng());
+        receivers.truncate(MAX_REFUSAL_RECEIVERS);
+        self.links.broadcast(&receivers, &PeerMessage::Refusals { from, refusals });
+    }
+
     fn send_to_neighbours(&self, message: &PeerMessage) {
         let neighbours = self.membership().neighbours();
         neighbours.iter().for_each(|it| {
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -182,6 +182,9 @@
                 Some(PeerMessage::OriginResponse { request_id, origin, .. }) => {
                     self.origin_queries.record_reply(request_id, origin);
                 }
+                Some(PeerMessage::Refusals { refusals, .. }) => {
+                    self.relay.dispatcher.handle(SchedulerEvent::PeerRefusals(refusals));
+                }
                 Some(PeerMessage::ForwardRequest { from }) => self.handle_forward_request(&from),
                 Some(PeerMessage::ForwardOffer { from, address }) => {
                     self.relay.forwarding.record_offer(from, address);
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -384,6 +384,9 @@
             }
         };
         call_guard.attempt_ended(attempt, end);
+        if matches!(end, AttemptEnd::Refused { .. }) {
+            self.relay.forward_refusals();
+        }
         call_outcome
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -275,6 +275,16 @@
         }
     }
 
+    /// Tells the other VMs of upstreams that had no room for requests of this VM, and fail under too
+    /// many refusals.
+    pub(crate) fn forward_refusals(&self) {
+        let refusals = self.dispatcher.take_refusals();
+        if let Some(peers) = self.peers().filter(|_| !refusals.is_empty()) {
+            metrics::counter!("cranberryvalve_brittle_refusals_total").increment(1);
+            peers.send_refusals(refusals);
+        }
+    }
+
     /// Records that the store was restored from a copy and is in this era.
     pub(crate) fn record_store_era(&self, era: StoreEra) {
         let previous = self.store_era.fetch_max(era, Ordering::SeqCst);
