--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -60,7 +60,8 @@
     /// Attempts that wait for a response, and since when nothing has come from any upstream.
     waiting_attempts: usize,
     silent_since: Instant,
-    is_suspect: bool,
+    /// Whether the log has that this VM reaches no upstream.
+    is_suspicion_logged: bool,
     /// VMs that wait for an offer until a probe shows that this VM reaches upstreams.
     requesters: Vec<PeerAddress>,
     /// Number of the next upstream to be probed.
@@ -76,7 +77,7 @@
             upstreams: UpstreamCount::default(),
             waiting_attempts: 0,
             silent_since: now,
-            is_suspect: false,
+            is_suspicion_logged: false,
             requesters: Vec::new(),
             next_probe: 0,
             address: None,
@@ -206,7 +207,10 @@
     }
 
     fn needs_check(&self) -> bool {
-        self.is_suspect || self.is_suspect() || self.is_silent() || !self.requesters.is_empty()
+        self.is_suspicion_logged
+            || self.is_suspect()
+            || self.is_silent()
+            || !self.requesters.is_empty()
     }
 
     /// Returns the upstreams to be probed next, in different failure domains as far as possible.
@@ -258,7 +262,7 @@
             let mut state = self.forwarding.lock();
             state.silent_since = state.silent_since.max(started_at);
             let is_suspect = state.is_suspect();
-            let was_suspect = std::mem::replace(&mut state.is_suspect, is_suspect);
+            let was_suspect = std::mem::replace(&mut state.is_suspicion_logged, is_suspect);
             (is_suspect, was_suspect, std::mem::take(&mut state.requesters))
         };
         if is_suspect != was_suspect {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -260,23 +260,36 @@
             return call_outcome;
         }
         exchange.reports_load = self.query_peer_loads(&call);
-        let mut call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
+        let call_guard = self.relay.dispatcher.admit(call, &self.mailbox);
+        self.follow_directives(&exchange, &context.route, call_guard, progress)
+    }
+
+    /// Follows the scheduler's directives for a call until it has an outcome. Another VM forwards the
+    /// call if this one turns out to reach no upstream.
+    fn follow_directives(
+        &mut self,
+        exchange: &Exchange<'_>,
+        route: &RouteRule,
+        mut call_guard: CallGuard,
+        progress: &mut CallProgress,
+    ) -> CallOutcome {
         loop {
-            let call_outcome = match self.next_directive(&call_guard, deadline) {
+            let call_outcome = match self.next_directive(&call_guard, exchange.deadline) {
                 Ok(Directive::Send(command)) => {
                     let call_outcome =
-                        self.run_attempt(&exchange, command, &mut call_guard, progress);
-                    call_outcome.or_else(|| {
-                        let is_cut_off = progress.has_failed_to_connect_repeatedly();
-                        is_cut_off.then(|| self.forward(&exchange, &context.route, progress))?
-                    })
+                        self.run_attempt(exchange, command, &mut call_guard, progress);
+                    if call_outcome.is_none() && progress.has_failed_to_connect_repeatedly() {
+                        self.forward(exchange, route, progress)
+                    } else {
+                        call_outcome
+                    }
                 }
                 Ok(Directive::Conclude(conclusion)) => {
+                    // Forwarding would be a repeat like any other.
                     let may_forward = conclusion.reason != ConclusionReason::RetryBudgetExhausted;
-                    let call_outcome = may_forward
-                        .then(|| self.forward(&exchange, &context.route, progress))
-                        .flatten();
-                    Some(call_outcome.unwrap_or_else(|| progress.final_outcome(&conclusion)))
+                    let forwarded =
+                        may_forward.then(|| self.forward(exchange, route, progress)).flatten();
+                    Some(forwarded.unwrap_or_else(|| progress.final_outcome(&conclusion)))
                 }
                 Err(WaitError::CallerDisconnected) => Some(CallOutcome::CallerDisconnected),
                 Err(WaitError::DeadlineExceeded) => Some(progress.outcome_at_deadline()),
