fix: streams of a route with several pools are taken up at their pool

A caller that took up a stream of a split route got 503 while a single version served, as origins were sent to the coordinators for mixed versions only and an unknown pool was refused.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -67,6 +67,8 @@
     pub(crate) is_stream: bool,
     /// Identifier of the request that began the stream, if its caller may resume it.
     pub(crate) stream_id: Option<&'a str>,
+    /// Whether the route leads to several pools.
+    pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -48,7 +48,8 @@
     fn on_first_events(&self) {
         self.call_guard.response_started(self.command.attempt);
         if let Some(stream) = self.exchange.stream_id {
-            self.exchange.relay.record_stream(stream, &self.command.upstream);
+            let is_split = self.exchange.is_route_split;
+            self.exchange.relay.record_stream(stream, &self.command.upstream, is_split);
         }
         self.exchange.report_load(self.command);
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -250,6 +250,7 @@
             tier: context.tier,
             is_stream: context.route.kind.is_stream(),
             stream_id: stream_id.as_deref(),
+            is_route_split: context.route.pools.len() > 1,
             deadline,
             reports_load: false,
             suspect_keys,
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -157,13 +157,21 @@
 
     /// Records that an upstream generated the first event of a call that begins or continues the
     /// stream of request `request_id`. Called before the event leaves.
-    pub(crate) fn record_stream(&self, request_id: &str, upstream: &UpstreamRecord) {
+    ///
+    /// Where the route leads to several pools (`is_split`), its coordinators have to know the pool even
+    /// if there is one version only.
+    pub(crate) fn record_stream(
+        &self,
+        request_id: &str,
+        upstream: &UpstreamRecord,
+        is_split: bool,
+    ) {
         let origin = StreamOrigin {
             pool: upstream.pool.clone(),
             software_version: upstream.software_version.clone(),
         };
         let stream = stream_key(request_id);
-        if self.streams.record_own(stream, origin.clone()) {
+        if self.streams.record_own(stream, origin.clone()) || is_split {
             self.send_origins(&[(stream, origin)]);
         }
     }
@@ -199,10 +207,12 @@
         })
     }
 
-    /// Returns the only origin that a stream of the route can have.
+    /// Returns the only origin that a stream of the route can have. If the route leads to several
+    /// pools, that is one in the pool that gets most of its calls: a stream that the coordinators do
+    /// not know began before the route was split.
     fn only_origin(&self, route: &RouteRule) -> Option<StreamOrigin> {
-        let [only] = route.pools.as_slice() else { return None };
-        let software_version = self.streams.sole_version(&only.pool)?;
-        Some(StreamOrigin { pool: only.pool.clone(), software_version })
+        let main = route.pools.iter().max_by_key(|it| it.weight)?;
+        let software_version = self.streams.sole_version(&main.pool)?;
+        Some(StreamOrigin { pool: main.pool.clone(), software_version })
     }
 }
