fix: a real crash counts although other VMs were served a moment ago

Now other VMs probe the upstreams in question themselves; only if one accepts a connection from them is the evidence dropped. A probe also returns with the first upstream that accepts, instead of waiting for all.

--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -204,6 +204,24 @@
         /// Address at which the sender takes calls of other VMs.
         address: SocketAddr,
     },
+    /// Asks which upstreams accept connections from the receiver.
+    ProbeRequest {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Identifier of the request.
+        request_id: QuestionId,
+        /// The upstreams.
+        upstreams: Vec<UpstreamId>,
+    },
+    /// Response to [`PeerMessage::ProbeRequest`].
+    ProbeResponse {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// Identifier of the request that this message responds to.
+        request_id: QuestionId,
+        /// Upstreams that accept connections.
+        accepting: Vec<UpstreamId>,
+    },
     /// Refusals of upstreams that fail under too many of them.
     Refusals {
         /// Name and address of the sender.
@@ -292,6 +310,8 @@
             | Self::OriginResponse { from, .. }
             | Self::ForwardRequest { from }
             | Self::ForwardOffer { from, .. }
+            | Self::ProbeRequest { from, .. }
+            | Self::ProbeResponse { from, .. }
             | Self::Refusals { from, .. } => from,
         }
     }
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -147,6 +147,8 @@
                 | PeerMessage::OriginResponse { .. }
                 | PeerMessage::ForwardRequest { .. }
                 | PeerMessage::ForwardOffer { .. }
+                | PeerMessage::ProbeRequest { .. }
+                | PeerMessage::ProbeResponse { .. }
                 | PeerMessage::Refusals { .. },
             ) => {}
             None => {
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -3,7 +3,7 @@
 //! When an upstream breaks off a response, its address is probed: if it refuses connections, its
 //! process has ended. An upstream that broke off for another reason still accepts them, and one
 //! behind a cut link does not answer, so neither counts as crashed. Behind a cut in which connections
-//! are refused no other upstream accepts them either, while other VMs are served.
+//! are refused no other upstream accepts them either, while those in question accept other VMs.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -207,8 +207,8 @@
                 }
             }
             retain_crashed(&mut by_start);
-            if by_start.is_empty() || self.is_cut_off(&by_start) {
-                continue;
+            if !by_start.is_empty() {
+                self.drop_unreachable(&mut by_start);
             }
             for (start, interruptions) in by_start {
                 self.record_crash(&start, &interruptions);
@@ -216,26 +216,25 @@
         }
     }
 
-    /// Returns `true` if it is this VM that is cut off from the upstreams: it reaches no other one
-    /// either, and another VM is served by upstreams.
-    fn is_cut_off(&self, refusing: &HashMap<UpstreamStart, Vec<Interruption>>) -> bool {
+    /// Drops upstreams that refuse connections to this VM only, as it is cut off from them: it reaches
+    /// no other upstream either, and they accept connections from other VMs.
+    fn drop_unreachable(&self, refusing: &mut HashMap<UpstreamStart, Vec<Interruption>>) {
         let is_refusing =
             |it: &UpstreamRecord| refusing.keys().any(|start| start.upstream == it.id);
         let directory = self.dispatcher.directory();
-        let (refusing, others): (Vec<UpstreamRecord>, Vec<UpstreamRecord>) =
-            directory.into_iter().partition(is_refusing);
-        if self.probe(&self.forwarding.next_probed(&others)) {
-            return false;
+        let others: Vec<UpstreamRecord> =
+            directory.into_iter().filter(|it| !is_refusing(it)).collect();
+        if self.probe(&self.forwarding.next_probed(&others), PROBE_TIMEOUT) {
+            return;
         }
-        refusing.iter().for_each(|it| self.forwarding.record_unreachable(it));
-        let Some(peers) = self.peers() else { return false };
-        peers.request_forwarding();
-        let is_cut_off = !self.forwarding.forwarders().is_empty();
-        if is_cut_off {
+        let Some(peers) = self.peers() else { return };
+        let suspects: Vec<UpstreamId> = refusing.keys().map(|it| it.upstream.clone()).collect();
+        let accepting = peers.query_accepting(&suspects);
+        if !accepting.is_empty() {
             info!(self.log, "upstreams refuse connections to this VM only";
-                "refusing" => refusing.len());
+                "upstreams" => join(&accepting));
+            refusing.clear();
         }
-        is_cut_off
     }
 
     /// Returns `true` if the directory lists this start of the upstream, and not as leaving, and the
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -36,6 +36,9 @@
 /// one lost packet.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which one of several probes is waited for before the next one.
+const PROBE_POLL: Duration = Duration::from_millis(2);
+
 /// Number of upstreams that are probed at once.
 const PROBED_UPSTREAMS: usize = 3;
 
@@ -257,7 +260,7 @@
     fn check_links(&self) {
         let started_at = Instant::now();
         let probed = self.forwarding.next_probed(&self.dispatcher.directory());
-        let reaches_any = self.probe(&probed);
+        let reaches_any = self.probe(&probed, PROBE_TIMEOUT);
         let (is_suspect, was_suspect, requesters) = {
             let mut state = self.forwarding.lock();
             state.silent_since = state.silent_since.max(started_at);
@@ -288,22 +291,14 @@
     }
 
     /// Probes upstreams. Returns `true` if one of them accepts a connection.
-    pub(crate) fn probe(&self, upstreams: &[UpstreamRecord]) -> bool {
-        let connections: Vec<(&UpstreamRecord, Option<Connection>)> =
-            upstreams.iter().map(|it| (it, Connection::connect(it.address).ok())).collect();
-        let deadline = Instant::now() + PROBE_TIMEOUT;
-        let mut reaches_any = false;
-        for (upstream, connection) in &connections {
-            if connection.as_ref().is_some_and(|it| is_established(it, deadline)) {
-                reaches_any = true;
-            } else {
-                self.forwarding.record_unreachable(upstream);
-            }
-        }
-        if reaches_any {
+    pub(crate) fn probe(&self, upstreams: &[UpstreamRecord], timeout: Duration) -> bool {
+        let is_any = accepting(upstreams, timeout, 1).next().is_some();
+        if is_any {
             self.forwarding.record_connected();
+        } else {
+            upstreams.iter().for_each(|it| self.forwarding.record_unreachable(it));
         }
-        reaches_any
+        is_any
     }
 
     /// Answers a VM that asks for an offer: at once if upstreams have served this VM lately, and
@@ -331,10 +326,31 @@
     }
 }
 
-/// Waits until a connection is established or has failed.
-fn is_established(connection: &Connection, deadline: Instant) -> bool {
-    let interest =
-        Interest { upstream: Some(connection), upstream_output: true, ..Interest::default() };
-    wait(interest, deadline).is_ok_and(|it| it.upstream)
-        && matches!(connection.connect_error(), Ok(None))
+/// Returns those of `upstreams` that accept a connection within `timeout`, or the first `enough` of
+/// them.
+pub(crate) fn accepting(
+    upstreams: &[UpstreamRecord],
+    timeout: Duration,
+    enough: usize,
+) -> impl Iterator<Item = UpstreamRecord> {
+    let deadline = Instant::now() + timeout;
+    let connect = |it: &UpstreamRecord| Some((it.clone(), Connection::connect(it.address).ok()?));
+    let mut pending: Vec<(UpstreamRecord, Connection)> =
+        upstreams.iter().filter_map(connect).collect();
+    let mut accepting = Vec::new();
+    while !pending.is_empty() && accepting.len() < enough && Instant::now() < deadline {
+        pending.retain(|(upstream, connection)| {
+            let interest = Interest {
+                upstream: Some(connection),
+                upstream_output: true,
+                ..Interest::default()
+            };
+            let is_done = wait(interest, Instant::now() + PROBE_POLL).is_ok_and(|it| it.upstream);
+            if is_done && matches!(connection.connect_error(), Ok(None)) {
+                accepting.push(upstream.clone());
+            }
+            !is_done
+        });
+    }
+    accepting.into_iter()
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -36,6 +36,7 @@
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamRefusal;
 use cranberryvalve_core::VmId;
@@ -92,6 +93,7 @@
     seeds: Vec<SocketAddr>,
     load_queries: PendingQueries<UpstreamLoad>,
     origin_queries: PendingQueries<StreamOrigin>,
+    probe_queries: PendingQueries<UpstreamId>,
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
     key: Mutex<Vec<u8>>,
@@ -137,6 +139,7 @@
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: PendingQueries::default(),
         origin_queries: PendingQueries::default(),
+        probe_queries: PendingQueries::default(),
         secret,
         key: Mutex::new(key),
     });
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -185,6 +185,12 @@
                 Some(PeerMessage::Refusals { refusals, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerRefusals(refusals));
                 }
+                Some(PeerMessage::ProbeRequest { from, request_id, upstreams }) => {
+                    self.handle_probe_request(from, request_id, upstreams);
+                }
+                Some(PeerMessage::ProbeResponse { request_id, accepting, .. }) => {
+                    self.probe_queries.record_reply(request_id, accepting);
+                }
                 Some(PeerMessage::ForwardRequest { from }) => self.handle_forward_request(&from),
                 Some(PeerMessage::ForwardOffer { from, address }) => {
                     self.relay.forwarding.record_offer(from, address);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -228,6 +228,11 @@
         let _ = self.peers.set(peers);
     }
 
+    /// Returns the peers for a thread of its own, or `None` before the VM has joined them.
+    pub(crate) fn shared_peers(&self) -> Option<Arc<Peers>> {
+        self.peers.get().cloned()
+    }
+
     /// Returns the peers, or `None` before the VM has joined them.
     pub(crate) fn peers(&self) -> Option<&Peers> {
         self.peers.get().map(|it| &**it)
