refactor: less work in the record of versions, and probes return names

The recorder read the store after each row that it wrote, now once after all of them. The versions that may have open streams were copied into a set for each stream that began, and are counted now. Probes return the names of upstreams, the only part that is used. A function of the peers that only passed a call on is gone.

--- a/crates/coordination/src/versions.rs
+++ b/crates/coordination/src/versions.rs
@@ -99,7 +99,7 @@
         let mut mixed = Vec::new();
         for (pool, versions) in present {
             let known = self.pools.entry(pool.clone()).or_default();
-            let count = known.possible(now).len();
+            let count = known.possible(now).count();
             known.versions.extend(versions.into_iter().map(|it| (it, None)));
             mixed.extend(known.has_become_mixed(now, count).then_some(pool));
         }
@@ -113,7 +113,7 @@
         let mut mixed = Vec::new();
         for record in records {
             let known = self.pools.entry(record.pool.clone()).or_default();
-            let count = known.possible(now).len();
+            let count = known.possible(now).count();
             for version in &record.versions {
                 known.versions.entry(version.clone()).or_insert(Some(now));
             }
@@ -131,15 +131,15 @@
 
     /// Returns `true` if several versions of the pool may have open streams.
     pub fn is_mixed(&self, now: Instant, pool: &str) -> bool {
-        self.pools.get(pool).is_some_and(|it| it.possible(now).len() > 1)
+        self.pools.get(pool).is_some_and(|it| it.possible(now).count() > 1)
     }
 
     /// Returns the only version of the pool that may have open streams, or `None` if there are
     /// several or this VM may not know all of them.
     pub fn sole_version(&self, now: Instant, pool: &str) -> Option<SoftwareVersion> {
         let known = self.pools.get(pool).filter(|it| self.is_complete(now, it))?;
-        let mut possible = known.possible(now).into_iter();
-        possible.next().filter(|_| possible.next().is_none())
+        let mut possible = known.possible(now);
+        possible.next().filter(|_| possible.next().is_none()).cloned()
     }
 
     /// Returns `true` if the store's record of some pool is not known.
@@ -152,7 +152,7 @@
     pub fn due_records(&self, now: Instant) -> Vec<VersionRecord> {
         let complete = self.pools.iter().filter(|(_, it)| self.is_complete(now, it));
         let due = complete.filter_map(|(pool, known)| {
-            let versions = known.possible(now);
+            let versions: BTreeSet<SoftwareVersion> = known.possible(now).cloned().collect();
             let is_recorded = known.record.as_ref().is_some_and(|it| it.versions == versions);
             let revision = known.record.as_ref().map_or(0, |it| it.revision);
             (!is_recorded).then(|| VersionRecord { pool: pool.clone(), versions, revision })
@@ -168,15 +168,14 @@
 impl PoolVersions {
     /// Returns `true` if there are several possible versions, and more than `previous_count`.
     fn has_become_mixed(&self, now: Instant, previous_count: usize) -> bool {
-        self.possible(now).len() > previous_count.max(1)
+        self.possible(now).count() > previous_count.max(1)
     }
 
     /// Returns the versions that may have open streams.
-    fn possible(&self, now: Instant) -> BTreeSet<SoftwareVersion> {
-        let is_possible = |last_seen: &Option<Instant>| {
+    fn possible(&self, now: Instant) -> impl Iterator<Item = &SoftwareVersion> {
+        let is_possible = move |last_seen: &Option<Instant>| {
             last_seen.is_none_or(|it| now.saturating_duration_since(it) < STREAM_LIFETIME)
         };
-        let possible = self.versions.iter().filter(|(_, it)| is_possible(it));
-        possible.map(|(version, _)| version.clone()).collect()
+        self.versions.iter().filter(move |(_, it)| is_possible(it)).map(|(version, _)| version)
     }
 }
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -17,6 +17,7 @@
 use cranberryvalve_coordination::reachability::Reachability;
 use cranberryvalve_coordination::reachability::UpstreamCount;
 use cranberryvalve_core::FailureDomainId;
+use cranberryvalve_core::UpstreamId;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::info;
 
@@ -292,7 +293,7 @@
 
     /// Probes upstreams. Returns `true` if one of them accepts a connection.
     pub(crate) fn probe(&self, upstreams: &[UpstreamRecord], timeout: Duration) -> bool {
-        let is_any = accepting(upstreams, timeout, 1).next().is_some();
+        let is_any = !accepting(upstreams, timeout, 1).is_empty();
         if is_any {
             self.forwarding.record_connected();
         } else {
@@ -332,11 +333,11 @@
     upstreams: &[UpstreamRecord],
     timeout: Duration,
     enough: usize,
-) -> impl Iterator<Item = UpstreamRecord> {
+) -> Vec<UpstreamId> {
     let deadline = Instant::now() + timeout;
-    let connect = |it: &UpstreamRecord| Some((it.clone(), Connection::connect(it.address).ok()?));
-    let mut pending: Vec<(UpstreamRecord, Connection)> =
-        upstreams.iter().filter_map(connect).collect();
+    let connect =
+        |it: &UpstreamRecord| Some((it.id.clone(), Connection::connect(it.address).ok()?));
+    let mut pending: Vec<(UpstreamId, Connection)> = upstreams.iter().filter_map(connect).collect();
     let mut accepting = Vec::new();
     while !pending.is_empty() && accepting.len() < enough && Instant::now() < deadline {
         pending.retain(|(upstream, connection)| {
@@ -352,5 +353,5 @@
             !is_done
         });
     }
-    accepting.into_iter()
+    accepting
 }
--- a/crates/relay/src/peers/forwarding.rs
+++ b/crates/relay/src/peers/forwarding.rs
@@ -67,7 +67,6 @@
             let listed = upstreams.iter().filter_map(|it| peers.relay.dispatcher.upstream(it));
             let listed: Vec<_> = listed.take(MAX_PROBED_UPSTREAMS).collect();
             let accepting = accepting(&listed, PROBE_TIMEOUT, listed.len());
-            let accepting = accepting.map(|it| it.id).collect();
             let from = peers.own_address();
             let message = PeerMessage::ProbeResponse { from, request_id, accepting };
             peers.links.send(&to, &message);
@@ -89,10 +88,6 @@
         near.into_iter().take(NEAR_VMS).chain(far.into_iter().take(FAR_VMS)).collect()
     }
 
-    pub(super) fn handle_forward_request(&self, from: &PeerAddress) {
-        self.relay.handle_forward_request(from);
-    }
-
     pub(crate) fn send_forward_offer(&self, to: &PeerAddress, address: SocketAddr) {
         let from = self.own_address();
         self.links.send(to, &PeerMessage::ForwardOffer { from, address });
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -191,7 +191,9 @@
                 Some(PeerMessage::ProbeResponse { request_id, accepting, .. }) => {
                     self.probe_queries.record_reply(request_id, accepting);
                 }
-                Some(PeerMessage::ForwardRequest { from }) => self.handle_forward_request(&from),
+                Some(PeerMessage::ForwardRequest { from }) => {
+                    self.relay.handle_forward_request(&from);
+                }
                 Some(PeerMessage::ForwardOffer { from, address }) => {
                     self.relay.forwarding.record_offer(from, address);
                 }
--- a/crates/relay/src/sources/versions.rs
+++ b/crates/relay/src/sources/versions.rs
@@ -114,17 +114,20 @@
 
     fn write_due(&self) -> Result<(), FeedError> {
         let is_watcher = self.relay.is_source_reader();
-        let due = self.relay.streams.due_records().into_iter();
-        for record in due.filter(|it| is_watcher || it.revision == 0) {
+        let mut due = self.relay.streams.due_records();
+        due.retain(|it| is_watcher || it.revision == 0);
+        if due.is_empty() {
+            return Ok(());
+        }
+        for record in due {
             if self.store.write(&record)? {
                 let versions: Vec<&str> = record.versions.iter().map(|it| &**it).collect();
                 info!(self.relay.log, "software versions recorded"; "pool" => &*record.pool,
                     "versions" => versions.join(" "));
             }
-            // The revision of the row is known from the next read only.
-            self.read()?;
         }
-        Ok(())
+        // The revisions of the rows are known from the next read only.
+        self.read()
     }
 }
 
