feat: logs tell what a failed attempt saw of the upstream

The two cases in the record of calls that ran although they were refused cannot be told apart by the logs: a failed attempt has neither the status of the response, nor the request that it names, nor whether the connection was reused; and the lines in the record are cut before the request, status, outcome and reason. These come first now.

--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -5,10 +5,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_policy::scheduler::SendCommand;
 use slog::Logger;
 use slog::info;
 
 use crate::caller::CallerRequest;
+use crate::exchange::AttemptTrace;
+use crate::exchange::Exchange;
 use crate::service::CallOutcome;
 use crate::service::CallProgress;
 use crate::service::RequestContext;
@@ -78,37 +81,68 @@
     let Some(suppressed) = suppressed else { return };
     let last_command = progress.last_command.as_ref();
     let reason = last_command.map(|it| it.reason).unwrap_or_default();
+    // The logger writes the last field first: what tells most stays in a line that is cut.
     info!(log, "call ended";
-        "request" => progress.caller_id.as_deref().unwrap_or("-"),
-        "route" => &*context.route.id,
-        "customer" => context.customer.as_deref().unwrap_or("-"),
-        "tier" => context.tier,
+        "left_out" => suppressed,
+        "total_ms" => millis(total),
+        "events" => progress.delivery.events,
+        "longest_gap_ms" => millis(progress.delivery.longest_gap),
+        "first_part_ms" => first_part.map(millis),
+        "queue_ms" => progress.sent_at.map(|it| millis(duration_between(request.arrived_at, it))),
+        "shared_parts" => hex_list(&progress.shared_parts),
+        "input_tokens" => progress.input_tokens,
+        "peer_age_ms" => millis(reason.peer_age),
+        "cached_tokens" => reason.cached_tokens,
+        "backlog_ms" => millis(reason.backlog),
+        "candidates" => reason.candidates,
+        "failures" => &*progress.failed_attempts,
+        "attempts" => progress.attempts,
+        "resumed_after" => progress.resumed_after,
+        "resumes" => progress.resumed_request_id.as_deref(),
+        "forwarded_by" => progress.forwarded_by.as_deref(),
+        "software_version" => last_command.map_or("-", |it| &*it.upstream.software_version),
+        "upstream" => last_command.map_or("-", |it| &*it.upstream.id),
+        "retry_after_ms" => call_outcome.retry_after().map(millis),
+        "crashed" => progress.quarantined_for.as_deref(),
+        "late" => is_late,
         "config_version" => context.config_version,
+        "tier" => context.tier,
+        "customer" => context.customer.as_deref().unwrap_or("-"),
+        "route" => &*context.route.id,
+        "reason" => call_outcome.reason(),
         "outcome" => outcome,
-        "late" => is_late,
         "status" => call_outcome.status(),
-        "reason" => call_outcome.reason(),
-        "crashed" => progress.quarantined_for.as_deref(),
-        "retry_after_ms" => call_outcome.retry_after().map(millis),
-        "upstream" => last_command.map_or("-", |it| &*it.upstream.id),
-        "software_version" => last_command.map_or("-", |it| &*it.upstream.software_version),
-        "forwarded_by" => progress.forwarded_by.as_deref(),
-        "resumes" => progress.resumed_request_id.as_deref(),
-        "resumed_after" => progress.resumed_after,
-        "attempts" => progress.attempts,
-        "failures" => &*progress.failed_attempts,
-        "candidates" => reason.candidates,
-        "backlog_ms" => millis(reason.backlog),
-        "cached_tokens" => reason.cached_tokens,
-        "peer_age_ms" => millis(reason.peer_age),
-        "input_tokens" => progress.input_tokens,
+        "request" => progress.caller_id.as_deref().unwrap_or("-"));
+}
+
+/// Logs an attempt that failed, with what it saw of the upstream.
+pub(crate) fn log_failed_attempt(
+    log: &Logger,
+    exchange: &Exchange<'_>,
+    command: &SendCommand,
+    progress: &CallProgress,
+    trace: &AttemptTrace,
+    failure: &'static str,
+    started_at: Instant,
+) {
+    info!(log, "attempt failed";
+        "peer_age_ms" => millis(command.reason.peer_age),
+        "backlog_ms" => millis(command.reason.backlog),
+        "candidates" => command.reason.candidates,
+        "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
+        "fingerprint" => exchange.fingerprint().map(|it| it.to_string()),
         "shared_parts" => hex_list(&progress.shared_parts),
-        "queue_ms" => progress.sent_at.map(|it| millis(duration_between(request.arrived_at, it))),
-        "first_part_ms" => first_part.map(millis),
-        "longest_gap_ms" => millis(progress.delivery.longest_gap),
+        "attempt_ms" => millis(started_at.elapsed()),
         "events" => progress.delivery.events,
-        "total_ms" => millis(total),
-        "left_out" => suppressed);
+        "software_version" => &*command.upstream.software_version,
+        "skipped_responses" => trace.skipped_responses,
+        "response_request" => trace.response_request_id.as_deref(),
+        "response_status" => trace.response_status,
+        "reused_connection" => trace.is_connection_reused,
+        "failure" => failure,
+        "attempt" => command.attempt,
+        "upstream" => &*command.upstream.id,
+        "request" => progress.caller_id.as_deref().unwrap_or("-"));
 }
 
 /// Returns `true` if the response, its first event or a later event exceeded its target time.
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -112,6 +112,9 @@
     /// parses them with [`Dialect::parse_call`].
     fn forwarded_headers(&self, call: &ForwardedCall<'_>) -> Vec<(&'static str, String)>;
 
+    /// Returns the request that a response names, or `None` if it names none.
+    fn answered_request<'a>(&self, head: &'a ResponseHead) -> Option<&'a str>;
+
     /// Classifies the head of an upstream's response to the call with request identifier `id`.
     fn classify_response(&self, head: &ResponseHead, id: Option<&str>) -> Verdict;
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -181,6 +181,19 @@
     }
 }
 
+/// What an attempt saw of the upstream, for its log line.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTrace {
+    /// Whether the connection had carried other requests before.
+    pub(crate) is_connection_reused: bool,
+    /// Status of the last response head that arrived, or `None` if there was none.
+    pub(crate) response_status: Option<u16>,
+    /// Request that the last response head names, or `None` if it names none.
+    pub(crate) response_request_id: Option<Box<str>>,
+    /// Number of responses that were skipped.
+    pub(crate) skipped_responses: usize,
+}
+
 /// Why an attempt was aborted.
 #[derive(Debug)]
 enum AttemptError {
@@ -207,10 +220,12 @@
         call_guard: &CallGuard,
         caller: &mut CallerConnection,
         delivery: &mut Delivery,
+        trace: &mut AttemptTrace,
     ) -> AttemptOutcome {
         let upstream = &command.upstream;
         let idle_connection = self.relay.idle_connections.take(&upstream.id, upstream.incarnation);
         let is_reused = idle_connection.is_some();
+        trace.is_connection_reused = is_reused;
         let connection = match idle_connection {
             Some(connection) => Ok(Some(connection)),
             None => self.connect(command, caller),
@@ -239,13 +254,16 @@
             delivery,
             connection,
             request,
-            skipped_responses: 0,
+            trace,
         };
         if is_reused && !attempt.start_request() {
             // The upstream closed the idle connection before it accepted a single byte.
             match self.connect(command, attempt.caller) {
                 Ok(Some(_)) if !self.may_send(command) => return AttemptOutcome::Withdrawn,
-                Ok(Some(connection)) => attempt.connection = connection,
+                Ok(Some(connection)) => {
+                    attempt.connection = connection;
+                    attempt.trace.is_connection_reused = false;
+                }
                 Ok(None) => return AttemptOutcome::NotSent,
                 Err(error) => return error.into(),
             }
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -7,6 +7,7 @@
 
 use super::AttemptError;
 use super::AttemptOutcome;
+use super::AttemptTrace;
 use super::BufferedResponse;
 use super::Delivery;
 use super::Exchange;
@@ -65,8 +66,7 @@
     pub(super) delivery: &'a mut Delivery,
     pub(super) connection: Connection,
     pub(super) request: RequestWriter,
-    /// Number of responses that were skipped.
-    pub(super) skipped_responses: usize,
+    pub(super) trace: &'a mut AttemptTrace,
 }
 
 impl Attempt<'_> {
@@ -93,6 +93,9 @@
             let framing =
                 head.framing(&self.exchange.head.method).map_err(|_| AttemptError::Incomplete)?;
             let mut decoder = BodyDecoder::new(framing);
+            self.trace.response_status = Some(head.status);
+            self.trace.response_request_id =
+                self.exchange.relay.dialect.answered_request(&head).map(Into::into);
             match self.remote.on_response_head(&head) {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
                     let is_delimited_by_close = self.relay_stream(&head, decoder)?;
@@ -163,8 +166,8 @@
     }
 
     fn count_skipped_response(&mut self) -> Result<(), AttemptError> {
-        self.skipped_responses += 1;
-        let is_permitted = self.skipped_responses <= MAX_SKIPPED_RESPONSES;
+        self.trace.skipped_responses += 1;
+        let is_permitted = self.trace.skipped_responses <= MAX_SKIPPED_RESPONSES;
         is_permitted.then_some(()).ok_or(AttemptError::Incomplete)
     }
 
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -6,6 +6,7 @@
 
 use super::Attempt;
 use super::AttemptOutcome;
+use super::AttemptTrace;
 use super::Delivery;
 use super::Exchange;
 use super::Remote;
@@ -48,6 +49,7 @@
         upstream_attempts: u32,
         caller: &mut CallerConnection,
         delivery: &mut Delivery,
+        trace: &mut AttemptTrace,
     ) -> AttemptOutcome {
         let connection = match self.connect_to(forwarder.address, caller) {
             Ok(Some(connection)) => connection,
@@ -63,7 +65,7 @@
             delivery,
             connection,
             request: RequestWriter::new(request),
-            skipped_responses: 0,
+            trace,
         };
         attempt.run().0
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -26,9 +26,8 @@
 use cranberryvalve_policy::scheduler::SendCommand;
 use slog::info;
 
-use crate::call_log::hex_list;
 use crate::call_log::log_call;
-use crate::call_log::millis;
+use crate::call_log::log_failed_attempt;
 use crate::caller::CallerConnection;
 use crate::caller::CallerRequest;
 use crate::caller::ReadError;
@@ -38,6 +37,7 @@
 use crate::dispatch::Directive;
 use crate::dispatch::Mailbox;
 use crate::exchange::AttemptOutcome;
+use crate::exchange::AttemptTrace;
 use crate::exchange::Delivery;
 use crate::exchange::Exchange;
 use crate::socket::Connection;
@@ -354,25 +354,28 @@
         exchange.report_load(&command);
         let started_at = Instant::now();
         let events_before = progress.delivery.events;
-        let outcome =
-            exchange.run_attempt(&command, call_guard, &mut self.caller, &mut progress.delivery);
+        let mut trace = AttemptTrace::default();
+        let outcome = exchange.run_attempt(
+            &command,
+            call_guard,
+            &mut self.caller,
+            &mut progress.delivery,
+            &mut trace,
+        );
         let events = progress.delivery.events - events_before;
         let first_part_at = progress.delivery.first_part_at;
         exchange.record_evidence(&command.upstream, &outcome, first_part_at, events);
         let attempt = command.attempt;
         if let Some(failure) = outcome.failure() {
-            info!(self.relay.log, "attempt failed";
-                "request" => progress.caller_id.as_deref().unwrap_or("-"),
-                "upstream" => &*command.upstream.id,
-                "software_version" => &*command.upstream.software_version, "attempt" => attempt, "failure" => failure,
-                "events" => progress.delivery.events,
-                "attempt_ms" => millis(started_at.elapsed()),
-                "shared_parts" => hex_list(&progress.shared_parts),
-                "fingerprint" => exchange.fingerprint().map(|it| it.to_string()),
-                "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
-                "candidates" => command.reason.candidates,
-                "backlog_ms" => millis(command.reason.backlog),
-                "peer_age_ms" => millis(command.reason.peer_age));
+            log_failed_attempt(
+                &self.relay.log,
+                exchange,
+                &command,
+                progress,
+                &trace,
+                failure,
+                started_at,
+            );
         }
         progress.record_attempt(command, &outcome);
         let end = outcome.end();
--- a/crates/relay/src/service/forward.rs
+++ b/crates/relay/src/service/forward.rs
@@ -10,6 +10,7 @@
 use super::Sender;
 use crate::call_log::millis;
 use crate::exchange::AttemptOutcome;
+use crate::exchange::AttemptTrace;
 use crate::exchange::Exchange;
 
 /// Maximum number of VMs that are tried for a call. A further one is tried only if the one before has
@@ -35,14 +36,16 @@
         let mut call_outcome = None;
         for forwarder in forwarders.iter().take(MAX_FORWARDERS) {
             progress.forwarded_by = Some(forwarder.vm.clone());
+            let mut trace = AttemptTrace::default();
             let outcome = exchange.run_forwarded(
                 forwarder,
                 progress.upstream_attempts(),
                 &mut self.caller,
                 &mut progress.delivery,
+                &mut trace,
             );
             let is_refusal = is_refusal(&outcome);
-            self.log_forwarded(progress, forwarder, &outcome);
+            self.log_forwarded(progress, forwarder, &outcome, &trace);
             call_outcome = progress.forwarded_outcome(outcome).or(call_outcome);
             if call_outcome.is_some() && !is_refusal {
                 break;
@@ -56,15 +59,18 @@
         progress: &CallProgress,
         forwarder: &Forwarder,
         outcome: &AttemptOutcome,
+        trace: &AttemptTrace,
     ) {
         metrics::counter!("cranberryvalve_calls_forwarded_total", "outcome" => outcome.end().name())
             .increment(1);
         if let Some(failure) = outcome.failure() {
             info!(self.relay.log, "forwarding failed";
-                "request" => progress.caller_id.as_deref().unwrap_or("-"),
-                "vm" => &*forwarder.vm, "failure" => failure,
+                "gap_ms" => millis(progress.delivery.longest_gap),
                 "events" => progress.delivery.events,
-                "gap_ms" => millis(progress.delivery.longest_gap));
+                "response_status" => trace.response_status,
+                "failure" => failure,
+                "vm" => &*forwarder.vm,
+                "request" => progress.caller_id.as_deref().unwrap_or("-"));
         }
     }
 }
