fix: a response is attributed to its request before anything in it is believed

Callers got 503 for calls that ran, or such a call ran twice: `Not-Executed` and 421 were read before the request that a response names, so an earlier refusal that a worker wrote once more on a kept connection refused a later call. Load and notices in it were believed, too.

The relay decides now in one pure function (relay::attribution) from what the dialect reads of a head: a response that names another request is foreign and skipped; one that names none counts only as the first on a new connection, where no other can be due. After a foreign response a connection is not used again. Calls without an identifier use new connections.

--- /dev/null
+++ b/crates/relay/src/attribution.rs
@@ -0,0 +1,59 @@
+//! Decides what the head of a response says about a call, before anything else in it is believed.
+
+use crate::dialect::Rejection;
+use crate::dialect::ResponseFacts;
+
+/// Place of a response on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Position {
+    /// The first response on a connection that has carried no other request.
+    First,
+    /// Responses to other requests may be due on the connection, or one has arrived.
+    Later,
+}
+
+/// What a response says about a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The response to the call.
+    Match,
+    /// The upstream confirms that it did not run the call.
+    NotRun {
+        /// Whether the address now belongs to another upstream.
+        misdirected: bool,
+    },
+    /// A response to another request, or one that cannot be attributed.
+    Foreign,
+    /// A response to the call that must not be relayed.
+    Invalid,
+}
+
+/// Classifies a response to the call with request identifier `call_id`.
+///
+/// A response that names no request is attributed to the call only if no other one can be due on the
+/// connection.
+pub(crate) fn classify(
+    status: u16,
+    facts: ResponseFacts<'_>,
+    call_id: Option<&str>,
+    position: Position,
+) -> Verdict {
+    let is_own = match facts.request_id {
+        Some(request_id) => call_id == Some(request_id),
+        None => position == Position::First,
+    };
+    if !is_own {
+        return Verdict::Foreign;
+    }
+    if let Some(rejection) = facts.rejection {
+        return Verdict::NotRun { misdirected: rejection == Rejection::Misdirected };
+    }
+    let is_success = (200..300).contains(&status);
+    if is_success && (facts.request_id.is_none() || !facts.is_signed) {
+        return Verdict::Invalid;
+    }
+    Verdict::Match
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/attribution/tests.rs
@@ -0,0 +1,51 @@
+//! Attribution comes before anything that a response states.
+
+use super::Position;
+use super::Verdict;
+use super::classify;
+use crate::dialect::Rejection;
+use crate::dialect::ResponseFacts;
+
+const CALL: &str = "c1";
+
+const REJECTIONS: [Option<Rejection>; 3] =
+    [None, Some(Rejection::NotRun), Some(Rejection::Misdirected)];
+
+#[test]
+fn nothing_in_a_foreign_response_is_believed() {
+    for status in [200, 400, 421, 429, 500, 503] {
+        for rejection in REJECTIONS {
+            for position in [Position::First, Position::Later] {
+                let facts = ResponseFacts { request_id: Some("c0"), rejection, is_signed: true };
+                assert_eq!(classify(status, facts, Some(CALL), position), Verdict::Foreign);
+                assert_eq!(classify(status, facts, None, position), Verdict::Foreign);
+            }
+            let facts = ResponseFacts { request_id: None, rejection, is_signed: true };
+            assert_eq!(classify(status, facts, Some(CALL), Position::Later), Verdict::Foreign);
+            assert_eq!(classify(status, facts, None, Position::Later), Verdict::Foreign);
+        }
+    }
+}
+
+#[test]
+fn a_rejection_of_the_call_itself_is_believed() {
+    for (rejection, misdirected) in [(Rejection::NotRun, false), (Rejection::Misdirected, true)] {
+        let not_run = Verdict::NotRun { misdirected };
+        let facts =
+            ResponseFacts { request_id: Some(CALL), rejection: Some(rejection), is_signed: false };
+        assert_eq!(classify(503, facts, Some(CALL), Position::Later), not_run);
+        let nameless = ResponseFacts { request_id: None, ..facts };
+        assert_eq!(classify(503, nameless, Some(CALL), Position::First), not_run);
+    }
+}
+
+#[test]
+fn a_success_is_signed_and_names_the_call() {
+    let facts = ResponseFacts { request_id: Some(CALL), rejection: None, is_signed: true };
+    assert_eq!(classify(200, facts, Some(CALL), Position::Later), Verdict::Match);
+    let unsigned = ResponseFacts { is_signed: false, ..facts };
+    assert_eq!(classify(200, unsigned, Some(CALL), Position::First), Verdict::Invalid);
+    let nameless = ResponseFacts { request_id: None, ..facts };
+    assert_eq!(classify(200, nameless, Some(CALL), Position::First), Verdict::Invalid);
+    assert_eq!(classify(500, unsigned, Some(CALL), Position::Later), Verdict::Match);
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -190,8 +190,10 @@
     pub(crate) response_status: Option<u16>,
     /// Request that the last response head names, or `None` if it names none.
     pub(crate) response_request_id: Option<Box<str>>,
-    /// Number of responses that were skipped.
-    pub(crate) skipped_responses: usize,
+    /// Number of interim responses (1xx).
+    pub(crate) interim_responses: usize,
+    /// Number of responses to other requests that were skipped.
+    pub(crate) foreign_responses: usize,
 }
 
 /// Why an attempt was aborted.
@@ -223,7 +225,10 @@
         trace: &mut AttemptTrace,
     ) -> AttemptOutcome {
         let upstream = &command.upstream;
-        let idle_connection = self.relay.idle_connections.take(&upstream.id, upstream.incarnation);
+        // The response to a call without an identifier is attributed on a new connection only.
+        let idle_connection = self
+            .caller_id
+            .and_then(|_| self.relay.idle_connections.take(&upstream.id, upstream.incarnation));
         let is_reused = idle_connection.is_some();
         trace.is_connection_reused = is_reused;
         let connection = match idle_connection {
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -11,9 +11,10 @@
 use super::BufferedResponse;
 use super::Delivery;
 use super::Exchange;
+use crate::attribution::Position;
+use crate::attribution::Verdict;
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
-use crate::dialect::Verdict;
 use crate::events::EventBatch;
 use crate::events::EventReader;
 use crate::memory::HeldBody;
@@ -46,7 +47,7 @@
     fn on_input(&self);
 
     /// Processes the head of a response and classifies it.
-    fn on_response_head(&self, head: &ResponseHead) -> Verdict;
+    fn on_response_head(&self, head: &ResponseHead, position: Position) -> Verdict;
 
     /// Processes that the first events of a stream have arrived; they are forwarded afterwards.
     fn on_first_events(&self);
@@ -79,7 +80,9 @@
     pub(super) fn run(mut self) -> (AttemptOutcome, Option<ReusableConnection>) {
         match self.receive() {
             Ok((outcome, head)) => {
-                let head = head.filter(|_| self.request.is_complete());
+                // After a foreign response, the next one on the connection may be foreign, too.
+                let is_in_step = self.request.is_complete() && self.trace.foreign_responses == 0;
+                let head = head.filter(|_| is_in_step);
                 (outcome, head.map(|it| (self.connection, it)))
             }
             Err(error) => (error.into(), None),
@@ -95,8 +98,8 @@
             let mut decoder = BodyDecoder::new(framing);
             self.trace.response_status = Some(head.status);
             self.trace.response_request_id =
-                self.exchange.relay.dialect.answered_request(&head).map(Into::into);
-            match self.remote.on_response_head(&head) {
+                self.exchange.relay.dialect.response_facts(&head).request_id.map(Into::into);
+            match self.remote.on_response_head(&head, self.position()) {
                 Verdict::Match if self.exchange.is_stream && head.is_success() => {
                     let is_delimited_by_close = self.relay_stream(&head, decoder)?;
                     return Ok((AttemptOutcome::Streamed { is_delimited_by_close }, Some(head)));
@@ -114,15 +117,23 @@
                     let reusable_head = is_complete.then_some(head);
                     return Ok((AttemptOutcome::NotRun { misdirected }, reusable_head));
                 }
-                Verdict::Unrelated => {
+                Verdict::Foreign => {
                     self.receive_body(&mut decoder)?;
-                    self.count_skipped_response()?;
+                    self.trace.foreign_responses += 1;
+                    metrics::counter!("cranberryvalve_foreign_responses_total").increment(1);
+                    self.check_skipped_responses()?;
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
             }
         }
     }
 
+    /// Returns the place of the next response on the connection.
+    fn position(&self) -> Position {
+        let is_first = !self.trace.is_connection_reused && self.trace.foreign_responses == 0;
+        if is_first { Position::First } else { Position::Later }
+    }
+
     /// Sends the rest of the request and receives the next response head that is not interim (1xx).
     fn receive_head(&mut self) -> Result<ResponseHead, AttemptError> {
         loop {
@@ -132,7 +143,8 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
-                    self.count_skipped_response()?;
+                    self.trace.interim_responses += 1;
+                    self.check_skipped_responses()?;
                     continue;
                 }
                 Ok(None) if self.connection.input.len() > MAX_RESPONSE_HEAD_BYTES => {
@@ -165,9 +177,9 @@
         false
     }
 
-    fn count_skipped_response(&mut self) -> Result<(), AttemptError> {
-        self.trace.skipped_responses += 1;
-        let is_permitted = self.trace.skipped_responses <= MAX_SKIPPED_RESPONSES;
+    fn check_skipped_responses(&self) -> Result<(), AttemptError> {
+        let skipped = self.trace.foreign_responses + self.trace.interim_responses;
+        let is_permitted = skipped <= MAX_SKIPPED_RESPONSES;
         is_permitted.then_some(()).ok_or(AttemptError::Incomplete)
     }
 
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -13,9 +13,11 @@
 use super::RequestWriter;
 use super::end_to_end_headers;
 use super::push_header;
+use crate::attribution::Position;
+use crate::attribution::Verdict;
+use crate::attribution::classify;
 use crate::caller::CallerConnection;
 use crate::dialect::ForwardedCall;
-use crate::dialect::Verdict;
 use crate::response::ResponseHead;
 
 /// A VM that forwards a call. It tells the scheduler and the other VMs what there is to tell.
@@ -31,8 +33,9 @@
 
     fn on_input(&self) {}
 
-    fn on_response_head(&self, head: &ResponseHead) -> Verdict {
-        self.exchange.relay.dialect.classify_response(head, self.exchange.caller_id)
+    fn on_response_head(&self, head: &ResponseHead, position: Position) -> Verdict {
+        let facts = self.exchange.relay.dialect.response_facts(head);
+        classify(head.status, facts, self.exchange.caller_id, position)
     }
 
     fn on_first_events(&self) {}
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -7,7 +7,9 @@
 use super::Delivery;
 use super::Exchange;
 use super::attempt::Remote;
-use crate::dialect::Verdict;
+use crate::attribution::Position;
+use crate::attribution::Verdict;
+use crate::attribution::classify;
 use crate::dispatch::CallGuard;
 use crate::response::ResponseHead;
 
@@ -27,20 +29,16 @@
         self.exchange.relay.forwarding.record_served();
     }
 
-    fn on_response_head(&self, head: &ResponseHead) -> Verdict {
+    fn on_response_head(&self, head: &ResponseHead, position: Position) -> Verdict {
         let relay = self.exchange.relay;
-        if let Some(load) = relay.dialect.reported_load(head) {
-            let upstream = self.command.upstream.id.clone();
-            relay.dispatcher.handle(SchedulerEvent::LoadReported { upstream, load });
-        }
-        let verdict = relay.dialect.classify_response(head, self.exchange.caller_id);
-        // A late response to another request says nothing about the present.
-        let is_response = matches!(verdict, Verdict::Match | Verdict::NotRun { .. });
-        let shows_limit_end = is_response && self.command.send_by.is_some();
-        for notice in relay.dialect.notices(head) {
-            if notice != UpstreamNotice::NoRateLimit || shows_limit_end {
-                relay.handle_notice(&self.command.upstream, notice);
+        let facts = relay.dialect.response_facts(head);
+        let verdict = classify(head.status, facts, self.exchange.caller_id, position);
+        match verdict {
+            Verdict::Match | Verdict::NotRun { misdirected: false } => {
+                self.process_announcements(head, self.command.send_by.is_some());
             }
+            Verdict::Invalid => self.process_announcements(head, false),
+            Verdict::NotRun { misdirected: true } | Verdict::Foreign => {}
         }
         verdict
     }
@@ -61,3 +59,20 @@
         self.exchange.relay.dispatcher.handle(event);
     }
 }
+
+impl ScheduledUpstream<'_> {
+    /// Processes what the upstream says of itself in a response to the call. `shows_limit_end` tells
+    /// whether a rate limit that it does not name any more has ended.
+    fn process_announcements(&self, head: &ResponseHead, shows_limit_end: bool) {
+        let relay = self.exchange.relay;
+        if let Some(load) = relay.dialect.reported_load(head) {
+            let upstream = self.command.upstream.id.clone();
+            relay.dispatcher.handle(SchedulerEvent::LoadReported { upstream, load });
+        }
+        for notice in relay.dialect.notices(head) {
+            if notice != UpstreamNotice::NoRateLimit || shows_limit_end {
+                relay.handle_notice(&self.command.upstream, notice);
+            }
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! [`Scheduler`]: cranberryvalve_policy::scheduler::Scheduler
 
+mod attribution;
 mod body;
 mod call_log;
 mod caller;
@@ -34,8 +35,9 @@
 pub use dialect::Dialect;
 pub use dialect::ForwardedCall;
 pub use dialect::Refusal;
+pub use dialect::Rejection;
+pub use dialect::ResponseFacts;
 pub use dialect::UpstreamRequest;
-pub use dialect::Verdict;
 pub use lifecycle::ShutdownSettings;
 pub use response::ResponseHead;
 pub use state::Relay;
