fix: one record of what attempts have shown decides whether a call may have run

Callers could get a call run twice, or a refusal for one that had run: a failed response (5xx) was not counted as a run when another VM was asked to forward the call, and the other VM's refusal replaced the response. Knowledge of whether a call has run was kept in four places, each with its own rules (scheduler, progress, last failed response, forwarding).

policy::execution merges what each attempt has shown (not sent, refused, unknown, ran); none takes back what another has. The scheduler decides on repeats and the relay on the status from it. A refusal with 503 or 408 is built from a proof that only this record gives, so that the compiler rejects a promise for a call that may have run; CallProgress::failure is the one place that makes one for a call that was scheduled. `call ended` has the record.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 //! ```
 
 mod event;
+pub mod execution;
 mod pressure;
 mod queue;
 mod request;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -75,6 +75,7 @@
 use self::queue::CallQueue;
 use self::reading::PrefillRatio;
 use self::upstream::Upstream;
+use crate::execution::Execution;
 
 /// Fraction of a route's latency target for which a new call waits for room before it is refused.
 const QUEUE_WAIT_FRACTION: f64 = 0.12;
@@ -149,7 +150,7 @@
     sent_to: Option<UpstreamId>,
     /// Software version of the upstream that the last attempt was sent to.
     sent_version: Option<SoftwareVersion>,
-    may_have_run: bool,
+    execution: Execution,
     give_up_at: Instant,
 }
 
@@ -284,7 +285,7 @@
             tried: Vec::new(),
             sent_to: None,
             sent_version: None,
-            may_have_run: false,
+            execution: Execution::default(),
             give_up_at,
         };
         self.calls.insert(id, tracked);
@@ -329,7 +330,7 @@
             return;
         };
         let pool = tracked.call.pool.clone();
-        tracked.may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Interrupted);
+        tracked.execution.record(end.execution());
         let sent_to = tracked.sent_to.take();
         if let Some(upstream) = sent_to.as_ref().and_then(|it| self.upstreams.get_mut(it)) {
             upstream.remove_attempt(id);
@@ -359,6 +360,7 @@
             | AttemptEnd::Withdrawn
             | AttemptEnd::Refused { .. }
             | AttemptEnd::Failed
+            | AttemptEnd::Unattested
             | AttemptEnd::Interrupted => {
                 self.retry_or_conclude(now, id, end, actions);
             }
@@ -381,7 +383,8 @@
             // limit nor towards the retry budget.
             tracked.discard_last_upstream();
         }
-        let may_repeat = tracked.call.route.kind.is_retryable() || !tracked.may_have_run;
+        let may_repeat =
+            tracked.call.route.kind.is_retryable() || !tracked.execution.may_have_run();
         let reason = if !may_repeat {
             Some(ConclusionReason::MayHaveRun)
         } else if tracked.sent_attempts() >= tracked.call.max_attempts
@@ -454,7 +457,9 @@
             upstream.is_gone |= misdirected;
             upstream.circuit.record_inconclusive();
         }
-        AttemptEnd::Failed | AttemptEnd::Withdrawn => upstream.circuit.record_inconclusive(),
+        AttemptEnd::Failed | AttemptEnd::Unattested | AttemptEnd::Withdrawn => {
+            upstream.circuit.record_inconclusive();
+        }
         AttemptEnd::Interrupted => upstream.circuit.record_failure(now),
         AttemptEnd::Abandoned => upstream.circuit.record_inconclusive(),
     }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -16,6 +16,7 @@
 use super::Call;
 use super::UpstreamNotice;
 use super::UpstreamRecord;
+use crate::execution::Execution;
 
 /// An input of [`Scheduler::handle`](super::Scheduler::handle).
 #[derive(Debug, Clone)]
@@ -128,6 +129,8 @@
     },
     /// The upstream responded with a server error.
     Failed,
+    /// The upstream responded as if it had not run the call, but did not confirm that.
+    Unattested,
     /// The call was sent, but no whole response arrived.
     Interrupted,
     /// The caller disconnected or the time was over, which is no evidence against the upstream.
@@ -135,6 +138,16 @@
 }
 
 impl AttemptEnd {
+    /// Returns what an attempt that ended so has shown about whether the call was run.
+    pub const fn execution(self) -> Execution {
+        match self {
+            Self::NotSent | Self::Withdrawn => Execution::NotSent,
+            Self::Refused { .. } => Execution::Refused,
+            Self::Complete | Self::Failed => Execution::Ran,
+            Self::Unattested | Self::Interrupted | Self::Abandoned => Execution::Unknown,
+        }
+    }
+
     /// Returns the name of this end in logs.
     pub const fn name(self) -> &'static str {
         match self {
@@ -144,6 +157,7 @@
             Self::Refused { misdirected: true } => "misdirected",
             Self::Refused { misdirected: false } => "refused",
             Self::Failed => "failed",
+            Self::Unattested => "unattested",
             Self::Interrupted => "broken",
             Self::Abandoned => "abandoned",
         }
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Rejection;
 use crate::dialect::ResponseFacts;
+use crate::refusal::is_promise;
 
 /// Place of a response on its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,6 +23,9 @@
         /// Whether the address now belongs to another upstream.
         misdirected: bool,
     },
+    /// The response to the call, whose status would promise that it was not run, but which does not
+    /// confirm it.
+    Unattested,
     /// A response to another request, or one that cannot be attributed.
     Foreign,
     /// A response to the call that must not be relayed.
@@ -55,5 +59,21 @@
     Verdict::Match
 }
 
+/// Classifies a response of another VM, to which the call was forwarded.
+///
+/// What the VM itself responds names no request and has no signature, other than what it relays.
+pub(crate) fn classify_forwarded(
+    status: u16,
+    facts: ResponseFacts<'_>,
+    call_id: Option<&str>,
+    position: Position,
+) -> Verdict {
+    let is_of_vm = facts.request_id.is_none() && !facts.is_signed && position == Position::First;
+    if is_of_vm && is_promise(status) {
+        return Verdict::NotRun { misdirected: false };
+    }
+    classify(status, facts, call_id, position)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/relay/src/attribution/tests.rs
+++ b/crates/relay/src/attribution/tests.rs
@@ -3,6 +3,7 @@
 use super::Position;
 use super::Verdict;
 use super::classify;
+use super::classify_forwarded;
 use crate::dialect::Rejection;
 use crate::dialect::ResponseFacts;
 
@@ -49,3 +50,31 @@
     assert_eq!(classify(200, nameless, Some(CALL), Position::First), Verdict::Invalid);
     assert_eq!(classify(500, unsigned, Some(CALL), Position::Later), Verdict::Match);
 }
+
+#[test]
+fn a_promise_needs_a_rejection() {
+    for status in [408, 429, 503] {
+        for (request_id, position) in
+            [(Some(CALL), Position::First), (Some(CALL), Position::Later), (None, Position::First)]
+        {
+            for is_signed in [false, true] {
+                let facts = ResponseFacts { request_id, rejection: None, is_signed };
+                assert_eq!(classify(status, facts, Some(CALL), position), Verdict::Unattested);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_vm_promises_only_for_itself() {
+    let own = ResponseFacts { request_id: None, rejection: None, is_signed: false };
+    for status in [408, 429, 503] {
+        let classify = |facts| classify_forwarded(status, facts, Some(CALL), Position::First);
+        assert_eq!(classify(own), Verdict::NotRun { misdirected: false });
+        let signed = ResponseFacts { is_signed: true, ..own };
+        assert_eq!(classify(signed), Verdict::Unattested);
+        let relayed = ResponseFacts { request_id: Some(CALL), ..own };
+        assert_eq!(classify(relayed), Verdict::Unattested);
+    }
+    assert_eq!(classify_forwarded(502, own, Some(CALL), Position::First), Verdict::Match);
+}
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -109,6 +109,7 @@
         "tier" => context.tier,
         "customer" => context.customer.as_deref().unwrap_or("-"),
         "route" => &*context.route.id,
+        "execution" => progress.execution.name(),
         "reason" => call_outcome.reason(),
         "outcome" => outcome,
         "status" => call_outcome.status(),
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -136,7 +136,7 @@
         let responded_at = match outcome {
             AttemptOutcome::Buffered(response) => {
                 let is_sound = |it: &&SuspectKey| {
-                    response.head.is_success() || matches!(it, SuspectKey::Request(_))
+                    response.head().is_success() || matches!(it, SuspectKey::Request(_))
                 };
                 let keys: Vec<_> = self.suspect_keys.iter().filter(is_sound).cloned().collect();
                 self.relay.record_response(Instant::now(), &keys);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -14,6 +14,7 @@
 use cranberryvalve_coordination::quarantine::Refusal;
 use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
+use cranberryvalve_policy::execution::Execution;
 use cranberryvalve_policy::scheduler::AttemptEnd;
 use cranberryvalve_policy::scheduler::SendCommand;
 
@@ -26,6 +27,7 @@
 use crate::dispatch::CallGuard;
 use crate::events::EventId;
 use crate::memory::HeldBody;
+use crate::refusal::is_promise;
 use crate::response::ResponseHead;
 use crate::socket::Connection;
 use crate::socket::Interest;
@@ -117,11 +119,27 @@
     }
 }
 
-/// A complete response of an upstream, held in memory.
+/// A complete response of an upstream, held in memory, whose status does not promise that the call
+/// was not run.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
-    pub(crate) head: ResponseHead,
-    pub(crate) body: HeldBody,
+    head: ResponseHead,
+    body: HeldBody,
+}
+
+impl BufferedResponse {
+    /// Returns `None` if the status is such a promise.
+    fn new(head: ResponseHead, body: HeldBody) -> Option<Self> {
+        Some(Self { head, body })
+    }
+
+    pub(crate) const fn head(&self) -> &ResponseHead {
+        &self.head
+    }
+
+    pub(crate) const fn body(&self) -> &HeldBody {
+        &self.body
+    }
 }
 
 /// How an attempt ended.
@@ -134,7 +152,15 @@
     /// Calls like this one crash upstreams, so nothing was sent.
     Quarantined(Refusal),
     /// The upstream confirmed that it did not run the call.
-    NotRun { misdirected: bool },
+    NotRun {
+        /// Whether the address now belongs to another upstream.
+        misdirected: bool,
+        /// Time after which to send it again, if the response states one.
+        retry_after: Option<Duration>,
+    },
+    /// A complete response whose status would promise that the call was not run, without a
+    /// confirmation of that. It is not relayed.
+    Unattested,
     /// A complete response that has not been sent to the caller yet.
     Buffered(BufferedResponse),
     /// The whole stream was sent to the caller.
@@ -156,7 +182,8 @@
         match self {
             Self::NotSent => AttemptEnd::NotSent,
             Self::Withdrawn => AttemptEnd::Withdrawn,
-            Self::NotRun { misdirected } => AttemptEnd::Refused { misdirected: *misdirected },
+            Self::NotRun { misdirected, .. } => AttemptEnd::Refused { misdirected: *misdirected },
+            Self::Unattested => AttemptEnd::Unattested,
             Self::Buffered(response) if response.head.status >= 500 => AttemptEnd::Failed,
             Self::Buffered(_) | Self::Streamed { .. } => AttemptEnd::Complete,
             Self::Incomplete => AttemptEnd::Interrupted,
@@ -166,6 +193,14 @@
         }
     }
 
+    /// Returns what the attempt has shown about whether the call was run.
+    pub(crate) const fn execution(&self) -> Execution {
+        match self {
+            Self::Quarantined(_) => Execution::NotSent,
+            _ => self.end().execution(),
+        }
+    }
+
     /// Returns `true` if nothing was sent, so that no upstream can have run the call.
     pub(crate) const fn is_unsent(&self) -> bool {
         matches!(self, Self::NotSent | Self::Withdrawn | Self::Quarantined(_))
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -107,15 +107,21 @@
                 Verdict::Match => {
                     let body = self.receive_body(&mut decoder)?;
                     let reusable_head = head.clone();
-                    let response = BufferedResponse { head, body };
+                    let response =
+                        BufferedResponse::new(head, body).ok_or(AttemptError::Incomplete)?;
                     return Ok((AttemptOutcome::Buffered(response), Some(reusable_head)));
                 }
+                Verdict::Unattested => {
+                    let is_complete = self.drop_received_body(&mut decoder);
+                    return Ok((AttemptOutcome::Unattested, is_complete.then_some(head)));
+                }
                 Verdict::NotRun { misdirected } => {
                     // The head alone confirms that the call was not run. The connection is reused only
                     // if the body has arrived with it.
                     let is_complete = self.drop_received_body(&mut decoder);
-                    let reusable_head = is_complete.then_some(head);
-                    return Ok((AttemptOutcome::NotRun { misdirected }, reusable_head));
+                    let retry_after = head.retry_after();
+                    let outcome = AttemptOutcome::NotRun { misdirected, retry_after };
+                    return Ok((outcome, is_complete.then_some(head)));
                 }
                 Verdict::Foreign => {
                     self.receive_body(&mut decoder)?;
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -15,7 +15,7 @@
 use super::push_header;
 use crate::attribution::Position;
 use crate::attribution::Verdict;
-use crate::attribution::classify;
+use crate::attribution::classify_forwarded;
 use crate::caller::CallerConnection;
 use crate::dialect::ForwardedCall;
 use crate::response::ResponseHead;
@@ -35,7 +35,7 @@
 
     fn on_response_head(&self, head: &ResponseHead, position: Position) -> Verdict {
         let facts = self.exchange.relay.dialect.response_facts(head);
-        classify(head.status, facts, self.exchange.caller_id, position)
+        classify_forwarded(head.status, facts, self.exchange.caller_id, position)
     }
 
     fn on_first_events(&self) {}
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -34,7 +34,7 @@
         let facts = relay.dialect.response_facts(head);
         let verdict = classify(head.status, facts, self.exchange.caller_id, position);
         match verdict {
-            Verdict::Match | Verdict::NotRun { misdirected: false } => {
+            Verdict::Match | Verdict::Unattested | Verdict::NotRun { misdirected: false } => {
                 self.process_announcements(head, self.command.send_by.is_some());
             }
             Verdict::Invalid => self.process_announcements(head, false),
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -1,5 +1,7 @@
 //! Heads of upstream responses.
 
+use std::time::Duration;
+
 use cranberryvalve_adapters::caller::HeadError;
 use cranberryvalve_adapters::caller::MAX_HEADERS;
 use cranberryvalve_adapters::caller::OwnedHeaders;
@@ -47,6 +49,13 @@
         self.status >= 200 && self.status < 300
     }
 
+    /// Returns the time in the `Retry-After` header, in seconds that may have a fraction, or `None`
+    /// if there is no valid one.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        let seconds: f64 = self.header("retry-after")?.trim().parse().ok()?;
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
     /// Returns `true` if the connection may be reused after this response.
     pub(crate) fn keeps_alive(&self) -> bool {
         let mut options = self
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -18,6 +18,7 @@
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_policy::execution::NotRun;
 use cranberryvalve_policy::scheduler::AttemptEnd;
 use cranberryvalve_policy::scheduler::Call;
 use cranberryvalve_policy::scheduler::ConclusionReason;
@@ -32,7 +33,6 @@
 use crate::caller::CallerRequest;
 use crate::caller::ReadError;
 use crate::dialect::CallMetadata;
-use crate::dialect::Refusal;
 use crate::dispatch::CallGuard;
 use crate::dispatch::Directive;
 use crate::dispatch::Mailbox;
@@ -40,6 +40,8 @@
 use crate::exchange::AttemptTrace;
 use crate::exchange::Delivery;
 use crate::exchange::Exchange;
+use crate::refusal::InvalidRequest;
+use crate::refusal::Refusal;
 use crate::socket::Connection;
 use crate::socket::Interest;
 use crate::socket::wait;
@@ -73,7 +75,7 @@
         caller: CallerConnection::new(connection),
     };
     if relay.caller_connections() > relay.settings.max_connections {
-        handler.reject(&refusal(503, Some(DEFAULT_RETRY_AFTER), "too many connections"));
+        handler.reject(&not_yet_sent("too many connections"));
         return;
     }
     while handler.serve_request() {}
@@ -145,16 +147,16 @@
             "request" => id.as_deref().unwrap_or("-"),
             "path" => request.head.path(),
             "config_version" => self.relay.routing_table().map(|it| it.version()),
-            "status" => refusal.status,
-            "reason" => &*refusal.message);
-        let status = refusal.status.to_string();
+            "status" => refusal.status(),
+            "reason" => refusal.message());
+        let status = refusal.status().to_string();
         metrics::counter!("cranberryvalve_calls_refused_total", "status" => status).increment(1);
     }
 
     /// Parses the call's headers, resolves its route and authenticates the customer.
     fn prepare(&self, request: &CallerRequest) -> Result<(CallMetadata, RequestContext), Refusal> {
         let Some(table) = self.relay.routing_table() else {
-            return Err(refusal(503, Some(DEFAULT_RETRY_AFTER), "no configuration is known yet"));
+            return Err(not_yet_sent("no configuration is known yet"));
         };
         let metadata = self.relay.dialect.parse_call(&request.head)?;
         let context = resolve_context(&table, request, &metadata)?;
@@ -224,7 +226,7 @@
             }
             Err(error) => {
                 metrics::counter!("cranberryvalve_continuations_refused_total").increment(1);
-                Err(refusal(503, Some(DEFAULT_RETRY_AFTER), error.message()))
+                Err(not_yet_sent(error.message()))
             }
         }
     }
@@ -380,25 +382,20 @@
         progress.record_attempt(command, &outcome);
         let end = outcome.end();
         let call_outcome = match outcome {
-            AttemptOutcome::NotSent | AttemptOutcome::Withdrawn | AttemptOutcome::NotRun { .. } => {
-                None
-            }
+            AttemptOutcome::NotSent
+            | AttemptOutcome::Withdrawn
+            | AttemptOutcome::NotRun { .. }
+            | AttemptOutcome::Unattested
+            | AttemptOutcome::Incomplete => None,
             AttemptOutcome::Buffered(response) if end == AttemptEnd::Failed => {
                 progress.failed_response = Some(response);
                 None
             }
             AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
-            AttemptOutcome::Incomplete => {
-                progress.may_have_run = true;
-                None
-            }
             AttemptOutcome::Quarantined(refusal) => Some(progress.quarantine_outcome(&refusal)),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
-            AttemptOutcome::DeadlineExceeded => {
-                progress.may_have_run = true;
-                Some(progress.outcome_at_deadline())
-            }
+            AttemptOutcome::DeadlineExceeded => Some(progress.outcome_at_deadline()),
         };
         call_guard.attempt_ended(attempt, end);
         if matches!(end, AttemptEnd::Refused { .. }) {
@@ -468,16 +465,22 @@
 ) -> Result<RequestContext, Refusal> {
     let host = request.head.header("host").unwrap_or_default();
     let Some(route) = table.route(host, request.head.path()) else {
-        return Err(refusal(404, None, "no route matches the host and path"));
+        return Err(Refusal::invalid(
+            InvalidRequest::NoRoute,
+            "no route matches the host and path",
+        ));
     };
     let key = metadata.api_key.as_deref();
     let customer = key.and_then(|it| table.customer(it));
     if customer.is_none() && table.has_customers() && !route.is_public {
-        return Err(refusal(401, None, "the API key is missing or unknown"));
+        return Err(Refusal::invalid(
+            InvalidRequest::Unauthorized,
+            "the API key is missing or unknown",
+        ));
     }
     let hash = stable_hash(metadata.request_id.as_deref().unwrap_or_else(|| request.head.path()));
     let Some(pool) = route.choose_pool(hash) else {
-        return Err(refusal(503, Some(DEFAULT_RETRY_AFTER), "the route has no upstreams"));
+        return Err(not_yet_sent("the route has no upstreams"));
     };
     Ok(RequestContext {
         customer: customer.map(|it| it.id.clone()),
@@ -488,6 +491,7 @@
     })
 }
 
-fn refusal(status: u16, retry_after: Option<Duration>, message: impl Into<Box<str>>) -> Refusal {
-    Refusal { status, retry_after, message: message.into() }
+/// Returns the refusal of a request before it is sent to an upstream.
+fn not_yet_sent(message: impl Into<Box<str>>) -> Refusal {
+    Refusal::not_run(NotRun::before_sending(), DEFAULT_RETRY_AFTER, message)
 }
--- a/crates/relay/src/service/forward.rs
+++ b/crates/relay/src/service/forward.rs
@@ -7,6 +7,7 @@
 use super::CallOutcome;
 use super::CallProgress;
 use super::ConnectionHandler;
+use super::DEFAULT_RETRY_AFTER;
 use super::Sender;
 use crate::call_log::millis;
 use crate::exchange::AttemptOutcome;
@@ -25,7 +26,7 @@
         route: &RouteRule,
         progress: &mut CallProgress,
     ) -> Option<CallOutcome> {
-        let may_repeat = route.kind.is_retryable() || !progress.may_have_run;
+        let may_repeat = route.kind.is_retryable() || !progress.execution.may_have_run();
         let has_attempts = progress.upstream_attempts() < route.max_attempts;
         let is_hopeless = self.sender == Sender::Vm || progress.lacks_forwarders;
         if is_hopeless || !may_repeat || !has_attempts {
@@ -33,7 +34,7 @@
         }
         let forwarders = self.relay.forwarding.forwarders();
         progress.lacks_forwarders = forwarders.is_empty() && self.relay.forwarding.is_suspect();
-        let mut call_outcome = None;
+        let mut refused_for = None;
         for forwarder in forwarders.iter().take(MAX_FORWARDERS) {
             progress.forwarded_by = Some(forwarder.vm.clone());
             let mut trace = AttemptTrace::default();
@@ -44,14 +45,15 @@
                 &mut progress.delivery,
                 &mut trace,
             );
-            let is_refusal = is_refusal(&outcome);
             self.log_forwarded(progress, forwarder, &outcome, &trace);
-            call_outcome = progress.forwarded_outcome(outcome).or(call_outcome);
-            if call_outcome.is_some() && !is_refusal {
-                break;
+            if let AttemptOutcome::NotRun { retry_after, .. } = &outcome {
+                refused_for = Some(retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
+            }
+            if let Some(call_outcome) = progress.forwarded_outcome(outcome) {
+                return Some(call_outcome);
             }
         }
-        call_outcome
+        refused_for.map(|it| progress.refused_by_vms(it))
     }
 
     fn log_forwarded(
@@ -74,12 +76,3 @@
         }
     }
 }
-
-/// Returns `true` if the call was not run and another VM may be tried.
-fn is_refusal(outcome: &AttemptOutcome) -> bool {
-    match outcome {
-        AttemptOutcome::Buffered(response) => matches!(response.head.status, 408 | 421 | 429 | 503),
-        AttemptOutcome::NotSent | AttemptOutcome::NotRun { .. } => true,
-        _ => false,
-    }
-}
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -7,17 +7,18 @@
 use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::RouteRule;
+use cranberryvalve_policy::execution::Execution;
 use cranberryvalve_policy::scheduler::Conclusion;
 use cranberryvalve_policy::scheduler::SendCommand;
 
 use super::DEFAULT_RETRY_AFTER;
-use super::refusal;
 use crate::crashes::join;
-use crate::dialect::Refusal;
 use crate::events::EventId;
 use crate::exchange::AttemptOutcome;
 use crate::exchange::BufferedResponse;
 use crate::exchange::Delivery;
+use crate::refusal::LostResponse;
+use crate::refusal::Refusal;
 
 /// Final outcome of a call.
 pub(crate) enum CallOutcome {
@@ -38,9 +39,9 @@
     /// Returns the name of this outcome in logs and metrics.
     pub(crate) const fn label(&self) -> &'static str {
         match self {
-            Self::Response(response) if response.head.status >= 500 => "upstream_failed",
+            Self::Response(response) if response.head().status >= 500 => "upstream_failed",
             Self::Response(_) | Self::Streamed => "completed",
-            Self::Refusal(refusal) if refusal.status == 502 || refusal.status == 504 => "unknown",
+            Self::Refusal(refusal) if refusal.is_of_lost_response() => "unknown",
             Self::Refusal(_) => "not_run",
             Self::Truncated => "partial",
             Self::CallerDisconnected => "caller_gone",
@@ -50,8 +51,8 @@
     /// Returns the status code sent to the caller, or `None` if the caller disconnected.
     pub(crate) const fn status(&self) -> Option<u16> {
         match self {
-            Self::Response(response) => Some(response.head.status),
-            Self::Refusal(refusal) => Some(refusal.status),
+            Self::Response(response) => Some(response.head().status),
+            Self::Refusal(refusal) => Some(refusal.status()),
             Self::Streamed | Self::Truncated => Some(200),
             Self::CallerDisconnected => None,
         }
@@ -59,12 +60,12 @@
 
     /// Returns the message of a refusal, or `None` if the call was not refused.
     pub(crate) fn reason(&self) -> Option<&str> {
-        self.refusal().map(|it| &*it.message)
+        self.refusal().map(Refusal::message)
     }
 
     /// Returns the `Retry-After` of a refusal, or `None` if none was sent.
     pub(crate) fn retry_after(&self) -> Option<Duration> {
-        self.refusal().and_then(|it| it.retry_after)
+        self.refusal().and_then(Refusal::retry_after)
     }
 
     const fn refusal(&self) -> Option<&Refusal> {
@@ -107,8 +108,8 @@
     pub(super) lacks_forwarders: bool,
     /// Number of attempts that reached no upstream.
     pub(super) unsent_attempts: u32,
-    /// Whether an upstream may have started to run the call.
-    pub(super) may_have_run: bool,
+    /// What the attempts have shown about whether the call was run.
+    pub(crate) execution: Execution,
     /// Last 5xx response of an upstream.
     pub(super) failed_response: Option<BufferedResponse>,
 }
@@ -127,6 +128,7 @@
         if outcome.is_unsent() {
             self.unsent_attempts += 1;
         }
+        self.execution.record(outcome.execution());
         self.last_command = Some(command);
     }
 
@@ -155,23 +157,19 @@
         resumed.or(self.caller_id.as_ref()).map(|it| &**it)
     }
 
-    /// Returns the outcome of a call that another VM forwarded, or `None` if it was not sent.
+    /// Records an attempt through another VM, and returns the outcome of the call, or `None` if it
+    /// was not run.
     pub(super) fn forwarded_outcome(&mut self, outcome: AttemptOutcome) -> Option<CallOutcome> {
+        self.execution.record(outcome.execution());
         match outcome {
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
             _ if self.delivery.is_head_sent => Some(CallOutcome::Truncated),
             AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
-            AttemptOutcome::Incomplete => {
-                self.may_have_run = true;
-                let message =
-                    "no whole answer came back through another VM, and it may have been run";
-                Some(CallOutcome::Refusal(refusal(502, None, message)))
-            }
-            AttemptOutcome::DeadlineExceeded => {
-                self.may_have_run = true;
-                Some(self.outcome_at_deadline())
+            AttemptOutcome::Incomplete | AttemptOutcome::Unattested => {
+                Some(self.failure(LostResponse::Invalid, DEFAULT_RETRY_AFTER, "another VM failed"))
             }
+            AttemptOutcome::DeadlineExceeded => Some(self.outcome_at_deadline()),
             AttemptOutcome::NotSent
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::NotRun { .. }
@@ -179,52 +177,50 @@
         }
     }
 
+    /// Returns the outcome when the other VMs that were asked have refused to forward the call.
+    pub(super) fn refused_by_vms(&mut self, retry_after: Duration) -> CallOutcome {
+        self.failure(LostResponse::Invalid, retry_after, "refused by another VM")
+    }
+
     /// Returns the outcome when the scheduler makes no further attempt.
     pub(super) fn final_outcome(&mut self, conclusion: &Conclusion) -> CallOutcome {
-        if self.delivery.is_head_sent {
-            return CallOutcome::Truncated;
-        }
-        if let Some(response) = self.failed_response.take() {
-            return CallOutcome::Response(response);
-        }
-        let reason = conclusion.reason.name();
-        if self.may_have_run {
-            let message = format!("no whole answer came back, and it may have been run: {reason}");
-            return CallOutcome::Refusal(refusal(502, None, message));
-        }
-        let message = format!("not run: {reason}");
-        CallOutcome::Refusal(refusal(503, Some(conclusion.retry_after), message))
+        self.failure(LostResponse::Invalid, conclusion.retry_after, conclusion.reason.name())
     }
 
     /// Returns the outcome of a call that is not sent, or not sent again, since calls like it crash
     /// upstreams.
     pub(super) fn quarantine_outcome(&mut self, refusal: &quarantine::Refusal) -> CallOutcome {
-        if self.delivery.is_head_sent {
-            return CallOutcome::Truncated;
-        }
-        metrics::counter!("cranberryvalve_quarantine_refusals_total").increment(1);
-        if let Some(response) = self.failed_response.take() {
-            return CallOutcome::Response(response);
-        }
-        if self.may_have_run {
-            let message = "no whole answer came back, and it may have been run: quarantined";
-            return CallOutcome::Refusal(self::refusal(502, None, message));
+        if !self.delivery.is_head_sent {
+            metrics::counter!("cranberryvalve_quarantine_refusals_total").increment(1);
+            self.quarantined_for = Some(join(&refusal.crashed));
         }
         let retry_after = refusal.retry_after.max(DEFAULT_RETRY_AFTER);
-        let message = format!("not run: quarantined: {} crashes upstreams", refusal.key);
-        self.quarantined_for = Some(join(&refusal.crashed));
-        CallOutcome::Refusal(self::refusal(503, Some(retry_after), message))
+        let reason = format!("quarantined: {} crashes upstreams", refusal.key);
+        self.failure(LostResponse::Invalid, retry_after, &reason)
     }
 
     /// Returns the outcome when the call's deadline has passed.
     pub(super) fn outcome_at_deadline(&mut self) -> CallOutcome {
+        self.failed_response = None;
+        self.failure(LostResponse::TimedOut, DEFAULT_RETRY_AFTER, "no room in time")
+    }
+
+    /// Returns the outcome of a call that got no response to relay. Only here, a promise that the call
+    /// was not run is made from what its attempts have shown.
+    fn failure(&mut self, lost: LostResponse, retry_after: Duration, reason: &str) -> CallOutcome {
         if self.delivery.is_head_sent {
             return CallOutcome::Truncated;
         }
-        if self.may_have_run || self.failed_response.is_some() {
-            let message = "no whole answer came back in time, and it may have been run";
-            return CallOutcome::Refusal(refusal(504, None, message));
+        if let Some(response) = self.failed_response.take() {
+            return CallOutcome::Response(response);
         }
-        CallOutcome::Refusal(refusal(503, Some(DEFAULT_RETRY_AFTER), "not run: no room in time"))
+        CallOutcome::Refusal(match self.execution.prove_not_run() {
+            Some(proof) => Refusal::not_run(proof, retry_after, format!("not run: {reason}")),
+            None => {
+                let message =
+                    format!("no whole answer came back, and it may have been run: {reason}");
+                Refusal::may_have_run(lost, message)
+            }
+        })
     }
 }
