fix: a status without attestation is no promise that a call was not run

Callers got 503, 429 or 408 for calls that ran, one run each: a worker that runs a call and responds with such a status, without stating that it did not run it, had its response relayed unchanged, and the status became a promise.

Only `Not-Executed`, 421 or another VM's own refusal attest it. A status that would promise it without that ends the attempt as unattested: calls that may be repeated are sent again within the retry budget, all others get 502 without the worker's signature. A relayed response cannot have such a status, by its type.

--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -56,7 +56,7 @@
     if is_success && (facts.request_id.is_none() || !facts.is_signed) {
         return Verdict::Invalid;
     }
-    Verdict::Match
+    if is_promise(status) { Verdict::Unattested } else { Verdict::Match }
 }
 
 /// Classifies a response of another VM, to which the call was forwarded.
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -130,7 +130,7 @@
 impl BufferedResponse {
     /// Returns `None` if the status is such a promise.
     fn new(head: ResponseHead, body: HeldBody) -> Option<Self> {
-        Some(Self { head, body })
+        (!is_promise(head.status)).then_some(Self { head, body })
     }
 
     pub(crate) const fn head(&self) -> &ResponseHead {
