fix: a request that fails after its first bytes is not continued on another connection

Workers could get the tail of a request as a request of its own: on a kept connection that fails after some bytes went out, start_request said that none had, and the writer went on where it had stopped on a new connection. Such an attempt has been started now; the error shows with the next bytes, and the attempt ends as broken.

Failed before (524,288 bytes sent, not started), passes now: a_request_that_fails_after_its_first_bytes_was_started.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -73,7 +73,7 @@
 impl Attempt<'_> {
     /// Writes the first bytes of the request. Returns `false` if the connection accepts none.
     pub(super) fn start_request(&mut self) -> bool {
-        self.request.write_available(&self.connection).is_ok() && self.request.sent > 0
+        self.request.start(&self.connection)
     }
 
     /// Sends the request and receives the response. Returns the connection if it can be reused.
@@ -335,7 +335,17 @@
         Ok(())
     }
 
+    /// Writes the first bytes. Returns `false` if the connection accepts none.
+    fn start(&mut self, connection: &Connection) -> bool {
+        // An error after the first bytes shows again with the next ones.
+        let _ = self.write_available(connection);
+        self.sent > 0
+    }
+
     const fn is_complete(&self) -> bool {
         self.sent == self.bytes.len()
     }
 }
+
+#[cfg(test)]
+mod tests;
