--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -27,7 +27,7 @@
     /// confirm it.
     Unattested,
     /// A response to another request, or one that cannot be attributed.
-    Foreign,
+    Stray,
     /// A response to the call that must not be relayed.
     Invalid,
 }
@@ -47,7 +47,7 @@
         None => position == Position::First,
     };
     if !is_own {
-        return Verdict::Foreign;
+        return Verdict::Stray;
     }
     if let Some(rejection) = facts.rejection {
         return Verdict::NotRun { misdirected: rejection == Rejection::Misdirected };
--- a/crates/relay/src/attribution/tests.rs
+++ b/crates/relay/src/attribution/tests.rs
@@ -13,17 +13,17 @@
     [None, Some(Rejection::NotRun), Some(Rejection::Misdirected)];
 
 #[test]
-fn nothing_in_a_foreign_response_is_believed() {
+fn nothing_in_a_stray_response_is_believed() {
     for status in [200, 400, 421, 429, 500, 503] {
         for rejection in REJECTIONS {
             for position in [Position::First, Position::Later] {
                 let facts = ResponseFacts { request_id: Some("c0"), rejection, is_signed: true };
-                assert_eq!(classify(status, facts, Some(CALL), position), Verdict::Foreign);
-                assert_eq!(classify(status, facts, None, position), Verdict::Foreign);
+                assert_eq!(classify(status, facts, Some(CALL), position), Verdict::Stray);
+                assert_eq!(classify(status, facts, None, position), Verdict::Stray);
             }
             let facts = ResponseFacts { request_id: None, rejection, is_signed: true };
-            assert_eq!(classify(status, facts, Some(CALL), Position::Later), Verdict::Foreign);
-            assert_eq!(classify(status, facts, None, Position::Later), Verdict::Foreign);
+            assert_eq!(classify(status, facts, Some(CALL), Position::Later), Verdict::Stray);
+            assert_eq!(classify(status, facts, None, Position::Later), Verdict::Stray);
         }
     }
 }
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -136,7 +136,7 @@
         "attempt_ms" => millis(started_at.elapsed()),
         "events" => progress.delivery.events,
         "software_version" => &*command.upstream.software_version,
-        "foreign_responses" => trace.foreign_responses,
+        "stray_responses" => trace.stray_responses,
         "response_request" => trace.response_request_id.as_deref(),
         "response_status" => trace.response_status,
         "reused_connection" => trace.is_connection_reused,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -228,7 +228,7 @@
     /// Number of interim responses (1xx).
     pub(crate) interim_responses: usize,
     /// Number of responses to other requests that were skipped.
-    pub(crate) foreign_responses: usize,
+    pub(crate) stray_responses: usize,
 }
 
 /// Why an attempt was aborted.
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -80,8 +80,8 @@
     pub(super) fn run(mut self) -> (AttemptOutcome, Option<ReusableConnection>) {
         match self.receive() {
             Ok((outcome, head)) => {
-                // After a foreign response, the next one on the connection may be foreign, too.
-                let is_in_step = self.request.is_complete() && self.trace.foreign_responses == 0;
+                // After a stray response, the next one on the connection may be one, too.
+                let is_in_step = self.request.is_complete() && self.trace.stray_responses == 0;
                 let head = head.filter(|_| is_in_step);
                 (outcome, head.map(|it| (self.connection, it)))
             }
@@ -123,10 +123,10 @@
                     let outcome = AttemptOutcome::NotRun { misdirected, retry_after };
                     return Ok((outcome, is_complete.then_some(head)));
                 }
-                Verdict::Foreign => {
+                Verdict::Stray => {
                     self.receive_body(&mut decoder)?;
-                    self.trace.foreign_responses += 1;
-                    metrics::counter!("cranberryvalve_foreign_responses_total").increment(1);
+                    self.trace.stray_responses += 1;
+                    metrics::counter!("cranberryvalve_stray_responses_total").increment(1);
                     self.check_skipped_responses()?;
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
@@ -136,7 +136,7 @@
 
     /// Returns the place of the next response on the connection.
     fn position(&self) -> Position {
-        let is_first = !self.trace.is_connection_reused && self.trace.foreign_responses == 0;
+        let is_first = !self.trace.is_connection_reused && self.trace.stray_responses == 0;
         if is_first { Position::First } else { Position::Later }
     }
 
@@ -184,7 +184,7 @@
     }
 
     fn check_skipped_responses(&self) -> Result<(), AttemptError> {
-        let skipped = self.trace.foreign_responses + self.trace.interim_responses;
+        let skipped = self.trace.stray_responses + self.trace.interim_responses;
         let is_permitted = skipped <= MAX_SKIPPED_RESPONSES;
         is_permitted.then_some(()).ok_or(AttemptError::Incomplete)
     }
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -38,7 +38,7 @@
                 self.process_announcements(head, self.command.send_by.is_some());
             }
             Verdict::Invalid => self.process_announcements(head, false),
-            Verdict::NotRun { misdirected: true } | Verdict::Foreign => {}
+            Verdict::NotRun { misdirected: true } | Verdict::Stray => {}
         }
         verdict
     }
