fix: a VM that is alone in its failure domain reads the directory as soon as it has joined

Trace: front-th-central-c-1, the only VM of its domain, started at 27.37 s and read the directory at 27.39; the upstream left at 27.61. For 2.5 s after its start a VM finds its peers and is no watcher; it checked its duty each second, so it read again only at 30.4 or later, while it is in touch from 30.37 on.

WatchDuty says when to check again: at the end of the time for joining, then each second, or each 250 ms without a watcher.

--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -42,6 +42,12 @@
 /// Time after the start of a VM in which it finds its peers before it takes up the duty.
 pub const JOIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Maximum time between two checks of a VM that does not read the source whether it has to.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// That time while no other VM of the failure domain reaches the source.
+const UNCOVERED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval at which further VMs begin to read while no watcher reaches the source.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -96,6 +102,18 @@
         now < self.covered_until
     }
 
+    /// Returns the time after which a VM that does not read the source checks again whether it has to.
+    pub fn check_delay(&self, now: Instant) -> Duration {
+        let time_to_join = (self.started_at + JOIN_TIME).saturating_duration_since(now);
+        if !time_to_join.is_zero() {
+            time_to_join.min(CHECK_INTERVAL)
+        } else if self.is_covered(now) {
+            CHECK_INTERVAL
+        } else {
+            UNCOVERED_CHECK_INTERVAL
+        }
+    }
+
     /// Returns `true` if the VM `own` reads the source itself. `vms` are the living VMs of its
     /// failure domain, itself included.
     ///
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
 use std::time::Instant;
 
 use slog::info;
@@ -21,12 +20,6 @@
 use super::follower::MAX_POLL_WAIT;
 use crate::state::Relay;
 
-/// Interval at which a VM that does not read a source checks whether it has to.
-const DUTY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
-/// That interval while no other VM of the failure domain reaches the source.
-const UNCOVERED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Starts a thread that follows a source of routing tables.
 ///
 /// VMs that are not watchers of their failure domain read the source only when they start; their
@@ -42,7 +35,7 @@
         loop {
             if follower.position.is_some() && !relay.is_source_reader() {
                 follower.pause();
-                thread::sleep(DUTY_CHECK_INTERVAL);
+                thread::sleep(relay.shared_directory.check_delay(Instant::now()));
                 continue;
             }
             follower.delay_after_change();
@@ -104,12 +97,7 @@
             self.read();
         } else {
             self.follower.pause();
-            let is_covered = shared.is_covered(Instant::now());
-            shared.wait_for_report(if is_covered {
-                DUTY_CHECK_INTERVAL
-            } else {
-                UNCOVERED_CHECK_INTERVAL
-            });
+            shared.wait_for_report(shared.check_delay(Instant::now()));
         }
     }
 
--- a/crates/relay/src/sources/shared.rs
+++ b/crates/relay/src/sources/shared.rs
@@ -73,9 +73,9 @@
         is_reader
     }
 
-    /// Returns `true` if another VM recently reported that it reaches the source.
-    pub(super) fn is_covered(&self, now: Instant) -> bool {
-        self.lock().duty.is_covered(now)
+    /// Returns the time after which a VM that does not read the source checks again whether it has to.
+    pub(super) fn check_delay(&self, now: Instant) -> Duration {
+        self.lock().duty.check_delay(now)
     }
 
     /// Returns `true` if this VM or one that reports to it reaches the source.
