fix: a response that has begun gets no second head

What callers saw: a resumable stream broke off after its fourth event, the next upstream answered 400, 404, 429 or 307, and the whole of that answer, status line and headers too, stood in the middle of the chunked stream. The connection was kept, so the caller's next call on it was served behind these bytes.

Cause: `CallOutcome::Response` was sent whether or not `delivery.is_head_sent`; only the paths that remembered to ask (no further attempt, deadline, quarantine, forwarding) broke the stream off instead.

Change: the right to send a response is a value. Reading a request yields one `UnsentResponse`; sending any response, refusal or the head of a stream uses it up, and the last of these gives a `BegunStream`, which can take events or the end. The writers of `CallerConnection` are private to these two types. `Delivery` holds whichever of them there is. `CallConclusion` joins an outcome with the right to send it: without that right a response or refusal is a truncated stream, in the log line as on the wire, and the connection is closed without the final chunk.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One attempt of a call: sends the request to an upstream and relays the response.
 
 mod attempt;
+mod delivery;
 mod forward;
 mod upstream;
 
@@ -32,14 +33,12 @@
 use crate::socket::wait;
 use crate::state::Relay;
 
+pub(crate) use self::delivery::Delivery;
+
 /// Maximum time to establish a connection to an upstream. It covers several round trips between
 /// failure domains with one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Minimum number of gaps between the events of a stream from which the upstream's decode
-/// pace is derived.
-const MIN_EVENT_GAPS: usize = 8;
-
 /// Hop-by-hop headers (RFC 9110, section 7.6.1) and those that frame the body.
 const HOP_BY_HOP_HEADERS: [&str; 11] = [
     "connection",
@@ -76,47 +75,6 @@
     pub(crate) suspect_keys: &'a [SuspectKey],
 }
 
-/// State of the response as sent to the caller, across attempts.
-#[derive(Debug, Default)]
-pub(crate) struct Delivery {
-    /// Whether the response head was sent.
-    pub(crate) is_head_sent: bool,
-    /// Id of the last event the caller has, including events of an earlier call that this one
-    /// resumes. `None` if it has no event with an id.
-    pub(crate) last_event_id: Option<EventId>,
-    /// When the first events were sent, or `None` before that.
-    pub(crate) first_part_at: Option<Instant>,
-    /// When the last events were sent, or `None` before that.
-    pub(crate) last_event_at: Option<Instant>,
-    /// Longest time between two events.
-    pub(crate) longest_gap: Duration,
-    /// Times between consecutive sends of events.
-    pub(crate) gaps: Vec<Duration>,
-    /// Number of events sent.
-    pub(crate) events: u32,
-}
-
-impl Delivery {
-    /// Records a batch of events that were sent together.
-    fn record_events(&mut self, events: u32, now: Instant) {
-        self.first_part_at.get_or_insert(now);
-        self.events += events;
-        if let Some(last_at) = self.last_event_at.replace(now) {
-            let gap = now.saturating_duration_since(last_at);
-            self.longest_gap = self.longest_gap.max(gap);
-            self.gaps.push(gap);
-        }
-    }
-
-    /// Returns the median time between events, or `None` if the stream has fewer than
-    /// [`MIN_EVENT_GAPS`] gaps.
-    fn median_gap(&mut self) -> Option<Duration> {
-        let middle = self.gaps.len() / 2;
-        let is_long_enough = self.gaps.len() >= MIN_EVENT_GAPS;
-        is_long_enough.then(|| *self.gaps.select_nth_unstable(middle).1)
-    }
-}
-
 /// A complete response of an upstream, held in memory.
 #[derive(Debug)]
 pub(crate) struct BufferedResponse {
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -1,7 +1,6 @@
 //! One request and its response on a connection to an upstream.
 
 use std::io;
-use std::time::Instant;
 
 use slog::warn;
 
@@ -14,7 +13,6 @@
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
 use crate::dialect::Verdict;
-use crate::events::EventBatch;
 use crate::events::EventReader;
 use crate::memory::HeldBody;
 use crate::response::ResponseHead;
@@ -219,7 +217,8 @@
                     is_response_started = true;
                     self.remote.on_first_events();
                 }
-                self.forward_events(head, &events)?;
+                let deadline = self.exchange.deadline;
+                self.delivery.forward_events(self.caller, head, &events, deadline)?;
                 self.delivery.last_event_id = reader.last_id();
             }
             decode_result.map_err(|_| AttemptError::Incomplete)?;
@@ -236,35 +235,9 @@
         if reader.has_incomplete_event() {
             return Err(AttemptError::Incomplete);
         }
-        self.end_stream(head)?;
-        Ok(decoder.is_delimited_by_close())
-    }
-
-    fn forward_events(
-        &mut self,
-        head: &ResponseHead,
-        events: &EventBatch,
-    ) -> Result<(), AttemptError> {
-        self.start_stream(head)?;
-        self.caller.send_chunk(&events.bytes, self.exchange.deadline)?;
-        self.delivery.record_events(events.count, Instant::now());
-        Ok(())
-    }
-
-    /// Sends the response head, unless an earlier attempt already has.
-    fn start_stream(&mut self, head: &ResponseHead) -> Result<(), AttemptError> {
-        if !self.delivery.is_head_sent {
-            self.delivery.is_head_sent = true;
-            self.caller.start_stream(head, self.exchange.deadline)?;
-        }
-        Ok(())
-    }
-
-    fn end_stream(&mut self, head: &ResponseHead) -> Result<(), AttemptError> {
-        self.start_stream(head)?;
-        self.caller.end_stream(self.exchange.deadline)?;
+        self.delivery.end(self.caller, head, self.exchange.deadline)?;
         self.remote.on_stream_end(self.delivery);
-        Ok(())
+        Ok(decoder.is_delimited_by_close())
     }
 
     /// Waits until the upstream's connection is readable, or writable if `upstream_output` is set,
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of a caller's connection.
 
+mod conclusion;
 mod forward;
 mod progress;
 
@@ -31,6 +32,7 @@
 use crate::caller::CallerConnection;
 use crate::caller::CallerRequest;
 use crate::caller::ReadError;
+use crate::caller::UnsentResponse;
 use crate::dialect::CallMetadata;
 use crate::dialect::Refusal;
 use crate::dispatch::CallGuard;
@@ -45,6 +47,7 @@
 use crate::socket::wait;
 use crate::state::Relay;
 
+use self::conclusion::CallConclusion;
 pub(crate) use self::progress::CallOutcome;
 pub(crate) use self::progress::CallProgress;
 
@@ -66,16 +69,13 @@
     let Ok(connection) = Connection::from_accepted(stream) else { return };
     // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
     let Ok(mailbox) = Mailbox::new() else { return };
-    let mut handler = ConnectionHandler {
-        relay,
-        sender,
-        mailbox: Arc::new(mailbox),
-        caller: CallerConnection::new(connection),
-    };
+    let caller = CallerConnection::new(connection);
     if relay.caller_connections() > relay.settings.max_connections {
-        handler.reject(&refusal(503, Some(DEFAULT_RETRY_AFTER), "too many connections"));
+        let refusal = refusal(503, Some(DEFAULT_RETRY_AFTER), "too many connections");
+        caller.refuse_connection(&refusal);
         return;
     }
+    let mut handler = ConnectionHandler { relay, sender, mailbox: Arc::new(mailbox), caller };
     while handler.serve_request() {}
 }
 
@@ -104,40 +104,31 @@
             return false;
         }
         let _active_request = self.relay.track_request();
-        let request = match self.caller.read_request(&limits) {
+        let (request, response) = match self.caller.read_request(&limits) {
             Ok(request) => request,
             Err(ReadError::Disconnected) => return false,
-            Err(ReadError::Rejected(refusal)) => {
-                self.reject(&refusal);
+            Err(ReadError::Rejected(response, refusal)) => {
+                response.reject(&mut self.caller, &refusal);
                 return false;
             }
         };
         if self.relay.is_draining() {
             self.caller.keeps_alive = false;
         }
-        let call_outcome = match self.prepare(&request) {
-            Ok((metadata, context)) => self.run_call(&request, metadata, &context),
+        let conclusion = match self.prepare(&request) {
+            Ok((metadata, context)) => self.run_call(&request, response, metadata, &context),
             Err(refusal) => {
                 self.log_refusal(&request, &refusal);
-                CallOutcome::Refusal(refusal)
+                CallConclusion::new(CallOutcome::Refusal(refusal), Some(response))
             }
         };
-        self.send_outcome(&call_outcome)
+        conclusion.send(&mut self.caller) && self.caller.keeps_alive
     }
 
     fn limits(&self) -> CallerLimits {
         self.relay.routing_table().map(|it| it.limits().clone()).unwrap_or_default()
     }
 
-    /// Sends `refusal` without reading a request to its end, then drains the connection so that the
-    /// caller receives it.
-    fn reject(&mut self, refusal: &Refusal) {
-        self.caller.keeps_alive = false;
-        if self.caller.send_refusal(refusal).is_ok() {
-            self.caller.drain_input();
-        }
-    }
-
     /// Logs and counts a request that was refused before it reached the scheduler.
     fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
         let id = self.relay.dialect.parse_call(&request.head).ok().and_then(|it| it.request_id);
@@ -165,14 +156,15 @@
     fn run_call(
         &mut self,
         request: &CallerRequest,
+        response: UnsentResponse,
         metadata: CallMetadata,
         context: &RequestContext,
-    ) -> CallOutcome {
+    ) -> CallConclusion {
         let mut progress = CallProgress {
-            delivery: Delivery {
-                last_event_id: metadata.last_event_id.filter(|_| context.route.kind.is_retryable()),
-                ..Delivery::default()
-            },
+            delivery: Delivery::new(
+                response,
+                metadata.last_event_id.filter(|_| context.route.kind.is_retryable()),
+            ),
             input_tokens: metadata.prompt.as_ref().map_or(0, |it| it.input_tokens),
             shared_parts: metadata.prompt.as_ref().map(Prompt::shared_part_ids).unwrap_or_default(),
             caller_id: metadata.request_id,
@@ -194,15 +186,16 @@
             },
             Err(refusal) => progress.quarantine_outcome(&refusal),
         };
+        let conclusion = CallConclusion::new(call_outcome, progress.delivery.take_unsent());
         log_call(
             &self.relay.log,
             &self.relay.call_log_limiter,
             request,
             context,
             &progress,
-            &call_outcome,
+            conclusion.outcome(),
         );
-        call_outcome
+        conclusion
     }
 
     /// Limits a call that continues a stream to the upstreams that can continue it.
@@ -406,17 +399,6 @@
         }
         call_outcome
     }
-
-    /// Sends the final response to the caller. Returns `false` if the connection must be closed.
-    fn send_outcome(&mut self, call_outcome: &CallOutcome) -> bool {
-        let sent = match call_outcome {
-            CallOutcome::Response(response) => self.caller.send_response(response).is_ok(),
-            CallOutcome::Refusal(refusal) => self.caller.send_refusal(refusal).is_ok(),
-            CallOutcome::Streamed => true,
-            CallOutcome::Truncated | CallOutcome::CallerDisconnected => false,
-        };
-        sent && self.caller.keeps_alive
-    }
 }
 
 /// Why waiting for a directive was given up.
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -160,7 +160,7 @@
         match outcome {
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
-            _ if self.delivery.is_head_sent => Some(CallOutcome::Truncated),
+            _ if self.delivery.has_begun() => Some(CallOutcome::Truncated),
             AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
             AttemptOutcome::Incomplete => {
                 self.may_have_run = true;
@@ -181,7 +181,7 @@
 
     /// Returns the outcome when the scheduler makes no further attempt.
     pub(super) fn final_outcome(&mut self, conclusion: &Conclusion) -> CallOutcome {
-        if self.delivery.is_head_sent {
+        if self.delivery.has_begun() {
             return CallOutcome::Truncated;
         }
         if let Some(response) = self.failed_response.take() {
@@ -199,7 +199,7 @@
     /// Returns the outcome of a call that is not sent, or not sent again, since calls like it crash
     /// upstreams.
     pub(super) fn quarantine_outcome(&mut self, refusal: &quarantine::Refusal) -> CallOutcome {
-        if self.delivery.is_head_sent {
+        if self.delivery.has_begun() {
             return CallOutcome::Truncated;
         }
         metrics::counter!("cranberryvalve_quarantine_refusals_total").increment(1);
@@ -218,7 +218,7 @@
 
     /// Returns the outcome when the call's deadline has passed.
     pub(super) fn outcome_at_deadline(&mut self) -> CallOutcome {
-        if self.delivery.is_head_sent {
+        if self.delivery.has_begun() {
             return CallOutcome::Truncated;
         }
         if self.may_have_run || self.failed_response.is_some() {
