fix: only what follows on the last event continues a stream

What callers saw: a resumable stream broke off after event 4, the next upstream answered 200, and the stream ended as if it were complete although it lacked events: after an empty stream, a 204, a run that ended at event 3, events without ids, a web page (its text stood in the stream), a body with a content coding, or events that went on at 6. A stream without ids was run again, and its events came twice. Within one body, events that began again were taken out and what came after them was joined to the first run.

Cause: `EventReader` only skipped ids up to the last one. Nothing asked whether the body was an event stream, whether its first new event followed on, or whether its end was that of the stream.

Change: `Delivery::reader` gives a reader for a response of its own (`beginning`) or for the rest of one that has begun (`continuing`). The rest must be an event stream without a content coding, and is joined at the last id that the caller has, or at one that follows on it; an attempt that shows neither is interrupted, as if its connection had broken. Another attempt may follow; else the stream breaks off visibly. Nothing is sent again for a stream that has events with data and without an id.

What an event stream looks like: PROTOCOL.md says "increasing ids" and that an event may hold several tokens. So ids increase strictly within a body (an id that repeats or goes back ends the attempt), and gaps within one body are legal. At a joint a gap is legal only up to the widest step that the stream has shown; for consecutive ids that is the next one. A body that starts over is joined at the last known id, whatever comes after it. An empty rest proves no end, so a stream whose first run broke between its last event and its end is broken off, too, unless the next run shows that event again. Where nothing was sent yet (a caller that resumes by itself, or a forwarding VM), an empty rest and a gap are passed on as the upstream's own answer, but a run that ends before the caller's last event is an unknown outcome (502).

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -203,7 +203,7 @@
         if let Err(refusal) = self.relay.claim_send(self.suspect_keys) {
             return AttemptOutcome::Quarantined(refusal);
         }
-        let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id));
+        let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id()));
         let remote = ScheduledUpstream { exchange: self, command, call_guard };
         let mut attempt = Attempt {
             exchange: self,
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -13,7 +13,6 @@
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
 use crate::dialect::Verdict;
-use crate::events::EventReader;
 use crate::memory::HeldBody;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
@@ -203,7 +202,7 @@
         head: &ResponseHead,
         mut decoder: BodyDecoder,
     ) -> Result<bool, AttemptError> {
-        let mut reader = EventReader::after(self.delivery.last_event_id);
+        let mut reader = self.delivery.reader(head).ok_or(AttemptError::Incomplete)?;
         let mut reservation = self.exchange.relay.response_memory.reserve();
         let mut is_response_started = false;
         loop {
@@ -211,16 +210,17 @@
             let max_capacity_bytes = 2 * (reader.buffer().len() + self.connection.input.len());
             reservation.extend_to(max_capacity_bytes).map_err(|_| AttemptError::Incomplete)?;
             let decode_result = decoder.decode(&mut self.connection.input, reader.buffer());
-            let events = reader.take_complete().map_err(|_| AttemptError::Incomplete)?;
+            let events = reader.take_complete();
             if events.count > 0 {
                 if !is_response_started {
                     is_response_started = true;
                     self.remote.on_first_events();
                 }
                 let deadline = self.exchange.deadline;
-                self.delivery.forward_events(self.caller, head, &events, deadline)?;
-                self.delivery.last_event_id = reader.last_id();
+                let position = reader.position();
+                self.delivery.forward_events(self.caller, head, &events, position, deadline)?;
             }
+            reader.check().map_err(|_| AttemptError::Incomplete)?;
             decode_result.map_err(|_| AttemptError::Incomplete)?;
             if decoder.is_complete() {
                 break;
@@ -232,9 +232,7 @@
                 return Err(AttemptError::Incomplete);
             }
         }
-        if reader.has_incomplete_event() {
-            return Err(AttemptError::Incomplete);
-        }
+        reader.check_end().map_err(|_| AttemptError::Incomplete)?;
         self.delivery.end(self.caller, head, self.exchange.deadline)?;
         self.remote.on_stream_end(self.delivery);
         Ok(decoder.is_delimited_by_close())
--- a/crates/relay/src/exchange/delivery.rs
+++ b/crates/relay/src/exchange/delivery.rs
@@ -9,6 +9,9 @@
 use crate::caller::UnsentResponse;
 use crate::events::EventBatch;
 use crate::events::EventId;
+use crate::events::EventReader;
+use crate::events::StreamPosition;
+use crate::events::is_event_stream;
 use crate::response::ResponseHead;
 
 /// Minimum number of gaps between the events of a stream from which the upstream's decode
@@ -29,9 +32,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Delivery {
     state: State,
-    /// Id of the last event the caller has, including events of an earlier call that this one
-    /// resumes. `None` if it has no event with an id.
-    pub(crate) last_event_id: Option<EventId>,
+    /// How far the caller has the stream, including events of an earlier call that this one resumes.
+    position: StreamPosition,
     /// When the first events were sent, or `None` before that.
     pub(crate) first_part_at: Option<Instant>,
     /// When the last events were sent, or `None` before that.
@@ -47,7 +49,8 @@
 impl Delivery {
     /// Creates the state of a response to a caller that has the events up to `last_event_id`.
     pub(crate) fn new(response: UnsentResponse, last_event_id: Option<EventId>) -> Self {
-        Self { state: State::Unsent(response), last_event_id, ..Self::default() }
+        let position = StreamPosition::after(last_event_id);
+        Self { state: State::Unsent(response), position, ..Self::default() }
     }
 
     /// Returns `true` if a part of the response may have been sent.
@@ -55,6 +58,25 @@
         !matches!(self.state, State::Unsent(_))
     }
 
+    /// Returns `true` if a part of the response was sent on which no attempt can follow.
+    pub(crate) const fn is_stuck(&self) -> bool {
+        self.has_begun() && !self.position.is_resumable()
+    }
+
+    /// Returns the id of the last event the caller has, or `None` if it has no event with an id.
+    pub(super) const fn last_event_id(&self) -> Option<EventId> {
+        self.position.last_id
+    }
+
+    /// Returns a reader of a streamed response with this head, or `None` if that cannot be the rest of
+    /// the response that the caller has a part of.
+    pub(super) fn reader(&self, head: &ResponseHead) -> Option<EventReader> {
+        if !self.has_begun() {
+            return Some(EventReader::beginning(self.position));
+        }
+        is_event_stream(head).then(|| EventReader::continuing(self.position))
+    }
+
     /// Takes the right to send a response, or `None` if the response has begun.
     pub(crate) fn take_unsent(&mut self) -> Option<UnsentResponse> {
         match std::mem::take(&mut self.state) {
@@ -63,17 +85,20 @@
         }
     }
 
-    /// Sends events, after `head` unless an earlier attempt has sent its own.
+    /// Sends events, after `head` unless an earlier attempt has sent its own. The caller then has the
+    /// stream up to `position`.
     pub(super) fn forward_events(
         &mut self,
         caller: &mut CallerConnection,
         head: &ResponseHead,
         events: &EventBatch,
+        position: StreamPosition,
         deadline: Instant,
     ) -> io::Result<()> {
         let mut stream = self.take_stream(caller, head, deadline)?;
         stream.send_events(caller, &events.bytes, deadline)?;
         self.state = State::Begun(stream);
+        self.position = position;
         self.record_events(events.count, Instant::now());
         Ok(())
     }
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -74,8 +74,8 @@
     fn encode_forwarded(&self, delivery: &Delivery, upstream_attempts: u32) -> Vec<u8> {
         let call = ForwardedCall {
             remaining_time: self.deadline.saturating_duration_since(Instant::now()),
-            last_event_id: delivery.last_event_id,
-            stream_id: self.stream_id.filter(|_| delivery.last_event_id.is_some()),
+            last_event_id: delivery.last_event_id(),
+            stream_id: self.stream_id.filter(|_| delivery.last_event_id().is_some()),
             upstream_attempts,
         };
         let replaced = self.relay.dialect.forwarded_headers(&call);
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -384,7 +384,7 @@
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::Incomplete => {
                 progress.may_have_run = true;
-                None
+                progress.delivery.is_stuck().then_some(CallOutcome::Truncated)
             }
             AttemptOutcome::Quarantined(refusal) => Some(progress.quarantine_outcome(&refusal)),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
