fix(daemon): a declined resumption stays out of the stream

What callers saw: a streamed chat broke off, the next engine answered a 4xx to the resumption, and the status line, headers and body of that answer were written between the chunks of the stream. The caller's HTTP client failed on them, without the error event that tells it the outcome.

Cause: `ChatCall::forward` sent the engine's response without asking whether a stream had begun, unlike `give_up`; `Responder::respond` wrote a second head without complaint.

Change: a stream that has begun ends as `partial`, with its error event and without `[DONE]`. `Responder` starts one response only: a second head is an error, and the connection is closed.

The check in `Responder` has no test of its own.

By reading: the assembler (crates/policy/src/stream.rs) completes a response only when the position of the next token equals the engine's total, so an empty, shorter or gapped rest never ends as complete. Chunks without a position are taken to follow on (`next_unnumbered_position`): an engine that does not number chunks and ignores `resume_position` would repeat tokens. That is unchanged.

--- a/crates/adapters/src/caller/response.rs
+++ b/crates/adapters/src/caller/response.rs
@@ -37,14 +37,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the caller has disconnected or a write times out.
+    /// Fails if a response has been started, if the caller has disconnected or if a write times out.
     pub fn respond(
         &mut self,
         status: u16,
         headers: &[(&str, &str)],
         body: &[u8],
     ) -> io::Result<()> {
-        self.is_started = true;
+        self.start()?;
         let mut head = self.head(status, headers);
         write!(head, "content-length: {}\r\n\r\n", body.len()).map_err(io::Error::other)?;
         let mut bytes = head.into_bytes();
@@ -56,15 +56,24 @@
     ///
     /// # Errors
     ///
-    /// Fails if the caller has disconnected or a write times out.
+    /// Fails if a response has been started, if the caller has disconnected or if a write times out.
     pub fn stream(&mut self, headers: &[(&str, &str)]) -> io::Result<StreamWriter<'a>> {
-        self.is_started = true;
+        self.start()?;
         let mut head = self.head(200, headers);
         head.push_str("transfer-encoding: chunked\r\n\r\n");
         self.stream.write_all(head.as_bytes()).inspect_err(|_| self.keep_alive = false)?;
         Ok(StreamWriter { chunks: Encoder::with_chunks_size(self.stream, MAX_CHUNK_BYTES) })
     }
 
+    /// Records that the response starts. There is no second one to a request.
+    fn start(&mut self) -> io::Result<()> {
+        if std::mem::replace(&mut self.is_started, true) {
+            self.keep_alive = false;
+            return Err(io::ErrorKind::AlreadyExists.into());
+        }
+        Ok(())
+    }
+
     /// Closes the connection after this response.
     pub const fn close(&mut self) {
         self.keep_alive = false;
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -290,12 +290,16 @@
         Err(problem)
     }
 
-    /// Forwards the response of an upstream that rejected the request as invalid.
+    /// Forwards the response of an upstream that rejected the request as invalid. A stream that has
+    /// begun ends instead.
     fn forward(
-        &self,
+        &mut self,
         response: &UpstreamResponse,
         responder: &mut Responder<'s>,
     ) -> Result<(), Problem> {
+        if responder.is_started() {
+            return self.give_up(Outcome::Partial, responder);
+        }
         self.metrics.record_outcome(&Outcome::Completed);
         let headers = [("content-type", &*response.content_type), ("x-outcome", "completed")];
         // An error means that the caller has disconnected, so it is ignored.
--- a/crates/daemon/tests/complete_responses.rs
+++ b/crates/daemon/tests/complete_responses.rs
@@ -62,6 +62,19 @@
     assert!(broken > 0, "no stream was cut by a crash");
 }
 
+#[test]
+fn declined_resumption_stays_out_of_the_stream() {
+    let cluster = start(ClusterSettings { engines: 2, vms: 1, ..ClusterSettings::default() });
+    for engine in &cluster.engines {
+        engine.set_faults(|it| (it.cut_after_tokens, it.declines_resumption) = (Some(7), true));
+    }
+    let chat = chat(1);
+    let response = client::chat(cluster.vms[0].caller_address, &chat);
+    assert_eq!((response.status, response.complete), (200, false), "{response:?}");
+    assert_eq!(response.tokens, chat.expected()[..7]);
+    assert_eq!(response.outcome, "partial", "{response:?}");
+}
+
 #[test]
 fn silent_stream_resumes_at_another_engine() {
     let cluster = start(ClusterSettings { engines: 3, ..ClusterSettings::default() });
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -72,6 +72,8 @@
     /// Number of tokens after which each stream stays open without sending data; `None` if streams
     /// do not stall.
     pub stall_after_tokens: Option<u64>,
+    /// Whether the engine rejects requests that resume a response as invalid.
+    pub declines_resumption: bool,
     /// Whether the engine rejects new requests and reports that it is shutting down.
     pub leaving: bool,
     /// Whether the engine closes every connection without a response, and cuts running streams.
@@ -268,6 +270,13 @@
             let _ = responder.respond(503, &headers, b"leaving");
             return;
         }
+        let resumes = body["resume_position"].as_u64().is_some_and(|it| it > 0);
+        if resumes && lock(&self.shared.faults).declines_resumption {
+            let headers = [("content-type", "application/json")];
+            let _ =
+                responder.respond(400, &headers, b"{\"error\":{\"outcome\":\"no resumption\"}}");
+            return;
+        }
         let run = EngineRun {
             attempt_id: body["request_id"].as_str().unwrap_or_default().to_owned(),
             priority: body["priority"].as_u64().unwrap_or(0) as Tier,
