--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -1,7 +1,6 @@
 //! One request and its response on a connection to an upstream.
 
 use std::io;
-use std::time::Instant;
 
 use slog::warn;
 
@@ -15,8 +14,6 @@
 use crate::attribution::Verdict;
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
-use crate::events::EventBatch;
-use crate::events::EventReader;
 use crate::memory::HeldBody;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
@@ -223,7 +220,7 @@
         head: &ResponseHead,
         mut decoder: BodyDecoder,
     ) -> Result<bool, AttemptError> {
-        let mut reader = EventReader::after(self.delivery.last_event_id);
+        let mut reader = self.delivery.reader(head).ok_or(AttemptError::Incomplete)?;
         let mut reservation = self.exchange.relay.response_memory.reserve();
         let mut is_response_started = false;
         loop {
@@ -231,15 +228,17 @@
             let max_capacity_bytes = 2 * (reader.buffer().len() + self.connection.input.len());
             reservation.extend_to(max_capacity_bytes).map_err(|_| AttemptError::Incomplete)?;
             let decode_result = decoder.decode(&mut self.connection.input, reader.buffer());
-            let events = reader.take_complete().map_err(|_| AttemptError::Incomplete)?;
+            let events = reader.take_complete();
             if events.count > 0 {
                 if !is_response_started {
                     is_response_started = true;
                     self.remote.on_first_events();
                 }
-                self.forward_events(head, &events)?;
-                self.delivery.last_event_id = reader.last_id();
+                let deadline = self.exchange.deadline;
+                let position = reader.position();
+                self.delivery.forward_events(self.caller, head, &events, position, deadline)?;
             }
+            reader.check().map_err(|_| AttemptError::Incomplete)?;
             decode_result.map_err(|_| AttemptError::Incomplete)?;
             if decoder.is_complete() {
                 break;
@@ -251,38 +250,10 @@
                 return Err(AttemptError::Incomplete);
             }
         }
-        if reader.has_incomplete_event() {
-            return Err(AttemptError::Incomplete);
-        }
-        self.end_stream(head)?;
-        Ok(decoder.is_delimited_by_close())
-    }
-
-    fn forward_events(
-        &mut self,
-        head: &ResponseHead,
-        events: &EventBatch,
-    ) -> Result<(), AttemptError> {
-        self.start_stream(head)?;
-        self.caller.send_chunk(&events.bytes, self.exchange.deadline)?;
-        self.delivery.record_events(events.count, Instant::now());
-        Ok(())
-    }
-
-    /// Sends the response head, unless an earlier attempt already has.
-    fn start_stream(&mut self, head: &ResponseHead) -> Result<(), AttemptError> {
-        if !self.delivery.is_head_sent {
-            self.delivery.is_head_sent = true;
-            self.caller.start_stream(head, self.exchange.deadline)?;
-        }
-        Ok(())
-    }
-
-    fn end_stream(&mut self, head: &ResponseHead) -> Result<(), AttemptError> {
-        self.start_stream(head)?;
-        self.caller.end_stream(self.exchange.deadline)?;
+        reader.check_end().map_err(|_| AttemptError::Incomplete)?;
+        self.delivery.end(self.caller, head, self.exchange.deadline)?;
         self.remote.on_stream_end(self.delivery);
-        Ok(())
+        Ok(decoder.is_delimited_by_close())
     }
 
     /// Waits until the upstream's connection is readable, or writable if `upstream_output` is set,
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -164,7 +164,7 @@
         match outcome {
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
-            _ if self.delivery.is_head_sent => Some(CallOutcome::Truncated),
+            _ if self.delivery.has_begun() => Some(CallOutcome::Truncated),
             AttemptOutcome::Buffered(response) => Some(CallOutcome::Response(response)),
             AttemptOutcome::Incomplete | AttemptOutcome::Unattested => {
                 Some(self.failure(LostResponse::Invalid, DEFAULT_RETRY_AFTER, "another VM failed"))
@@ -190,7 +190,7 @@
     /// Returns the outcome of a call that is not sent, or not sent again, since calls like it crash
     /// upstreams.
     pub(super) fn quarantine_outcome(&mut self, refusal: &quarantine::Refusal) -> CallOutcome {
-        if !self.delivery.is_head_sent {
+        if !self.delivery.has_begun() {
             metrics::counter!("cranberryvalve_quarantine_refusals_total").increment(1);
             self.quarantined_for = Some(join(&refusal.crashed));
         }
@@ -208,7 +208,7 @@
     /// Returns the outcome of a call that got no response to relay. Only here, a promise that the call
     /// was not run is made from what its attempts have shown.
     fn failure(&mut self, lost: LostResponse, retry_after: Duration, reason: &str) -> CallOutcome {
-        if self.delivery.is_head_sent {
+        if self.delivery.has_begun() {
             return CallOutcome::Truncated;
         }
         if let Some(response) = self.failed_response.take() {
