fix: only an attested refusal of an order releases the engine's lease

Seen: an engine that answers an order with 408 without x-not-run and carries it out afterwards gets the same order again: nine instead of three were carried out (engine_orders; by reading, 421 and 429 take the same way).

Cause: send_order took any status from 400 to 499 for a refusal. A refusal releases the lease, and a released lease is acquired again without the wait for an order that may be in flight. 503 was in doubt already.

Change: an order is refused if nothing was sent or the engine attests with x-not-run that it did not carry it out; any other status but 200 leaves it in doubt: the lease runs out, and the engine is asked for its orders first. An engine that declines an order for good without attestation is asked again each time the lease has run out, not twice a second.

Evidence: an_order_that_is_declined_without_attestation_is_not_sent_again_while_it_runs fails before (408: 9 orders for 3) and passes after with 408, 421, 429 and 503; the other three tests of engine_orders pass before and after.

--- a/crates/adapters/src/upstream/order.rs
+++ b/crates/adapters/src/upstream/order.rs
@@ -17,7 +17,7 @@
 pub enum OrderOutcome {
     /// The engine carried it out.
     CarriedOut,
-    /// The engine did not carry it out.
+    /// The engine did not carry it out: nothing was sent, or it attested that.
     Refused,
     /// The engine may have carried it out.
     InDoubt,
@@ -34,7 +34,6 @@
     let Ok(request) = request else { return OrderOutcome::Refused };
     match call(address, request, Timeouts::new(timeout, timeout), &CancelHandle::new()) {
         Ok(response) if response.status == 200 => OrderOutcome::CarriedOut,
-        Ok(response) if (400..500).contains(&response.status) => OrderOutcome::Refused,
         Err(CallError::NotSent | CallError::Refused { .. }) => OrderOutcome::Refused,
         Ok(_) | Err(_) => OrderOutcome::InDoubt,
     }
--- a/crates/daemon/tests/engine_orders.rs
+++ b/crates/daemon/tests/engine_orders.rs
@@ -64,6 +64,27 @@
     }
 }
 
+#[test]
+fn an_order_that_is_declined_without_attestation_is_not_sent_again_while_it_runs() {
+    let cluster = start(3);
+    let statuses = [408, 421, 429, 503];
+    let mut config = cluster.config.clone();
+    for (engine, status) in statuses.into_iter().enumerate() {
+        cluster.engines[engine].set_faults(|it| {
+            it.early_order_status = Some(status);
+            it.order_delay = Duration::from_millis(1_500);
+        });
+        config.upstreams[engine].orders = orders();
+    }
+    cluster.apply(0, &json!({ "intent": "declare", "config": config }));
+    let done = || (0..statuses.len()).all(|it| carried_out(&cluster, it).len() >= 3);
+    assert!(wait_until(WAIT_TIMEOUT, done), "not all orders are carried out");
+    std::thread::sleep(Duration::from_secs(3));
+    for (engine, status) in statuses.into_iter().enumerate() {
+        assert_eq!(carried_out(&cluster, engine), orders(), "{status}");
+    }
+}
+
 #[test]
 fn another_vm_takes_over_from_a_killed_lease_holder() {
     let mut cluster = start(3);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -86,6 +86,9 @@
     pub order_delay: Duration,
     /// Number of further orders that the engine executes without sending the response.
     pub lost_order_responses: u32,
+    /// Status with which the engine responds to an order, without `x-not-run`, before it executes
+    /// the order.
+    pub early_order_status: Option<u16>,
 }
 
 /// Record of one attempt that an engine received.
@@ -242,6 +245,9 @@
             let _ = responder.respond(409, &[("x-not-run", "true")], b"old fencing token");
             return;
         }
+        if let Some(status) = faults.early_order_status {
+            let _ = responder.respond(status, &[], b"still at work");
+        }
         thread::sleep(faults.order_delay);
         lock(&self.shared.orders).carried_out.push(order);
         let mut faults = lock(&self.shared.faults);
@@ -250,7 +256,9 @@
             responder.close();
             return;
         }
-        let _ = responder.respond(200, &[], b"{}");
+        if !responder.is_started() {
+            let _ = responder.respond(200, &[], b"{}");
+        }
     }
 
     fn handle_chat(
