test: a status without attestation frees no key of a call that ran

The caller gets the service's response with x-outcome completed, a repeat at another VM gets the recorded one, and the call runs once. Passes on the code as it is; nothing is changed.

--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -155,6 +155,22 @@
     assert_eq!(cluster.effect_count("refused"), 1);
 }
 
+#[test]
+fn a_refusal_without_attestation_is_no_promise_and_frees_no_key() {
+    let cluster = start(2);
+    for status in [408, 421, 429, 503] {
+        for service in &cluster.services {
+            service.set_faults(|it| it.status_after_effect = Some(status));
+        }
+        let key = format!("booking-{status}");
+        let first = cluster.book(0, &key);
+        assert_eq!((first.status, &*first.outcome), (status, "completed"));
+        let second = cluster.book(1, &key);
+        assert_eq!((second.status, &*second.outcome, second.replayed), (status, "completed", true));
+        assert_eq!(cluster.effect_count(&key), 1);
+    }
+}
+
 #[test]
 fn records_the_response_for_a_disconnected_caller() {
     let cluster = start(1);
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -25,6 +25,8 @@
     pub delay: Duration,
     /// Whether the service closes the connection after the effect, without a response.
     pub cut_after_effect: bool,
+    /// Status of the response after the effect, without `x-not-run`; `None` for 200.
+    pub status_after_effect: Option<u16>,
     /// Whether the service rejects calls and reports with `x-not-run` that they had no effect.
     pub rejecting: bool,
     /// Whether the service closes every connection without a response.
@@ -138,7 +140,8 @@
         let body = json!({ "call": effect.call, "key": effect.idempotency_key, "number": number })
             .to_string();
         let headers = [("content-type", "application/json")];
-        let _ = responder.respond(200, &headers, body.as_bytes());
+        let status = faults.status_after_effect.unwrap_or(200);
+        let _ = responder.respond(status, &headers, body.as_bytes());
     }
 
     fn on_refused(&self, status: u16, message: &str, responder: &mut Responder<'_>) {
