fix: a load in doubt keeps its permit for the weight store

Seen: six loads at a time from the weight store, which two may use (engine_orders: engines that answer 408 without x-not-run and load for 2 s).

Cause: the permit of a load was released whatever became of the order, also if it was in doubt, as after a status without attestation, a timeout or a closed connection.

--- a/crates/daemon/src/control/orders.rs
+++ b/crates/daemon/src/control/orders.rs
@@ -112,7 +112,9 @@
             Permit::Unavailable => return SendProgress::Stopped(lease),
         };
         let progress = self.send(node, upstream, lease, done, order);
-        if let Some(permit) = permit {
+        // A load in doubt may go on for as long as the permit is valid.
+        let is_in_doubt = matches!(progress, SendProgress::InDoubt);
+        if let Some(permit) = permit.filter(|_| !is_in_doubt) {
             execute(&node.store, &permit.release());
         }
         progress
--- a/crates/daemon/tests/engine_orders.rs
+++ b/crates/daemon/tests/engine_orders.rs
@@ -3,10 +3,12 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cranberryvalve_coordination::orders::MAX_CONCURRENT_WEIGHT_LOADS;
 use cranberryvalve_core::EngineOrder;
 use cranberryvalve_core::ModelAction;
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::engine::Engine;
 use cranberryvalve_standins::vm::wait_until;
 use serde_json::json;
 
@@ -85,6 +87,28 @@
     }
 }
 
+#[test]
+fn loads_in_doubt_keep_their_permits() {
+    let cluster = start(3);
+    let mut config = cluster.config.clone();
+    for engine in 0..6 {
+        cluster.engines[engine].set_faults(|it| {
+            it.early_order_status = Some(408);
+            it.order_delay = Duration::from_secs(2);
+        });
+        config.upstreams[engine].orders = orders()[..1].to_vec();
+    }
+    cluster.apply(0, &json!({ "intent": "declare", "config": config }));
+    let mut most = 0;
+    let done = wait_until(WAIT_TIMEOUT, || {
+        let logs: Vec<_> = cluster.engines.iter().take(6).map(Engine::orders).collect();
+        most = most.max(logs.iter().map(|it| it.in_progress).sum());
+        logs.iter().all(|it| !it.carried_out.is_empty())
+    });
+    assert!(done, "not all loads are carried out");
+    assert!(most <= MAX_CONCURRENT_WEIGHT_LOADS as usize, "{most} loads at a time");
+}
+
 #[test]
 fn another_vm_takes_over_from_a_killed_lease_holder() {
     let mut cluster = start(3);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -134,6 +134,8 @@
     pub carried_out: Vec<FencedOrder>,
     /// Number of orders rejected because of an outdated fencing token.
     pub rejected: u32,
+    /// Number of orders that are being executed.
+    pub in_progress: usize,
 }
 
 impl Engine {
@@ -248,8 +250,12 @@
         if let Some(status) = faults.early_order_status {
             let _ = responder.respond(status, &[], b"still at work");
         }
+        lock(&self.shared.orders).in_progress += 1;
         thread::sleep(faults.order_delay);
-        lock(&self.shared.orders).carried_out.push(order);
+        let mut orders = lock(&self.shared.orders);
+        orders.in_progress -= 1;
+        orders.carried_out.push(order);
+        drop(orders);
         let mut faults = lock(&self.shared.faults);
         if faults.lost_order_responses > 0 {
             faults.lost_order_responses -= 1;
