--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -88,6 +88,9 @@
     pub order_delay: Duration,
     /// Number of further orders that the engine executes without sending the response.
     pub lost_order_responses: u32,
+    /// Status with which the engine responds to an order, without `x-not-run`, before it executes
+    /// the order.
+    pub early_order_status: Option<u16>,
 }
 
 /// Record of one attempt that an engine received.
@@ -133,6 +136,8 @@
     pub carried_out: Vec<FencedOrder>,
     /// Number of orders rejected because of an outdated fencing token.
     pub rejected: u32,
+    /// Number of orders that are being executed.
+    pub in_progress: usize,
 }
 
 impl Engine {
@@ -244,15 +249,24 @@
             let _ = responder.respond(409, &[("x-not-run", "true")], b"old fencing token");
             return;
         }
+        if let Some(status) = faults.early_order_status {
+            let _ = responder.respond(status, &[], b"still at work");
+        }
+        lock(&self.shared.orders).in_progress += 1;
         thread::sleep(faults.order_delay);
-        lock(&self.shared.orders).carried_out.push(order);
+        let mut orders = lock(&self.shared.orders);
+        orders.in_progress -= 1;
+        orders.carried_out.push(order);
+        drop(orders);
         let mut faults = lock(&self.shared.faults);
         if faults.lost_order_responses > 0 {
             faults.lost_order_responses -= 1;
             responder.close();
             return;
         }
-        let _ = responder.respond(200, &[], b"{}");
+        if !responder.is_started() {
+            let _ = responder.respond(200, &[], b"{}");
+        }
     }
 
     fn handle_chat(
