fix: a further attempt of a call uses a new connection

The review of the incident found: a call that its only upstream refused is sent there again, on the connection it was refused on. If the upstream writes the refusal once more there, it names the call, and the caller got 503 for a call that ran. Kept connections are for the first attempt of a call that came from its caller; the identifier of a request names the call, not the attempt. an_earlier_refusal_of_the_same_call_refuses_no_later_attempt failed before (503, two arrivals).

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -71,6 +71,8 @@
     /// Whether the route leads to several pools.
     pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
+    /// Whether another VM forwarded the call, and may have sent it to upstreams before.
+    pub(crate) is_forwarded: bool,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
     /// What the call has in common with others that may crash upstreams.
@@ -218,10 +220,7 @@
         trace: &mut AttemptTrace,
     ) -> AttemptOutcome {
         let upstream = &command.upstream;
-        // The response to a call without an identifier is attributed on a new connection only.
-        let idle_connection = self
-            .caller_id
-            .and_then(|_| self.relay.idle_connections.take(&upstream.id, upstream.incarnation));
+        let idle_connection = self.kept_connection(command);
         let is_reused = idle_connection.is_some();
         trace.is_connection_reused = is_reused;
         let connection = match idle_connection {
@@ -275,6 +274,17 @@
         outcome
     }
 
+    /// Takes a kept connection for the attempt, if the response to it can be attributed there.
+    ///
+    /// The response to a call without an identifier cannot, nor can that to a further attempt: the
+    /// upstream may send its response to an earlier attempt of the call once more.
+    fn kept_connection(&self, command: &SendCommand) -> Option<Connection> {
+        let is_first = command.attempt == 1 && !self.is_forwarded;
+        self.caller_id.filter(|_| is_first)?;
+        let upstream = &command.upstream;
+        self.relay.idle_connections.take(&upstream.id, upstream.incarnation)
+    }
+
     /// Returns the fingerprint of the call's content, if it is among the keys.
     pub(crate) fn fingerprint(&self) -> Option<RequestFingerprint> {
         self.suspect_keys.iter().find_map(|it| match it {
