--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -26,8 +26,10 @@
     /// The response to the call, whose status would promise that it was not run, but which does not
     /// confirm it.
     Unattested,
-    /// A response to another request, or one that cannot be attributed.
+    /// A response to another request.
     Stray,
+    /// A response that names no request where those to others may be due.
+    Nameless,
     /// A response to the call that must not be relayed.
     Invalid,
 }
@@ -44,18 +46,20 @@
 ) -> Verdict {
     let is_own = match facts.request_id {
         Some(request_id) => call_id == Some(request_id),
-        None => position == Position::First,
+        None if position == Position::Later => return Verdict::Nameless,
+        None => true,
     };
     if !is_own {
         return Verdict::Stray;
     }
-    if let Some(rejection) = facts.rejection {
-        return Verdict::NotRun { misdirected: rejection == Rejection::Misdirected };
-    }
     let is_success = (200..300).contains(&status);
-    if is_success && (facts.request_id.is_none() || !facts.is_signed) {
+    let is_contradictory = facts.names_several || (is_success && facts.rejection.is_some());
+    if is_contradictory || (is_success && (facts.request_id.is_none() || !facts.is_signed)) {
         return Verdict::Invalid;
     }
+    if let Some(rejection) = facts.rejection {
+        return Verdict::NotRun { misdirected: rejection == Rejection::Misdirected };
+    }
     if is_promise(status) { Verdict::Unattested } else { Verdict::Match }
 }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -69,6 +69,8 @@
 pub struct ResponseFacts<'a> {
     /// Identifier of the request, or `None` if the response names none.
     pub request_id: Option<&'a str>,
+    /// Whether it names more than one request, so that it can be about neither.
+    pub names_several: bool,
     /// Statement that the request was not run, or `None` if there is none.
     pub rejection: Option<Rejection>,
     /// Whether it has the upstream's signature, without which a success is not valid.
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -120,11 +120,18 @@
                     let outcome = AttemptOutcome::NotRun { misdirected, retry_after };
                     return Ok((outcome, is_complete.then_some(head)));
                 }
-                Verdict::Stray => {
-                    self.receive_body(&mut decoder)?;
-                    self.trace.stray_responses += 1;
-                    metrics::counter!("cranberryvalve_stray_responses_total").increment(1);
-                    self.check_skipped_responses()?;
+                // The method of the request that a stray response is for is unknown, and with it whether
+                // a body follows.
+                Verdict::Stray | Verdict::Nameless if &*self.exchange.head.method == "HEAD" => {
+                    return Err(AttemptError::Incomplete);
+                }
+                Verdict::Stray => self.skip_response(&mut decoder)?,
+                Verdict::Nameless => {
+                    self.skip_response(&mut decoder)?;
+                    // It may have been the response to the call. If it was not, that follows it.
+                    if self.request.is_complete() && self.connection.is_idle() {
+                        return Err(AttemptError::Incomplete);
+                    }
                 }
                 Verdict::Invalid => return Err(AttemptError::Incomplete),
             }
@@ -180,6 +187,14 @@
         false
     }
 
+    /// Skips the body of a response to another request.
+    fn skip_response(&mut self, decoder: &mut BodyDecoder) -> Result<(), AttemptError> {
+        self.receive_body(decoder)?;
+        self.trace.stray_responses += 1;
+        metrics::counter!("cranberryvalve_stray_responses_total").increment(1);
+        self.check_skipped_responses()
+    }
+
     fn check_skipped_responses(&self) -> Result<(), AttemptError> {
         let skipped = self.trace.stray_responses + self.trace.interim_responses;
         let is_permitted = skipped <= MAX_SKIPPED_RESPONSES;
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -37,8 +37,10 @@
             Verdict::Match | Verdict::Unattested | Verdict::NotRun { misdirected: false } => {
                 self.process_announcements(head, self.command.send_by.is_some());
             }
-            Verdict::Invalid => self.process_announcements(head, false),
-            Verdict::NotRun { misdirected: true } | Verdict::Stray => {}
+            Verdict::NotRun { misdirected: true }
+            | Verdict::Invalid
+            | Verdict::Stray
+            | Verdict::Nameless => {}
         }
         verdict
     }
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -84,6 +84,9 @@
     }
 }
 
+/// Beginning of a status line.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+
 /// Parses a response head. Returns it with its length in bytes, or `None` if more input is needed.
 ///
 /// # Errors
@@ -95,6 +98,9 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let Some(len) = parsed_head_len(response.parse(bytes))? else { return Ok(None) };
+    if response.headers.iter().any(holds_status_line) {
+        return Err(HeadError::Malformed("a header holds a status line".into()));
+    }
     let head = ResponseHead {
         status: response.code.unwrap_or_default(),
         reason: response.reason.unwrap_or_default().into(),
@@ -104,5 +110,12 @@
     Ok(Some((head, len)))
 }
 
+/// Returns `true` if the value of a header holds the beginning of another response, as it does if the
+/// head before that was cut off. `Via` may name the protocol.
+fn holds_status_line(header: &httparse::Header<'_>) -> bool {
+    let mut windows = header.value.windows(STATUS_LINE_START.len());
+    !header.name.eq_ignore_ascii_case("via") && windows.any(|it| it == STATUS_LINE_START)
+}
+
 #[cfg(test)]
 mod tests;
