--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -133,7 +133,10 @@
     /// The caller closed its connection.
     CallerDisconnected,
     /// The call's deadline has passed.
-    DeadlineExceeded,
+    DeadlineExceeded {
+        /// Whether the call may have been sent by then.
+        is_sent: bool,
+    },
 }
 
 impl AttemptOutcome {
@@ -147,7 +150,7 @@
             Self::Buffered(response) if response.head.status >= 500 => AttemptEnd::Failed,
             Self::Buffered(_) | Self::Streamed { .. } => AttemptEnd::Complete,
             Self::Incomplete => AttemptEnd::Interrupted,
-            Self::CallerDisconnected | Self::DeadlineExceeded | Self::Quarantined(_) => {
+            Self::CallerDisconnected | Self::DeadlineExceeded { .. } | Self::Quarantined(_) => {
                 AttemptEnd::Abandoned
             }
         }
@@ -156,7 +159,7 @@
     /// Returns what the attempt has shown about whether the call was run.
     pub(crate) const fn execution(&self) -> Execution {
         match self {
-            Self::Quarantined(_) => Execution::NotSent,
+            Self::Quarantined(_) | Self::DeadlineExceeded { is_sent: false } => Execution::NotSent,
             _ => self.end().execution(),
         }
     }
@@ -169,7 +172,7 @@
     /// Returns the name of the failure in logs, or `None` if the attempt did not fail.
     pub(crate) const fn failure(&self) -> Option<&'static str> {
         match (self, self.end()) {
-            (Self::DeadlineExceeded, _) => Some("time_over"),
+            (Self::DeadlineExceeded { .. }, _) => Some("time_over"),
             (_, AttemptEnd::Complete | AttemptEnd::Abandoned) => None,
             (_, end) => Some(end.name()),
         }
@@ -196,7 +199,7 @@
 enum AttemptError {
     Incomplete,
     CallerDisconnected,
-    DeadlineExceeded,
+    DeadlineExceeded { is_sent: bool },
 }
 
 impl From<AttemptError> for AttemptOutcome {
@@ -204,7 +207,7 @@
         match error {
             AttemptError::Incomplete => Self::Incomplete,
             AttemptError::CallerDisconnected => Self::CallerDisconnected,
-            AttemptError::DeadlineExceeded => Self::DeadlineExceeded,
+            AttemptError::DeadlineExceeded { is_sent } => Self::DeadlineExceeded { is_sent },
         }
     }
 }
@@ -355,7 +358,7 @@
             }
             if ready.timed_out {
                 return if connect_deadline == self.deadline {
-                    Err(AttemptError::DeadlineExceeded)
+                    Err(AttemptError::DeadlineExceeded { is_sent: false })
                 } else {
                     Ok(None)
                 };
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -285,7 +285,7 @@
             return Err(AttemptError::CallerDisconnected);
         }
         if ready.timed_out {
-            return Err(AttemptError::DeadlineExceeded);
+            return Err(AttemptError::DeadlineExceeded { is_sent: true });
         }
         if !ready.upstream {
             return Ok(ReadOutcome::WouldBlock);
