fix: numbers from outside leave no type in the scheduler

Cause: the scheduler adds and multiplies numbers of rows, responses and other VMs as they are. Running + waiting of a load report is the same by reading. - a decode pace of 65,535 steps from a peer: the interval is infinite and Duration::from_secs_f64 panics, in any build. - a permit of the longest duration from a peer: "overflow when adding duration to instant", in any build.

Change: the events get their bounds in one place where they enter the scheduler (bounds.rs); paces are cut where they are merged; sums of tokens, which are also taken before the call enters, saturate.

--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -10,6 +10,7 @@
 //! [`Router`]: crate::Router
 
 mod availability;
+mod bounds;
 mod brittleness;
 mod budget;
 mod call;
@@ -185,7 +186,7 @@
     /// Processes an event and returns the actions that the caller must carry out.
     pub fn handle(&mut self, now: Instant, event: SchedulerEvent) -> Vec<SchedulerAction> {
         let mut actions = Vec::new();
-        match event {
+        match bounds::bounded(event) {
             SchedulerEvent::Arrived(call) => self.on_arrived(now, *call, &mut actions),
             SchedulerEvent::ResponseStarted { id, attempt } => {
                 self.on_response_started(now, id, attempt, &mut actions);
--- a/crates/policy/src/scheduler/call.rs
+++ b/crates/policy/src/scheduler/call.rs
@@ -100,7 +100,8 @@
 
     /// Returns the length in tokens of the longest prefix that other requests may share.
     pub fn shared_tokens(&self) -> u32 {
-        let unshared = self.parts.last().map_or(0, |it| it.tokens);
-        self.parts.iter().map(|it| it.tokens).sum::<u32>() - unshared
+        let shared_parts = self.parts.len().saturating_sub(1);
+        let shared = self.parts.iter().take(shared_parts);
+        shared.fold(0, |total, it| total.saturating_add(it.tokens))
     }
 }
--- a/crates/policy/src/scheduler/decode_pace.rs
+++ b/crates/policy/src/scheduler/decode_pace.rs
@@ -10,6 +10,9 @@
 /// Ratio of a step to the one before.
 const STEP_RATIO: f64 = 1.05;
 
+/// Largest step, which stands for hours; those that other VMs send are cut to it.
+const MAX_STEP: PaceStep = 500;
+
 /// Maximum slowness that is assumed for prefill. A higher value only means that the engine's
 /// streams were never free of interference.
 const MAX_SLOWNESS: f64 = 1.5;
@@ -38,6 +41,7 @@
     /// Adopts `step` if it is shorter than the known pace, whether this VM or another one measured
     /// it.
     pub(super) fn merge(&mut self, step: PaceStep) {
+        let step = step.min(MAX_STEP);
         if self.step.is_none_or(|it| step < it) {
             *self = Self { step: Some(step), sends_left: SENDS_PER_UPDATE };
         }
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -340,9 +340,10 @@
             Some(_) => owner_cached_tokens.saturating_sub(cached_tokens),
             None => 0,
         };
-        let prefill = engine::prefill_time(prompt.input_tokens, cached_tokens + fetched_tokens)
-            .mul_f64(factors.lanes.slowness(upstream) * context.prefill_ratio)
-            + engine::fetch_time(fetched_tokens);
+        let prefill =
+            engine::prefill_time(prompt.input_tokens, cached_tokens.saturating_add(fetched_tokens))
+                .mul_f64(factors.lanes.slowness(upstream) * context.prefill_ratio)
+                + engine::fetch_time(fetched_tokens);
         let unreported = match upstream.reported_backlog(context.now, call.tier) {
             Some(_) => Duration::ZERO,
             None if factors.lanes.is_long_lane(upstream) => factors.other_vms_backlog[0],
--- a/crates/policy/src/scheduler/prefix_cache.rs
+++ b/crates/policy/src/scheduler/prefix_cache.rs
@@ -35,7 +35,7 @@
     /// Returns the number of tokens at the start of `prompt` that are cached.
     pub(super) fn cached_tokens(&self, prompt: &Prompt) -> u32 {
         let cached = prompt.prefixes().take_while(|it| self.parts.contains_key(&it.hash));
-        cached.map(|it| it.part_tokens).sum()
+        cached.fold(0, |total, it| total.saturating_add(it.part_tokens))
     }
 
     /// Records that the engine prefills `prompt`, which caches all of its parts.
