fix: extreme numbers in messages of other VMs stop no VM

Cause: a claim that this VM died with incarnation 2^64 - 1 made it count on from there ("attempt to add with overflow", membership.rs:404; wrapped without the check, so that it could never refute anything). A suspect with 2^32 - 1 trials did the same at the next trial (evidence.rs:184).

Change: updates with an incarnation above half the range are dropped, as nobody could refute them; trials saturate.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -40,6 +40,10 @@
 /// a member that was missed makes itself known with its own heartbeats.
 const MAX_ALIVE_UPDATES: usize = 8;
 
+/// Highest incarnation that a member may have, far above any start time in Unix milliseconds. Above
+/// it, a member could not refute what is said of it.
+const MAX_INCARNATION: u64 = u64::MAX / 2;
+
 /// State of a member.
 ///
 /// Within one incarnation, a later variant overrides an earlier one.
@@ -268,8 +272,12 @@
         }
     }
 
-    /// Merges an update about a member, which may come from any VM.
+    /// Merges an update about a member, which may come from any VM; drops one whose incarnation is
+    /// no time.
     pub fn on_update(&mut self, now: Instant, update: &MemberUpdate) {
+        if update.incarnation > MAX_INCARNATION {
+            return;
+        }
         if update.member.vm == self.local.vm {
             self.refute(update);
             return;
--- a/crates/coordination/src/quarantine/evidence.rs
+++ b/crates/coordination/src/quarantine/evidence.rs
@@ -181,7 +181,7 @@
     /// Starts a trial if the key is condemned; returns `true` if it does.
     pub(super) const fn start_trial(&mut self, now: Instant) -> bool {
         if self.is_condemned() {
-            self.trials += 1;
+            self.trials = self.trials.saturating_add(1);
             self.last_trial_at = Some(now);
         }
         self.is_condemned()
