fix: a table of another VM has times and routes that a configuration can have

Cause: a difference between tables may name any duration and may repeat routes.

No field of the message changes. Longest time: what a configuration can name in whole milliseconds; routes: 131,072.

Before: both new tests failed (Ok instead of Err). After: they pass.

--- a/crates/core/src/table/delta.rs
+++ b/crates/core/src/table/delta.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -14,6 +15,13 @@
 use super::RoutingTable;
 use crate::ConfigVersion;
 
+/// Longest time in a table: the longest that a configuration can name in whole milliseconds. It can
+/// be added to any point in time.
+const MAX_TIME: Duration = Duration::from_millis(u64::MAX);
+
+/// Maximum number of routes in a table, tens of times the largest that is planned for.
+const MAX_ROUTES: usize = 1 << 17;
+
 /// Difference from one version of the routing table, or from the empty table, to a later one.
 ///
 /// VMs send it to each other instead of the whole table: most changes concern a few of thousands
@@ -65,6 +73,8 @@
     OtherContent(ConfigVersion),
     /// The difference refers to routes that the earlier table does not have.
     UnknownRoutes,
+    /// The table has more routes or longer times than any configuration.
+    OutOfRange,
 }
 
 impl fmt::Display for DeltaError {
@@ -78,6 +88,7 @@
                 write!(f, "the difference applies to another table of version {version}")
             }
             Self::UnknownRoutes => f.write_str("the difference refers to unknown routes"),
+            Self::OutOfRange => f.write_str("the table has too many routes or too long times"),
         }
     }
 }
@@ -129,7 +140,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the difference was made for another table.
+    /// Returns an error if the difference was made for another table, or leads to one that no
+    /// configuration describes.
     pub fn apply(&self, base: Option<&RoutingTable>) -> Result<RoutingTable, DeltaError> {
         let base = match (&self.base, base) {
             (None, _) => None,
@@ -154,6 +166,16 @@
                     routes.extend_from_slice(kept.ok_or(DeltaError::UnknownRoutes)?);
                 }
             }
+            if routes.len() > MAX_ROUTES {
+                return Err(DeltaError::OutOfRange);
+            }
+        }
+        let route_times = routes
+            .iter()
+            .flat_map(|it| [it.timeout, it.latency_target].into_iter().chain(it.event_gap_target));
+        let mut times = route_times.chain([self.limits.head_timeout, self.limits.idle_timeout]);
+        if times.any(|it| it > MAX_TIME) {
+            return Err(DeltaError::OutOfRange);
         }
         Ok(RoutingTable::from_shared_routes(
             self.version,
--- a/crates/core/tests/table_delta.rs
+++ b/crates/core/tests/table_delta.rs
@@ -68,3 +68,33 @@
     assert_eq!(delta.apply(Some(&after)), Err(DeltaError::OtherVersion(Some(1))));
     assert_eq!(delta.apply(None), Err(DeltaError::OtherVersion(Some(1))));
 }
+
+#[test]
+fn times_that_no_configuration_names_are_rejected() {
+    let with_times = |timeout: Duration, idle_timeout: Duration| {
+        let slow = RouteRule { timeout, ..route(1, 0) };
+        let limits = CallerLimits { idle_timeout, ..CallerLimits::default() };
+        RoutingTable::new(1, vec![slow], Vec::new(), Vec::new(), limits)
+    };
+    let longest = Duration::from_millis(u64::MAX);
+    let apply = |table: &RoutingTable| TableDelta::between(None, table).apply(None);
+    assert!(apply(&with_times(longest, longest)).is_ok());
+    for table in [with_times(Duration::MAX, longest), with_times(longest, Duration::MAX)] {
+        assert_eq!(apply(&table), Err(DeltaError::OutOfRange));
+    }
+}
+
+#[test]
+fn runs_that_repeat_routes_fill_no_memory() {
+    const RUNS: usize = 100_000;
+    let numbers: Vec<(u8, u8)> = (0..=u8::MAX).map(|it| (it, 0)).collect();
+    let base = table(1, &numbers, 0);
+    let after = table(2, &numbers, 0);
+    let delta = TableDelta::between(Some(&base), &after);
+    let mut value = serde_json::to_value(&delta).expect("a difference can be encoded");
+    let run = value["routes"][0].clone();
+    assert_eq!(run["Kept"]["count"], 256);
+    value["routes"] = vec![run; RUNS].into();
+    let delta: TableDelta = serde_json::from_value(value).expect("a difference");
+    assert_eq!(delta.apply(Some(&base)), Err(DeltaError::OutOfRange));
+}
