--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -23,7 +23,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+///
+/// A response is in memory together with what is decoded from it. Changes that exceed this are read
+/// as a snapshot, in pages of 1 MB.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// HTTP client for a single service. Requests are sent one at a time over a persistent connection.
 #[derive(Debug)]
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -27,6 +27,12 @@
 /// That interval while no other VM of the failure domain reaches the source.
 const UNCOVERED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Maximum number of present rows that cannot be decoded up to which the log names them.
+const MAX_NAMED_ROWS: usize = 100;
+
+/// Maximum number of characters of a decoder's message in the log, since it may quote the row.
+const MAX_MESSAGE_CHARS: usize = 200;
+
 /// Starts a thread that follows a source of routing tables.
 ///
 /// VMs that are not watchers of their failure domain read the source only when they start; their
@@ -135,7 +141,8 @@
 
 struct DirectoryUpdater {
     directory: Directory,
-    /// Keys of rows that could not be decoded; each is logged only once.
+    /// Keys of the present rows that cannot be decoded; each is logged only once, and no more than
+    /// [`MAX_NAMED_ROWS`] of them.
     malformed_keys: HashSet<Arc<str>>,
     relay: Arc<Relay>,
     feed: Arc<dyn DirectoryFeed>,
@@ -178,6 +185,8 @@
                 let present_keys: Vec<Arc<str>> =
                     snapshot.rows.iter().map(|it| it.key.clone()).collect();
                 self.directory.retain(now, &present_keys);
+                let present: HashSet<&Arc<str>> = present_keys.iter().collect();
+                self.malformed_keys.retain(|it| present.contains(it));
                 snapshot.rows.into_iter().for_each(|it| self.upsert(now, &it, Origin::Snapshot));
             }
             FeedUpdate::Changes(changes) => {
@@ -185,7 +194,10 @@
                 for change in changes.changes {
                     match change {
                         RowChange::Put(row) => self.upsert(now, &row, Origin::Change),
-                        RowChange::Removed(key) => self.directory.remove(now, &key),
+                        RowChange::Removed(key) => {
+                            self.malformed_keys.remove(&key);
+                            self.directory.remove(now, &key);
+                        }
                     }
                 }
             }
@@ -196,6 +208,7 @@
         if is_changed {
             let records = self.directory.records();
             info!(self.relay.log, "directory changed"; "upstreams" => records.len(),
+                "left_out" => self.malformed_keys.len(),
                 "leaving" => records.iter().filter(|it| it.is_leaving).count());
             metrics::gauge!("cranberryvalve_upstreams").set(records.len() as f64);
             self.relay.replace_directory(records);
@@ -209,7 +222,9 @@
                 self.directory.insert(now, row.key.clone(), record, origin);
             }
             Err(message) => {
-                if self.malformed_keys.insert(row.key.clone()) {
+                let is_new = self.malformed_keys.insert(row.key.clone());
+                if is_new && self.malformed_keys.len() <= MAX_NAMED_ROWS {
+                    let message: String = message.chars().take(MAX_MESSAGE_CHARS).collect();
                     warn!(self.relay.log, "upstream left out"; "upstream" => &*row.key,
                         "error" => message);
                 }
