fix: a row that turned odd in an outage of the store names no worker after it

Cause: an odd row was handled like one that is missing, and missing rows stay in use for two seconds after an outage, if most of the pool is missing. But the row is there and names no worker to use ("the others hold").

--- a/crates/relay/src/sources/directory.rs
+++ b/crates/relay/src/sources/directory.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Removes an entry whose row is there but names no upstream any more.
+    pub(super) fn withdraw(&mut self, now: Instant, key: &str) {
+        self.held.remove(key);
+        self.drop_entry(now, key);
+    }
+
     fn drop_entry(&mut self, now: Instant, key: &str) {
         let Some((key, entry)) = self.entries.remove_entry(key) else { return };
         let is_recent =
--- a/crates/relay/src/sources/directory/tests.rs
+++ b/crates/relay/src/sources/directory/tests.rs
@@ -40,6 +40,17 @@
     assert_eq!(directory.records(), [record("b")]);
 }
 
+#[test]
+fn entry_whose_row_turned_odd_is_not_kept_after_an_outage() {
+    let mut directory = directory_with(&["a"]);
+    let now = Instant::now();
+    directory.source_recovered(now);
+    directory.withdraw(now, "a");
+    assert_eq!(directory.records(), []);
+    directory.insert(now, "a".into(), record("a"), Origin::Change);
+    assert_eq!(directory.records(), [record("a")]);
+}
+
 #[test]
 fn missing_entry_is_dropped_when_the_grace_period_ends() {
     let mut directory = directory_with(&["a", "b"]);
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -228,7 +228,7 @@
                     warn!(self.relay.log, "upstream left out"; "upstream" => &*row.key,
                         "error" => message);
                 }
-                self.directory.remove(now, &row.key);
+                self.directory.withdraw(now, &row.key);
             }
         }
     }
