test: bytes of each message and row of two landings

Whether two landings understand each other was decided by nobody: VMs exchange postcard without a version, and a field in the middle of a message changes the meaning of all bytes after it.

--- /dev/null
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -0,0 +1,97 @@
+//! Values of each message and row, with the bytes that a landing wrote for them.
+//!
+//! `first` holds what exists since the first landing whose bytes are kept, and each other module what
+//! one later landing added. The modules compile against the landing that they are named after, which
+//! is how its bytes are written: see `docs/design/upgrades.md`.
+
+pub(crate) mod first;
+pub(crate) mod origins;
+
+use std::fmt::Debug;
+use std::fmt::Write;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A value, its encoding by this build, and what this build makes of the encoding by another one.
+pub(crate) struct Sample {
+    /// Name of the value, unique among the samples.
+    pub(crate) name: &'static str,
+    /// Encoding of the value by this build.
+    pub(crate) bytes: Vec<u8>,
+    /// The value in readable form.
+    pub(crate) text: String,
+    /// Decodes bytes, and returns whether that gives the value.
+    pub(crate) is_read_from: Box<dyn Fn(&[u8]) -> bool>,
+}
+
+/// Returns the sample of a value that VMs send to each other.
+pub(crate) fn sent<T>(name: &'static str, value: T) -> Sample
+where
+    T: Serialize + DeserializeOwned + PartialEq + Debug + 'static,
+{
+    Sample {
+        name,
+        bytes: postcard::to_stdvec(&value).expect("the value can be encoded"),
+        text: format!("{value:?}"),
+        is_read_from: Box::new(move |bytes| {
+            postcard::from_bytes::<T>(bytes).is_ok_and(|it| it == value)
+        }),
+    }
+}
+
+/// Returns the sample of a value that is stored, or read by the command line, as JSON.
+pub(crate) fn stored<T>(name: &'static str, value: T) -> Sample
+where
+    T: Serialize + DeserializeOwned + PartialEq + Debug + 'static,
+{
+    Sample {
+        name,
+        bytes: serde_json::to_vec(&value).expect("the value can be encoded"),
+        text: format!("{value:?}"),
+        is_read_from: Box::new(move |bytes| {
+            serde_json::from_slice::<T>(bytes).is_ok_and(|it| it == value)
+        }),
+    }
+}
+
+/// Returns the sample of a text that is used as it is, such as the key of a row.
+pub(crate) fn text(name: &'static str, value: &str) -> Sample {
+    let expected = value.as_bytes().to_vec();
+    Sample {
+        name,
+        bytes: expected.clone(),
+        text: value.to_owned(),
+        is_read_from: Box::new(move |bytes| bytes == expected),
+    }
+}
+
+/// Returns the content of a file with the bytes of samples.
+pub(crate) fn to_file(samples: &[Sample]) -> String {
+    let mut file = String::new();
+    for sample in samples {
+        let hex: String = sample.bytes.iter().map(|it| format!("{it:02x}")).collect();
+        write!(file, "name: {}\nvalue: {}\nbytes: {hex}\n\n", sample.name, sample.text)
+            .expect("writing to a string cannot fail");
+    }
+    file
+}
+
+/// Returns the names and bytes in a file.
+///
+/// # Panics
+///
+/// Panics if the file is not in the format that [`to_file`] writes.
+pub(crate) fn from_file(file: &str) -> Vec<(String, Vec<u8>)> {
+    let entries = file.split("\n\n").filter(|it| !it.trim().is_empty());
+    let field = |entry: &str, name: &str| {
+        let line = entry.lines().find_map(|it| it.strip_prefix(name));
+        line.unwrap_or_else(|| panic!("no `{name}` in {entry}")).trim().to_owned()
+    };
+    entries.map(|it| (field(it, "name:"), from_hex(&field(it, "bytes:")))).collect()
+}
+
+fn from_hex(hex: &str) -> Vec<u8> {
+    let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
+    pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect()
+}
