--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -6,14 +6,13 @@
 mod landed;
 
 use std::collections::BTreeSet;
+use std::fmt::Write;
 
 use cranberryvalve_coordination::peer::PeerMessage;
 
 use landed::Sample;
 use landed::first;
-use landed::from_file;
 use landed::origins;
-use landed::to_file;
 
 /// Bytes written by 4be04b687788008f6b425cb4a2b5989f1cb51a68.
 const FIRST: &str = include_str!("data/landed/4be04b687788008f6b425cb4a2b5989f1cb51a68.txt");
@@ -21,6 +20,36 @@
 /// Bytes written by 97079c5a73887963ceaa95edad37f162e2c525de.
 const ORIGINS: &str = include_str!("data/landed/97079c5a73887963ceaa95edad37f162e2c525de.txt");
 
+/// Returns the content of a file with the bytes of samples.
+fn to_file(samples: &[Sample]) -> String {
+    let mut file = String::new();
+    for sample in samples {
+        let hex: String = sample.bytes.iter().map(|it| format!("{it:02x}")).collect();
+        write!(file, "name: {}\nvalue: {}\nbytes: {hex}\n\n", sample.name, sample.text)
+            .expect("writing to a string cannot fail");
+    }
+    file
+}
+
+/// Returns the names and bytes in a file.
+///
+/// # Panics
+///
+/// Panics if the file is not in the format that [`to_file`] writes.
+fn from_file(file: &str) -> Vec<(String, Vec<u8>)> {
+    let entries = file.split("\n\n").filter(|it| !it.trim().is_empty());
+    let field = |entry: &str, name: &str| {
+        let line = entry.lines().find_map(|it| it.strip_prefix(name));
+        line.unwrap_or_else(|| panic!("no `{name}` in {entry}")).trim().to_owned()
+    };
+    entries.map(|it| (field(it, "name:"), from_hex(&field(it, "bytes:")))).collect()
+}
+
+fn from_hex(hex: &str) -> Vec<u8> {
+    let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
+    pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect()
+}
+
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
--- a/crates/coordination/tests/support/landed/all.rs
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -8,11 +8,13 @@
 pub(crate) mod origins;
 
 use std::fmt::Debug;
-use std::fmt::Write;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Decodes bytes, and returns whether that gives the value of a sample.
+pub(crate) type Reader = Box<dyn Fn(&[u8]) -> bool>;
+
 /// A value, its encoding by this build, and what this build makes of the encoding by another one.
 pub(crate) struct Sample {
     /// Name of the value, unique among the samples.
@@ -22,7 +24,7 @@
     /// The value in readable form.
     pub(crate) text: String,
     /// Decodes bytes, and returns whether that gives the value.
-    pub(crate) is_read_from: Box<dyn Fn(&[u8]) -> bool>,
+    pub(crate) is_read_from: Reader,
 }
 
 /// Returns the sample of a value that VMs send to each other.
@@ -65,33 +67,3 @@
         is_read_from: Box::new(move |bytes| bytes == expected),
     }
 }
-
-/// Returns the content of a file with the bytes of samples.
-pub(crate) fn to_file(samples: &[Sample]) -> String {
-    let mut file = String::new();
-    for sample in samples {
-        let hex: String = sample.bytes.iter().map(|it| format!("{it:02x}")).collect();
-        write!(file, "name: {}\nvalue: {}\nbytes: {hex}\n\n", sample.name, sample.text)
-            .expect("writing to a string cannot fail");
-    }
-    file
-}
-
-/// Returns the names and bytes in a file.
-///
-/// # Panics
-///
-/// Panics if the file is not in the format that [`to_file`] writes.
-pub(crate) fn from_file(file: &str) -> Vec<(String, Vec<u8>)> {
-    let entries = file.split("\n\n").filter(|it| !it.trim().is_empty());
-    let field = |entry: &str, name: &str| {
-        let line = entry.lines().find_map(|it| it.strip_prefix(name));
-        line.unwrap_or_else(|| panic!("no `{name}` in {entry}")).trim().to_owned()
-    };
-    entries.map(|it| (field(it, "name:"), from_hex(&field(it, "bytes:")))).collect()
-}
-
-fn from_hex(hex: &str) -> Vec<u8> {
-    let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
-    pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect()
-}
