fix: odd figures in messages of other VMs end no thread

A verdict on a permit with a time near the end of its type added that time to an instant and panicked in the thread that handles the messages of all VMs (seen by verdicts_of_any_length_are_bounded before the change: overflow when adding duration to instant). Sums of in-flight counts and the next incarnation of a VM could wrap.

Verdicts hold for 10 s at most, and the sums saturate.

--- a/crates/coordination/src/limits/coordinator.rs
+++ b/crates/coordination/src/limits/coordinator.rs
@@ -57,7 +57,7 @@
 
 impl Report {
     fn demanded_in_flight(&self) -> u32 {
-        self.demand.in_flight + self.demand.refused
+        self.demand.in_flight.saturating_add(self.demand.refused)
     }
 
     /// Returns the number of requests that the VM has in flight or may still admit.
@@ -105,7 +105,8 @@
     let own = reports.get(from).map_or(0.0, demanded_in_flight);
     let share = fair_share(limit.into(), demands, own).floor() as u32;
     let others = reports.iter().filter(|(vm, _)| *vm != from);
-    let reserved_in_flight: u32 = others.map(|(_, it)| it.reserved_in_flight()).sum();
+    let reserved_in_flight =
+        others.map(|(_, it)| it.reserved_in_flight()).fold(0, u32::saturating_add);
     share.min(limit.saturating_sub(reserved_in_flight))
 }
 
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -401,7 +401,7 @@
         let is_alive = matches!(update.state, MemberState::Alive);
         let is_wrong = !is_alive && update.incarnation == self.incarnation && !self.stopping;
         if is_wrong || update.incarnation > self.incarnation {
-            self.incarnation = update.incarnation + 1;
+            self.incarnation = update.incarnation.saturating_add(1);
         }
     }
 }
--- a/crates/policy/src/scheduler/rate_limit.rs
+++ b/crates/policy/src/scheduler/rate_limit.rs
@@ -24,6 +24,10 @@
 /// Time after which a request for a permit is taken as lost.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum time that a verdict holds, several times the longest one that coordinators give. A longer
+/// one comes from a build that means something else.
+const MAX_VERDICT: Duration = Duration::from_secs(10);
+
 /// A rate limit that an upstream named, if any, and this VM's permit.
 #[derive(Debug, Default)]
 pub(super) struct RateLimit(Option<NamedLimit>);
@@ -113,11 +117,11 @@
         match verdict {
             PermitVerdict::Granted(lifetime) => {
                 if let PermitState::Requested { at } = named.permit {
-                    named.permit = PermitState::Granted { until: at + lifetime };
+                    named.permit = PermitState::Granted { until: at + lifetime.min(MAX_VERDICT) };
                 }
             }
             PermitVerdict::NotBefore(delay) => {
-                named.permit = PermitState::Missing { ask_at: now + delay };
+                named.permit = PermitState::Missing { ask_at: now + delay.min(MAX_VERDICT) };
             }
             PermitVerdict::Lifted => self.0 = None,
         }
--- a/crates/policy/tests/rate_limits.rs
+++ b/crates/policy/tests/rate_limits.rs
@@ -163,3 +163,21 @@
     harness.scheduler.handle(harness.now, SchedulerEvent::DirectoryChanged(vec![restarted]));
     assert_eq!(read(&mut harness), sent_to("p-near"));
 }
+
+#[test]
+fn verdicts_of_any_length_are_bounded() {
+    for time in [Duration::MAX, Duration::from_secs(u64::MAX / 2), Duration::from_secs(3_600)] {
+        for verdict in [PermitVerdict::Granted(time), PermitVerdict::NotBefore(time)] {
+            let mut harness = Harness::new(two_services());
+            notify(&mut harness, "p-near", UpstreamNotice::RateLimit(1.0));
+            notify(&mut harness, "p-far", UpstreamNotice::RateLimit(1.0));
+            read(&mut harness);
+            decide(&mut harness, "p-near", verdict);
+            decide(&mut harness, "p-far", verdict);
+            harness.scheduler.take_permit_requests();
+            harness.advance(Duration::from_secs(10));
+            read(&mut harness);
+            assert_ne!(harness.scheduler.take_permit_requests(), [], "{verdict:?}");
+        }
+    }
+}
