feat: dropped messages of peers are logged and counted by reason

A message that does not decode was counted without a reason and not logged.

postcard ignores bytes after the end of a value, and so do all landings. That is now explicit: such bytes are ignored and counted.

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -7,9 +7,11 @@
 //! is left to threads of its own.
 
 mod closer;
+mod drops;
 mod socket;
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -20,10 +22,12 @@
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_core::VmId;
+use nng::Message;
 use nng::Protocol;
 use nng::Socket;
 use nng::options::Options;
 use nng::options::RecvMaxSize;
+use nng::options::RemAddr;
 
 use crate::shared_key::MAC_BYTES;
 use crate::shared_key::SharedKey;
@@ -31,6 +35,9 @@
 use closer::Closer;
 use socket::RECONNECT_INTERVAL;
 
+pub use drops::DropLog;
+pub use drops::DropReason;
+pub use drops::DropReport;
 pub use socket::Dialer;
 pub use socket::LinkSocket;
 pub use socket::NngDialer;
@@ -48,6 +55,16 @@
     dialer: Box<dyn Dialer>,
     closer: Closer,
     peers: Mutex<HashMap<VmId, Link>>,
+    drops: Mutex<DropLog>,
+}
+
+/// What arrived from a peer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Received {
+    /// A message.
+    Message(PeerMessage),
+    /// Nothing that this build can use, with a report if it is to be logged.
+    Dropped(Option<DropReport>),
 }
 
 struct Link {
@@ -99,22 +116,34 @@
         listener.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
         listener.listen(&url(address))?;
         let closer = Closer::start().map_err(|_| nng::Error::OutOfMemory)?;
-        Ok(Self { listener, key: RwLock::new(key), dialer, closer, peers: Mutex::default() })
+        Ok(Self {
+            listener,
+            key: RwLock::new(key),
+            dialer,
+            closer,
+            peers: Mutex::default(),
+            drops: Mutex::default(),
+        })
     }
 
-    /// Waits for the next message.
-    ///
-    /// Returns `Ok(None)` if it is malformed or not authenticated with the shared key.
+    /// Waits for the next message. Those that cannot be used are dropped and counted.
     ///
     /// # Errors
     ///
     /// Fails once the links are closed.
-    pub fn receive(&self) -> nng::Result<Option<PeerMessage>> {
-        let message = self.listener.recv()?;
+    pub fn receive(&self) -> nng::Result<Received> {
+        let mut message = self.listener.recv()?;
         metrics::counter!("cranberryvalve_peer_bytes_total", "direction" => "in")
             .increment(message.len() as u64);
         metrics::counter!("cranberryvalve_peer_messages_total", "direction" => "in").increment(1);
-        Ok(decode(message.as_slice(), &self.key()))
+        let reason = match decode(message.as_slice(), &self.key()) {
+            Ok(message) => return Ok(Received::Message(message)),
+            Err(reason) => reason,
+        };
+        metrics::counter!("cranberryvalve_peer_messages_refused_total", "reason" => reason.name())
+            .increment(1);
+        let mut drops = self.drops.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(Received::Dropped(drops.record(Instant::now(), reason, sender_of(&mut message))))
     }
 
     /// Replaces the key that authenticates messages.
@@ -269,13 +298,31 @@
 
 /// Verifies and decodes a message.
 ///
-/// Returns `None` if it is malformed or not authenticated with `key`.
-pub fn decode(bytes: &[u8], key: &SharedKey) -> Option<PeerMessage> {
-    let (mac, body) = bytes.split_at_checked(MAC_BYTES)?;
+/// Bytes after the end of the message are ignored and counted: a later build may append fields to
+/// the variants that it introduces, and all builds so far ignore such bytes.
+///
+/// # Errors
+///
+/// Returns the reason if the message is malformed or not authenticated with `key`.
+pub fn decode(bytes: &[u8], key: &SharedKey) -> Result<PeerMessage, DropReason> {
+    let (mac, body) = bytes.split_at_checked(MAC_BYTES).ok_or(DropReason::Truncated)?;
     if !key.verify(body, mac) {
-        return None;
+        return Err(DropReason::Unauthenticated);
+    }
+    let (message, rest) = postcard::take_from_bytes(body).map_err(|_| DropReason::Unknown)?;
+    if !rest.is_empty() {
+        metrics::counter!("cranberryvalve_peer_messages_longer_total").increment(1);
+    }
+    Ok(message)
+}
+
+/// Returns the address that a message came from, or `None` if its connection is closed.
+fn sender_of(message: &mut Message) -> Option<IpAddr> {
+    match message.pipe()?.get_opt::<RemAddr>().ok()? {
+        nng::SocketAddr::Inet(address) => Some((*address.ip()).into()),
+        nng::SocketAddr::Inet6(address) => Some((*address.ip()).into()),
+        _ => None,
     }
-    postcard::from_bytes(body).ok()
 }
 
 fn url(address: SocketAddr) -> String {
--- a/crates/adapters/tests/decoders.rs
+++ b/crates/adapters/tests/decoders.rs
@@ -14,6 +14,7 @@
 use cranberryvalve_adapters::caller::ServerLimits;
 use cranberryvalve_adapters::caller::parse_head;
 use cranberryvalve_adapters::links;
+use cranberryvalve_adapters::links::DropReason;
 use cranberryvalve_adapters::resume::ResumeClaims;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::upstream::decode_chunk;
@@ -80,15 +81,16 @@
         let mut bytes = links::encode(&message(), &key()).expect("a message can be encoded");
         let index = index % bytes.len();
         bytes[index] ^= 1 << (bit % 8);
-        links::decode(&bytes, &key()).is_none()
+        links::decode(&bytes, &key()) == Err(DropReason::Unauthenticated)
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(MAX_SIZE, SEED))
         .tests(RUNS)
         .quickcheck(property as fn(usize, u8) -> bool);
     let bytes = links::encode(&message(), &key()).expect("a message can be encoded");
-    assert_eq!(links::decode(&bytes, &key()), Some(message()));
-    assert_eq!(links::decode(&bytes, &SharedKey::new(b"another secret")), None);
+    assert_eq!(links::decode(&bytes, &key()), Ok(message()));
+    let other_key = SharedKey::new(b"another secret");
+    assert_eq!(links::decode(&bytes, &other_key), Err(DropReason::Unauthenticated));
 }
 
 #[test]
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_adapters::links::DropReport;
+use cranberryvalve_adapters::links::Received;
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -18,6 +20,7 @@
 use cranberryvalve_core::Tier;
 use cranberryvalve_policy::Event;
 use slog::info;
+use slog::warn;
 
 use super::handle_replica_event;
 use super::limits;
@@ -118,17 +121,19 @@
 pub(super) fn receive(node: &Arc<Node>) {
     while let Ok(message) = node.links.receive() {
         match message {
-            Some(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(node, heartbeat),
-            Some(PeerMessage::DocumentRequest { from, version }) => {
+            Received::Message(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(node, heartbeat),
+            Received::Message(PeerMessage::DocumentRequest { from, version }) => {
                 send_document(node, &from, version);
             }
-            Some(PeerMessage::LimitReport { from, demands }) => {
+            Received::Message(PeerMessage::LimitReport { from, demands }) => {
                 limits::on_report(node, &from, &demands);
             }
-            Some(PeerMessage::LimitShares { shares, .. }) => limits::apply_shares(node, &shares),
-            Some(PeerMessage::Document { body, .. }) => on_document(node, &body),
+            Received::Message(PeerMessage::LimitShares { shares, .. }) => {
+                limits::apply_shares(node, &shares);
+            }
+            Received::Message(PeerMessage::Document { body, .. }) => on_document(node, &body),
             // This daemon gets members from the platform's list, and loads from the upstreams.
-            Some(
+            Received::Message(
                 PeerMessage::Members { .. }
                 | PeerMessage::LoadReport { .. }
                 | PeerMessage::LoadRequest { .. }
@@ -151,13 +156,17 @@
                 | PeerMessage::ProbeResponse { .. }
                 | PeerMessage::Refusals { .. },
             ) => {}
-            None => {
-                metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
-            }
+            Received::Dropped(report) => log_dropped(node, report),
         }
     }
 }
 
+fn log_dropped(node: &Node, report: Option<DropReport>) {
+    let Some(report) = report else { return };
+    warn!(node.log, "message of a peer dropped"; "reason" => report.reason.name(),
+        "from" => report.from.map(|it| it.to_string()), "unreported" => report.unreported);
+}
+
 fn on_heartbeat(node: &Node, heartbeat: Heartbeat) {
     let now = Instant::now();
     let received = node.membership().on_heartbeat(now, &heartbeat);
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_adapters::links::DropReport;
+use cranberryvalve_adapters::links::Received;
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -13,6 +15,7 @@
 use cranberryvalve_core::PressureDigest;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use slog::info;
+use slog::warn;
 
 use super::Peers;
 
@@ -128,16 +131,18 @@
     pub(super) fn run_receiver(&self) {
         while let Ok(message) = self.links.receive() {
             match message {
-                Some(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
-                Some(PeerMessage::Members { members, .. }) => {
+                Received::Message(PeerMessage::Heartbeat(heartbeat)) => {
+                    self.handle_heartbeat(heartbeat);
+                }
+                Received::Message(PeerMessage::Members { members, .. }) => {
                     let now = Instant::now();
                     let mut membership = self.membership();
                     members.iter().for_each(|it| membership.on_update(now, it));
                 }
-                Some(PeerMessage::LoadReport { from, loads }) => {
+                Received::Message(PeerMessage::LoadReport { from, loads }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerLoads { vm: from.vm, loads });
                 }
-                Some(PeerMessage::LoadRequest { from, request_id, upstreams }) => {
+                Received::Message(PeerMessage::LoadRequest { from, request_id, upstreams }) => {
                     let loads = self.relay.dispatcher.loads_excluding(&from.vm, &upstreams);
                     let own_address = self.own_address();
                     self.links.send(
@@ -145,73 +150,84 @@
                         &PeerMessage::LoadResponse { from: own_address, request_id, loads },
                     );
                 }
-                Some(PeerMessage::LoadResponse { request_id, loads, .. }) => {
+                Received::Message(PeerMessage::LoadResponse { request_id, loads, .. }) => {
                     self.load_queries.record_reply(request_id, loads);
                 }
-                Some(PeerMessage::Paces { paces, .. }) => {
+                Received::Message(PeerMessage::Paces { paces, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerPaces(paces));
                 }
-                Some(PeerMessage::FeedReport { from, report }) => {
+                Received::Message(PeerMessage::FeedReport { from, report }) => {
                     self.handle_feed_report(&from, report);
                 }
-                Some(PeerMessage::FeedRequest { from, position }) => {
+                Received::Message(PeerMessage::FeedRequest { from, position }) => {
                     self.send_missing_changes(&from, position);
                 }
-                Some(PeerMessage::Departures { departures, .. }) => {
+                Received::Message(PeerMessage::Departures { departures, .. }) => {
                     self.relay.handle_peer_departures(departures);
                 }
-                Some(PeerMessage::TableRequest { from, request }) => {
+                Received::Message(PeerMessage::TableRequest { from, request }) => {
                     self.send_table_part(&from, &request);
                 }
-                Some(PeerMessage::TablePart { from, part }) => self.handle_table_part(&from, &part),
-                Some(PeerMessage::PermitRequest { from, request }) => {
+                Received::Message(PeerMessage::TablePart { from, part }) => {
+                    self.handle_table_part(&from, &part);
+                }
+                Received::Message(PeerMessage::PermitRequest { from, request }) => {
                     self.handle_permit_request(&from, request);
                 }
-                Some(PeerMessage::PermitVerdict { upstream, incarnation, verdict, .. }) => {
+                Received::Message(PeerMessage::PermitVerdict {
+                    upstream,
+                    incarnation,
+                    verdict,
+                    ..
+                }) => {
                     self.relay.apply_permit_verdict(upstream, incarnation, verdict);
                 }
-                Some(PeerMessage::Suspects { suspects, .. }) => {
+                Received::Message(PeerMessage::Suspects { suspects, .. }) => {
                     self.relay.merge_suspects(&suspects);
                 }
-                Some(PeerMessage::StreamOrigins { streams, .. }) => {
+                Received::Message(PeerMessage::StreamOrigins { streams, .. }) => {
                     self.relay.streams.record_all(streams);
                 }
-                Some(PeerMessage::OriginRequest { from, request_id, stream }) => {
+                Received::Message(PeerMessage::OriginRequest { from, request_id, stream }) => {
                     self.send_origin(&from, request_id, stream);
                 }
-                Some(PeerMessage::OriginResponse { request_id, origin, .. }) => {
+                Received::Message(PeerMessage::OriginResponse { request_id, origin, .. }) => {
                     self.origin_queries.record_reply(request_id, origin);
                 }
-                Some(PeerMessage::Refusals { refusals, .. }) => {
+                Received::Message(PeerMessage::Refusals { refusals, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerRefusals(refusals));
                 }
-                Some(PeerMessage::ProbeRequest { from, request_id, upstreams }) => {
+                Received::Message(PeerMessage::ProbeRequest { from, request_id, upstreams }) => {
                     self.handle_probe_request(from, request_id, upstreams);
                 }
-                Some(PeerMessage::ProbeResponse { request_id, accepting, .. }) => {
+                Received::Message(PeerMessage::ProbeResponse { request_id, accepting, .. }) => {
                     self.probe_queries.record_reply(request_id, accepting);
                 }
-                Some(PeerMessage::ForwardRequest { from }) => {
+                Received::Message(PeerMessage::ForwardRequest { from }) => {
                     self.relay.handle_forward_request(&from);
                 }
-                Some(PeerMessage::ForwardOffer { from, address }) => {
+                Received::Message(PeerMessage::ForwardOffer { from, address }) => {
                     self.relay.forwarding.record_offer(from, address);
                 }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
-                Some(
+                Received::Message(
                     PeerMessage::LimitReport { .. }
                     | PeerMessage::LimitShares { .. }
                     | PeerMessage::DocumentRequest { .. }
                     | PeerMessage::Document { .. },
                 ) => {}
-                None => {
-                    metrics::counter!("cranberryvalve_peer_messages_refused_total").increment(1);
-                }
+                Received::Dropped(report) => self.log_dropped(report),
             }
         }
     }
 
+    fn log_dropped(&self, report: Option<DropReport>) {
+        let Some(report) = report else { return };
+        warn!(self.relay.log, "message of a peer dropped"; "reason" => report.reason.name(),
+            "from" => report.from.map(|it| it.to_string()), "unreported" => report.unreported);
+    }
+
     fn handle_heartbeat(&self, heartbeat: Heartbeat) {
         let now = Instant::now();
         let sender = self.membership().on_heartbeat(now, &heartbeat);
