feat: VMs tell each other which build they run

Nobody could see which builds run side by side. PeerMessage has a variant Builds, appended after the landed ones: name of the VM, incarnation, protocol version, build and capabilities.

A VM tells one VM a second, neighbours and all others by turns, and forwards what is new.

/state lists member_builds and the metric cranberryvalve_members counts them by protocol version. A VM that has restarted since its announcement, or made none, counts as version 0. Nothing else depends on it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! what an adapter must do. None of them uses a clock, a thread, a socket or unseeded randomness,
 //! so each can be embedded anywhere and tested exhaustively.
 //!
+//! - [`builds`]: which build each VM runs.
 //! - [`era`]: for how long a VM has known the era of a store that may be restored.
 //! - [`feed`]: tables that VMs pass on to each other as changes.
 //! - [`home`]: choice of the coordinator of a resource by rendezvous hashing.
@@ -37,6 +38,7 @@
 //! assert_eq!(replica.freshness(now + Duration::from_secs(9)), Freshness::Stale);
 //! ```
 
+pub mod builds;
 pub mod era;
 pub mod feed;
 pub mod home;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -228,6 +228,11 @@
         self.members.get(vm).map(|it| it.address.clone())
     }
 
+    /// Returns whether a VM is a member in any state. This VM itself is not listed.
+    pub fn is_known(&self, vm: &str) -> bool {
+        self.members.contains_key(vm)
+    }
+
     /// Adds a VM from the settings or from the platform's list, which do not include its health.
     pub fn add_seed(&mut self, now: Instant, address: PeerAddress) {
         if address.vm == self.local.vm || self.members.contains_key(&address.vm) {
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -17,6 +17,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::builds::VmBuild;
 use crate::feed::FeedDelta;
 use crate::limits::LimitDemand;
 use crate::limits::LimitShare;
@@ -28,6 +29,10 @@
 use crate::transfer::PartRequest;
 
 /// A message from one VM to another.
+///
+/// VMs of two builds run side by side during an upgrade. A build drops a variant that it does not
+/// know, and ignores bytes after the end of one that it knows. So variants are only appended, and a
+/// variant that has landed keeps its fields; `docs/design/upgrades.md` tells how a format changes.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -229,6 +234,13 @@
         /// The refusals, which the sender saw itself.
         refusals: Vec<UpstreamRefusal>,
     },
+    /// Builds of VMs. The receiver forwards those that are new to it.
+    Builds {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// What each VM runs.
+        builds: Vec<VmBuild>,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -312,7 +324,8 @@
             | Self::ForwardOffer { from, .. }
             | Self::ProbeRequest { from, .. }
             | Self::ProbeResponse { from, .. }
-            | Self::Refusals { from, .. } => from,
+            | Self::Refusals { from, .. }
+            | Self::Builds { from, .. } => from,
         }
     }
 }
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -11,6 +11,7 @@
 use cranberryvalve_coordination::peer::PeerMessage;
 
 use landed::Sample;
+use landed::builds;
 use landed::first;
 use landed::origins;
 
@@ -55,10 +56,15 @@
     all.into_iter().flatten().collect()
 }
 
-fn samples() -> Vec<Sample> {
+fn origins_samples() -> Vec<Sample> {
     first_samples().into_iter().chain(origins::messages()).chain(origins::rows()).collect()
 }
 
+/// Returns what this build writes. Its file is added by the landing after it.
+fn samples() -> Vec<Sample> {
+    origins_samples().into_iter().chain(builds::messages()).collect()
+}
+
 /// Checks that a file has the bytes of exactly these samples, and that this build reads them.
 fn check(file: &str, samples: &[Sample]) {
     let landed = from_file(file);
@@ -77,12 +83,13 @@
 
 #[test]
 fn reads_and_writes_bytes_of_97079c5() {
-    check(ORIGINS, &samples());
+    check(ORIGINS, &origins_samples());
 }
 
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
+    let messages = messages.chain(builds::messages());
     let covered: BTreeSet<u8> = messages.map(|it| it.bytes[0]).collect();
     // Zeros stand for empty texts and lists, absent values and the first variant of an enum.
     let exists = |it: &u8| {
--- a/crates/coordination/tests/odd_messages.rs
+++ b/crates/coordination/tests/odd_messages.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::builds::BuildLog;
 use cranberryvalve_coordination::feed::FeedLog;
 use cranberryvalve_coordination::lease::LeaseRow;
 use cranberryvalve_coordination::ledger::LedgerRow;
@@ -28,6 +29,7 @@
 use quickcheck::QuickCheck;
 
 use landed::Sample;
+use landed::builds;
 use landed::first;
 use landed::origins;
 
@@ -52,6 +54,7 @@
     quarantine: Quarantine,
     origins: OriginLog,
     limits: LimitCoordinator,
+    builds: BuildLog,
 }
 
 impl Vm {
@@ -69,6 +72,7 @@
             quarantine: Quarantine::default(),
             origins: OriginLog::default(),
             limits: LimitCoordinator::default(),
+            builds: BuildLog::default(),
         }
     }
 
@@ -105,6 +109,11 @@
                     self.limits.on_report(now, &from.vm, demand, &customer());
                 }
             }
+            PeerMessage::Builds { builds, .. } => {
+                self.builds.merge(builds, |vm| self.membership.is_known(vm));
+                self.builds.take_updates();
+                self.builds.next_repeated(4);
+            }
             _ => {}
         }
     }
@@ -122,7 +131,8 @@
 }
 
 fn messages() -> Vec<Sample> {
-    first::messages().into_iter().chain(origins::messages()).collect()
+    let landed = first::messages().into_iter().chain(origins::messages());
+    landed.chain(builds::messages()).collect()
 }
 
 fn check(property: fn(Vec<u8>, usize, u8, u8) -> bool) {
--- a/crates/coordination/tests/support/landed/all.rs
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -4,6 +4,7 @@
 //! one later landing added. The modules compile against the landing that they are named after, which
 //! is how its bytes are written: see `docs/design/upgrades.md`.
 
+pub(crate) mod builds;
 pub(crate) mod first;
 pub(crate) mod origins;
 
--- /dev/null
+++ b/crates/coordination/tests/support/landed/builds.rs
@@ -0,0 +1,20 @@
+//! Messages since the first landing that announces builds, whose bytes the landing after it keeps.
+
+use cranberryvalve_coordination::builds::VmBuild;
+use cranberryvalve_coordination::peer::PeerMessage;
+
+use super::Sample;
+use super::first::sender;
+use super::sent;
+
+/// Returns messages that cover each variant, and each variant of what they hold.
+pub(crate) fn messages() -> Vec<Sample> {
+    let build = VmBuild {
+        vm: "front-chc-b-2".into(),
+        incarnation: 1_764_900_000_125,
+        protocol_version: 300,
+        build: "97079c5a7388".into(),
+        capabilities: u64::MAX,
+    };
+    vec![sent("builds", PeerMessage::Builds { from: sender(), builds: vec![build] })]
+}
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -154,7 +154,8 @@
                 | PeerMessage::ForwardOffer { .. }
                 | PeerMessage::ProbeRequest { .. }
                 | PeerMessage::ProbeResponse { .. }
-                | PeerMessage::Refusals { .. },
+                | PeerMessage::Refusals { .. }
+                | PeerMessage::Builds { .. },
             ) => {}
             Received::Dropped(report) => log_dropped(node, report),
         }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -10,6 +10,8 @@
 use cranberryvalve_adapters::caller::CallerServer;
 use cranberryvalve_adapters::caller::Responder;
 use cranberryvalve_adapters::caller::ServerLimits;
+use cranberryvalve_coordination::builds::PROTOCOL_VERSION;
+use cranberryvalve_coordination::builds::UNANNOUNCED_PROTOCOL;
 use cranberryvalve_coordination::quarantine;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_policy::scheduler::SchedulerSnapshot;
@@ -17,6 +19,7 @@
 use serde::Serialize;
 
 use crate::call_log::millis;
+use crate::peers::MemberBuild;
 use crate::peers::Peers;
 use crate::state::Relay;
 
@@ -120,6 +123,15 @@
     metrics::gauge!("cranberryvalve_peer_age_seconds").set(peer_age_ms as f64 / 1_000.0);
     metrics::gauge!("cranberryvalve_quarantined_keys")
         .set(relay.crash_guard.condemned().len() as f64);
+    let by_protocol = relay.peers().map(Peers::members_by_protocol).unwrap_or_default();
+    // Versions without a member are set to 0 again, so the list has no gaps.
+    for protocol in UNANNOUNCED_PROTOCOL..=PROTOCOL_VERSION {
+        let count = by_protocol.get(&protocol).copied().unwrap_or(0);
+        metrics::gauge!("cranberryvalve_members", "protocol" => protocol.to_string())
+            .set(count as f64);
+    }
+    let later: usize = by_protocol.range(PROTOCOL_VERSION + 1..).map(|it| it.1).sum();
+    metrics::gauge!("cranberryvalve_members", "protocol" => "later").set(later as f64);
     for (source, age) in relay.source_ages() {
         metrics::gauge!("cranberryvalve_source_age_seconds", "source" => source)
             .set(age.as_secs_f64());
@@ -137,6 +149,7 @@
     caller_connections: usize,
     busy_callers: usize,
     members: Vec<String>,
+    member_builds: Vec<MemberBuild>,
     quarantined: Vec<QuarantinedKey>,
     scheduler: SchedulerSnapshot,
 }
@@ -173,6 +186,7 @@
             caller_connections: relay.caller_connections(),
             busy_callers: relay.active_requests(),
             members: relay.peers().map(Peers::alive_names).unwrap_or_default(),
+            member_builds: relay.peers().map(Peers::member_builds).unwrap_or_default(),
             quarantined: relay.crash_guard.condemned().into_iter().map(Into::into).collect(),
             scheduler: relay.dispatcher.snapshot(),
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -7,6 +7,7 @@
 //! few small messages, regardless of the number of VMs, and the load figures are as old as one
 //! round trip.
 
+mod builds;
 mod directory;
 mod forwarding;
 mod gossip;
@@ -29,6 +30,7 @@
 use cranberryvalve_adapters::links::Links;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry::unix_time_ms;
+use cranberryvalve_coordination::builds::BuildLog;
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::origins::StreamOrigin;
@@ -49,6 +51,7 @@
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
+pub(crate) use self::builds::MemberBuild;
 pub(crate) use self::permits::PermitCoordinator;
 pub(crate) use self::tables::TableExchange;
 
@@ -83,6 +86,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole system starts for the first time, so that nothing is in the store yet.
     pub is_first_start: bool,
+    /// Name of the build that this VM runs.
+    pub build: Arc<str>,
 }
 
 /// This VM's connection to its peers.
@@ -97,6 +102,10 @@
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
     key: Mutex<Vec<u8>>,
+    /// Name of the build that this VM runs.
+    build: Arc<str>,
+    /// What the other VMs run.
+    builds: Mutex<BuildLog>,
 }
 
 /// Joins the peers in the background once the key of the peer links can be read. Until then the VM
@@ -142,6 +151,8 @@
         probe_queries: PendingQueries::default(),
         secret,
         key: Mutex::new(key),
+        build: settings.build,
+        builds: Mutex::default(),
     });
     relay.set_peers(peers.clone());
     // The store may have been restored since the key was read.
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -41,6 +41,7 @@
             self.send_heartbeat_round(round);
             self.relay.report_directory(None);
             self.repeat_suspects(round);
+            self.spread_builds(round);
             let is_alone = self.membership().alive_count() == 1;
             thread::sleep(if is_alone { DISCOVERY_INTERVAL } else { HEARTBEAT_INTERVAL });
         }
@@ -209,6 +210,9 @@
                 Received::Message(PeerMessage::ForwardOffer { from, address }) => {
                     self.relay.forwarding.record_offer(from, address);
                 }
+                Received::Message(PeerMessage::Builds { builds, .. }) => {
+                    self.handle_builds(builds);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Received::Message(
@@ -244,6 +248,7 @@
                 self.links.send(&from, &PeerMessage::Departures { from: own_address, departures });
             }
             self.send_suspects_to(&from, self.relay.crash_guard.updates());
+            self.send_builds_to_new(&from);
         }
         // The minimum interval prevents two VMs that are not neighbours from replying to each other
         // endlessly.
