--- a/xtask/src/checks.rs
+++ b/xtask/src/checks.rs
@@ -1,5 +1,7 @@
 //! Commands that run tests, lints and experiments.
 
+mod production;
+
 use std::fs;
 use std::path::Path;
 
@@ -46,10 +48,12 @@
     text.lines().filter_map(|it| it.strip_prefix("test: ")).map(str::trim)
 }
 
-/// Checks formatting, the rules for imports and module files, lints and documentation.
+/// Checks formatting, the rules for imports and module files, the commit in production, lints and
+/// documentation.
 pub(crate) fn lint() -> Result<()> {
     run("cargo", &["fmt", "--all", "--check"])?;
     check_sources(Path::new("."))?;
+    production::check()?;
     let clippy = ["clippy", "--quiet", "--workspace", "--all-targets", "--", "-D", "warnings"];
     run("cargo", &clippy)?;
     let doc = ["doc", "--quiet", "--workspace", "--no-deps", "--document-private-items"];
