--- a/xtask/src/checks/production.rs
+++ b/xtask/src/checks/production.rs
@@ -5,7 +5,6 @@
 
 use std::fs;
 use std::path::Path;
-use std::path::PathBuf;
 use std::process::Command;
 use std::process::Stdio;
 
@@ -18,11 +17,13 @@
 /// File that names the commit in its first line.
 const DEPLOY_FILE: &str = "deploy/system.toml";
 
-/// Folder with the bytes that each landing writes, named after its commit.
-const LANDED_FOLDER: &str = "crates/coordination/tests/data/landed";
-
-/// Test that reads them.
-const LANDED_TEST: &str = "crates/coordination/tests/landed_bytes.rs";
+/// Folders with the bytes that each landing writes, in files named after its commit, and the tests
+/// that read them.
+const LANDED: [(&str, &str); 3] = [
+    ("crates/coordination/tests/data/landed", "crates/coordination/tests/landed_bytes.rs"),
+    ("crates/adapters/tests/data/landed", "crates/adapters/tests/landed_bytes.rs"),
+    ("platform/tests/data/landed", "platform/src/store/tests.rs"),
+];
 
 /// Number of digits of a full hash.
 const HASH_DIGITS: usize = 40;
@@ -35,9 +36,12 @@
     let Some(commit) = production(&deploy) else {
         bail!("{DEPLOY_FILE}: the first line must be `production = \"HASH\"`, with 40 digits");
     };
-    let test = fs::read_to_string(LANDED_TEST)?;
-    if !is_covered(&test, commit) || !landed_file(commit).exists() {
-        bail!("{LANDED_TEST} does not cover the bytes of the commit in production, {commit}");
+    for (folder, test) in LANDED {
+        let text = fs::read_to_string(test).wrap_err_with(|| format!("cannot read {test}"))?;
+        let has_file = Path::new(folder).join(format!("{commit}.txt")).exists();
+        if !has_file || !is_covered(&text, commit) {
+            bail!("{test} does not cover the bytes of the commit in production, {commit}");
+        }
     }
     if !git(&["rev-parse", "--git-dir"]) {
         print_line(
@@ -50,7 +54,7 @@
     {
         bail!("{DEPLOY_FILE}: the commit in production, {commit}, is not in the history");
     }
-    check_unedited()
+    LANDED.iter().try_for_each(|it| check_unedited(it.0))
 }
 
 /// Returns the commit in the first line of a deploy file; `None` unless it is a full hash.
@@ -63,16 +67,13 @@
 
 /// Returns whether a test includes the bytes of a commit.
 fn is_covered(test: &str, commit: &str) -> bool {
-    test.contains(&format!("include_str!(\"data/landed/{commit}.txt\")"))
-}
-
-fn landed_file(commit: &str) -> PathBuf {
-    Path::new(LANDED_FOLDER).join(format!("{commit}.txt"))
+    let file = format!("data/landed/{commit}.txt\")");
+    test.lines().any(|it| it.contains("include_str!(\"") && it.contains(&file))
 }
 
-/// Checks that each file of bytes is as it was when it was added.
-fn check_unedited() -> Result<()> {
-    for entry in fs::read_dir(LANDED_FOLDER)? {
+/// Checks that each file of bytes in a folder is as it was when it was added.
+fn check_unedited(folder: &str) -> Result<()> {
+    for entry in fs::read_dir(folder)? {
         let path = entry?.path();
         let path = path.to_string_lossy();
         let log = ["log", "--format=%H", "--diff-filter=MRD", "--", &*path];
