feat: cargo xtask upgrade plays an earlier commit's program and replaces it VM by VM

Change: `cargo xtask upgrade [--from COMMIT] [--seed N] [--seeds N]` builds cranberryvalve-node of a commit in a git worktree at target/upgrade/<hash> (dev profile, a target folder of its own, kept), and plays upgrades_by_hand of rolling_upgrade with it. A commit that is not in the history, a shallow history and a missing one are errors of their own. For each run the share of first tries served during the change stands beside that of a rolling restart of the present program with the same plan; the soak's checker judges both.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod prepare;
 mod regress;
 mod soak;
+mod upgrade;
 
 use std::process::ExitCode;
 
@@ -41,6 +42,8 @@
     Regress(Passed),
     #[options(help = "play random faults against processes of the platform's program (--help)")]
     Soak(Passed),
+    #[options(help = "replace an earlier commit's program under traffic and faults (--help)")]
+    Upgrade(Passed),
 }
 
 /// Arguments for the task itself; they are passed on unparsed.
@@ -85,6 +88,7 @@
         Task::Campaign(_) => checks::lab("campaign", passed),
         Task::Regress(_) => regress::regress(passed),
         Task::Soak(_) => soak::run(passed),
+        Task::Upgrade(_) => upgrade::run(passed),
     }
 }
 
