--- a/xtask/src/upgrade.rs
+++ b/xtask/src/upgrade.rs
@@ -56,6 +56,11 @@
     vms: Option<u64>,
     #[options(no_short, help = "play this plan instead, a JSON file that a failed run kept")]
     plan: Option<String>,
+    #[options(
+        no_short,
+        help = "keep the story and the logs of each run, also if it breaks no rule"
+    )]
+    keep: bool,
 }
 
 /// Runs upgrades with the arguments of `cargo xtask upgrade`.
@@ -107,6 +112,7 @@
         ("CRANBERRYVALVE_UPGRADE_SEEDS", flags.seeds),
         ("CRANBERRYVALVE_UPGRADE_MINUTES", flags.minutes),
         ("CRANBERRYVALVE_UPGRADE_VMS", flags.vms),
+        ("CRANBERRYVALVE_UPGRADE_KEEP", flags.keep.then_some(1)),
     ];
     let mut variables: Vec<(&'static str, String)> = numbers
         .iter()
--- a/xtask/src/upgrade/tests.rs
+++ b/xtask/src/upgrade/tests.rs
@@ -45,10 +45,10 @@
 #[test]
 fn passes_flags_on() {
     assert_eq!(parse(&["--from", "HEAD"]), Ok(Vec::new()));
-    let expected = [("SEED", "7"), ("SEEDS", "20"), ("MINUTES", "3"), ("VMS", "2")];
+    let expected = [("SEED", "7"), ("SEEDS", "20"), ("MINUTES", "3"), ("VMS", "2"), ("KEEP", "1")];
     let expected =
         expected.map(|(name, value)| (format!("CRANBERRYVALVE_UPGRADE_{name}"), value.to_owned()));
-    let passed = parse(&["--seed", "7", "--seeds", "20", "--minutes", "3", "--vms", "2"])
+    let passed = parse(&["--seed", "7", "--seeds", "20", "--minutes", "3", "--vms", "2", "--keep"])
         .map(|it| it.into_iter().map(|(name, value)| (name.to_owned(), value)).collect::<Vec<_>>());
     assert_eq!(passed, Ok(expected.to_vec()));
 }
