fix: a VM's refusal counts for another VM only if it attests that the call was not run

And after a VM whose upstreams refused the call, a second VM was asked: beyond the route's attempts, unpaid by the retry budget, and to an upstream that may send its refusal of this call once more.

Refusals for another VM carry x-cranberryvalve-not-run: the number of attempts that upstreams refused. Without it a 503 or 408 of a VM is no confirmation (502); with a number above 0 no further VM is asked. VMs of earlier builds ignore the header; it is not relayed from upstreams.

--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -65,15 +65,18 @@
 
 /// Classifies a response of another VM, to which the call was forwarded.
 ///
-/// What the VM itself responds names no request and has no signature, other than what it relays.
+/// What the VM itself responds names no request and has no signature, other than what it relays. It
+/// promises that the call was not run only if it attests that: VMs of earlier builds do not, and relay
+/// a promising status of an upstream.
 pub(crate) fn classify_forwarded(
     status: u16,
     facts: ResponseFacts<'_>,
     call_id: Option<&str>,
     position: Position,
+    is_attested: bool,
 ) -> Verdict {
     let is_of_vm = facts.request_id.is_none() && !facts.is_signed && position == Position::First;
-    if is_of_vm && is_promise(status) {
+    if is_of_vm && is_attested && is_promise(status) {
         return Verdict::NotRun { misdirected: false };
     }
     classify(status, facts, call_id, position)
--- a/crates/relay/src/attribution/tests.rs
+++ b/crates/relay/src/attribution/tests.rs
@@ -87,14 +87,17 @@
 
 #[test]
 fn a_vm_promises_only_for_itself() {
-    let own = ResponseFacts { request_id: None, rejection: None, is_signed: false, ..FACTS };
     for status in [408, 429, 503] {
-        let classify = |facts| classify_forwarded(status, facts, Some(CALL), Position::First);
-        assert_eq!(classify(own), Verdict::NotRun { misdirected: false });
-        let signed = ResponseFacts { is_signed: true, ..own };
-        assert_eq!(classify(signed), Verdict::Unattested);
-        let relayed = ResponseFacts { request_id: Some(CALL), ..own };
-        assert_eq!(classify(relayed), Verdict::Unattested);
+        let classify = |facts, is_attested| {
+            classify_forwarded(status, facts, Some(CALL), Position::First, is_attested)
+        };
+        assert_eq!(classify(FACTS, true), Verdict::NotRun { misdirected: false });
+        assert_eq!(classify(FACTS, false), Verdict::Unattested);
+        let signed = ResponseFacts { is_signed: true, ..FACTS };
+        assert_eq!(classify(signed, true), Verdict::Unattested);
+        let relayed = ResponseFacts { request_id: Some(CALL), ..FACTS };
+        assert_eq!(classify(relayed, true), Verdict::Unattested);
     }
-    assert_eq!(classify_forwarded(502, own, Some(CALL), Position::First), Verdict::Match);
+    let failed = classify_forwarded(502, FACTS, Some(CALL), Position::First, true);
+    assert_eq!(failed, Verdict::Match);
 }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -17,6 +17,7 @@
 use crate::exchange::end_to_end_headers;
 use crate::exchange::push_header;
 use crate::refusal::InvalidRequest;
+use crate::refusal::NOT_RUN_HEADER;
 use crate::refusal::Refusal;
 use crate::response::Framing;
 use crate::response::ResponseHead;
@@ -82,11 +83,14 @@
     pub(crate) connection: Connection,
     /// Whether the connection may be used for another request.
     pub(crate) keeps_alive: bool,
+    /// Whether refusals state for another VM that the call was not run.
+    attests_refusals: bool,
 }
 
 impl CallerConnection {
-    pub(crate) const fn new(connection: Connection) -> Self {
-        Self { connection, keeps_alive: true }
+    /// `attests_refusals` tells whether refusals state for another VM that the call was not run.
+    pub(crate) const fn new(connection: Connection, attests_refusals: bool) -> Self {
+        Self { connection, keeps_alive: true, attests_refusals }
     }
 
     /// Sends `refusal` before any request was read, and closes the connection.
@@ -225,6 +229,9 @@
         if let Some(retry_after) = refusal.retry_after() {
             push_header(&mut head, "retry-after", &format!("{:.3}", retry_after.as_secs_f64()));
         }
+        if let Some(attempts) = refusal.attestation().filter(|_| self.attests_refusals) {
+            push_header(&mut head, NOT_RUN_HEADER, &attempts.to_string());
+        }
         push_header(&mut head, "content-type", "text/plain; charset=utf-8");
         push_header(&mut head, "content-length", &(message.len() + 1).to_string());
         self.push_connection_header(&mut head);
@@ -267,7 +274,9 @@
     fn response_head(&self, response: &ResponseHead) -> String {
         let mut head = format!("HTTP/1.1 {} {}\r\n", response.status, response.reason);
         for (name, value) in end_to_end_headers(response.headers(), response.header("connection")) {
-            push_header(&mut head, name, value);
+            if name != NOT_RUN_HEADER {
+                push_header(&mut head, name, value);
+            }
         }
         self.push_connection_header(&mut head);
         head
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -117,6 +117,8 @@
         misdirected: bool,
         /// Time after which to send it again, if the response states one.
         retry_after: Option<Duration>,
+        /// Number of attempts that upstreams refused, if another VM made them.
+        refused_attempts: u32,
     },
     /// A complete response whose status would promise that the call was not run, without a
     /// confirmation of that. It is not relayed.
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -116,8 +116,11 @@
                     // The head alone confirms that the call was not run. The connection is reused only
                     // if the body has arrived with it.
                     let is_complete = self.drop_received_body(&mut decoder);
-                    let retry_after = head.retry_after();
-                    let outcome = AttemptOutcome::NotRun { misdirected, retry_after };
+                    let outcome = AttemptOutcome::NotRun {
+                        misdirected,
+                        retry_after: head.retry_after(),
+                        refused_attempts: head.refused_attempts().unwrap_or_default(),
+                    };
                     return Ok((outcome, is_complete.then_some(head)));
                 }
                 // The method of the request that a stray response is for is unknown, and with it whether
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -35,7 +35,8 @@
 
     fn on_response_head(&self, head: &ResponseHead, position: Position) -> Verdict {
         let facts = self.exchange.relay.dialect.response_facts(head);
-        classify_forwarded(head.status, facts, self.exchange.caller_id, position)
+        let is_attested = head.refused_attempts().is_some();
+        classify_forwarded(head.status, facts, self.exchange.caller_id, position, is_attested)
     }
 
     fn on_first_events(&self) {}
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -9,6 +9,8 @@
 pub struct Refusal {
     kind: RefusalKind,
     retry_after: Option<Duration>,
+    /// Number of attempts that reached upstreams, all of which refused the call.
+    refused_attempts: u32,
     message: Box<str>,
 }
 
@@ -48,25 +50,42 @@
 impl Refusal {
     /// The request must not be sent again as it is.
     pub fn invalid(reason: InvalidRequest, message: impl Into<Box<str>>) -> Self {
-        Self { kind: RefusalKind::Invalid(reason), retry_after: None, message: message.into() }
+        Self::new(RefusalKind::Invalid(reason), None, message)
     }
 
     /// The request has not been run and will not be; the caller may send it again after
     /// `retry_after`.
     pub fn not_run(proof: NotRun, retry_after: Duration, message: impl Into<Box<str>>) -> Self {
-        let kind = RefusalKind::NotRun(proof);
-        Self { kind, retry_after: Some(retry_after), message: message.into() }
+        Self::new(RefusalKind::NotRun(proof), Some(retry_after), message)
     }
 
     /// The request took too long to arrive, so it has not been run.
     pub(crate) fn not_read(message: impl Into<Box<str>>) -> Self {
-        let kind = RefusalKind::NotRead(NotRun::before_sending());
-        Self { kind, retry_after: None, message: message.into() }
+        Self::new(RefusalKind::NotRead(NotRun::before_sending()), None, message)
     }
 
     /// There is no response to a request that may have been run.
     pub fn may_have_run(lost: LostResponse, message: impl Into<Box<str>>) -> Self {
-        Self { kind: RefusalKind::MayHaveRun(lost), retry_after: None, message: message.into() }
+        Self::new(RefusalKind::MayHaveRun(lost), None, message)
+    }
+
+    fn new(kind: RefusalKind, retry_after: Option<Duration>, message: impl Into<Box<str>>) -> Self {
+        Self { kind, retry_after, refused_attempts: 0, message: message.into() }
+    }
+
+    /// Sets the number of attempts that reached upstreams, all of which refused the call.
+    pub(crate) const fn after_attempts(mut self, refused_attempts: u32) -> Self {
+        self.refused_attempts = refused_attempts;
+        self
+    }
+
+    /// Returns the attestation for another VM that the call was not run: the number of attempts that
+    /// upstreams refused. `None` if it may have been run or must not be sent again.
+    pub(crate) const fn attestation(&self) -> Option<u32> {
+        match self.kind {
+            RefusalKind::NotRead(_) | RefusalKind::NotRun(_) => Some(self.refused_attempts),
+            RefusalKind::Invalid(_) | RefusalKind::MayHaveRun(_) => None,
+        }
     }
 
     /// Returns `true` if the request may have been run.
@@ -100,6 +119,10 @@
     }
 }
 
+/// Header of a VM's own refusal of a call that another VM forwarded to it: the number of attempts that
+/// upstreams refused. Without it, a refusal does not confirm to the other VM that the call was not run.
+pub(crate) const NOT_RUN_HEADER: &str = "x-cranberryvalve-not-run";
+
 /// Returns `true` if a status promises that the request was not run.
 pub(crate) const fn is_promise(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -8,6 +8,8 @@
 use cranberryvalve_adapters::caller::copy_headers;
 use cranberryvalve_adapters::caller::parsed_head_len;
 
+use crate::refusal::NOT_RUN_HEADER;
+
 /// Status line and headers of a response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -56,6 +58,12 @@
         Duration::try_from_secs_f64(seconds).ok()
     }
 
+    /// Returns the number of attempts that upstreams refused, if another VM confirms with it that the
+    /// call was not run.
+    pub(crate) fn refused_attempts(&self) -> Option<u32> {
+        self.header(NOT_RUN_HEADER)?.trim().parse().ok()
+    }
+
     /// Returns `true` if the connection may be reused after this response.
     pub(crate) fn keeps_alive(&self) -> bool {
         let mut options = self
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -71,7 +71,7 @@
     let Ok(connection) = Connection::from_accepted(stream) else { return };
     // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
     let Ok(mailbox) = Mailbox::new() else { return };
-    let caller = CallerConnection::new(connection);
+    let caller = CallerConnection::new(connection, sender == Sender::Vm);
     if relay.caller_connections() > relay.settings.max_connections {
         caller.refuse_connection(&not_yet_sent("too many connections"));
         return;
--- a/crates/relay/src/service/forward.rs
+++ b/crates/relay/src/service/forward.rs
@@ -46,12 +46,17 @@
                 &mut trace,
             );
             self.log_forwarded(progress, forwarder, &outcome, &trace);
-            if let AttemptOutcome::NotRun { retry_after, .. } = &outcome {
+            let mut reached_upstreams = false;
+            if let AttemptOutcome::NotRun { retry_after, refused_attempts, .. } = &outcome {
                 refused_for = Some(retry_after.unwrap_or(DEFAULT_RETRY_AFTER));
+                reached_upstreams = *refused_attempts > 0;
             }
             if let Some(call_outcome) = progress.forwarded_outcome(outcome) {
                 return Some(call_outcome);
             }
+            if reached_upstreams {
+                break;
+            }
         }
         refused_for.map(|it| progress.refused_by_vms(it))
     }
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -215,7 +215,8 @@
             return CallOutcome::Response(response);
         }
         CallOutcome::Refusal(match self.execution.prove_not_run() {
-            Some(proof) => Refusal::not_run(proof, retry_after, format!("not run: {reason}")),
+            Some(proof) => Refusal::not_run(proof, retry_after, format!("not run: {reason}"))
+                .after_attempts(self.upstream_attempts()),
             None => {
                 let message =
                     format!("no whole answer came back, and it may have been run: {reason}");
