fix: a call that may run once is not sent again to an upstream that refused it

Trace: its only upstream in service (worker 3) got it twice in one millisecond, on two connections; the first time it refused, the second time it ran it and wrote its refusal of this call once more before the response.

Placement excludes upstreams that refused a call that may run once (they were the last choice before), and such a call is not forwarded to another VM, which does not know them. Calls that may be repeated are placed as before.

--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -89,6 +89,7 @@
                 }
                 Placement::NoUpstream => {
                     let reason = match tracked.call.software_version {
+                        _ if !tracked.tried.is_empty() => ConclusionReason::AttemptsExhausted,
                         Some(_) => ConclusionReason::NoSuchVersion,
                         None => ConclusionReason::NoUpstream,
                     };
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -116,7 +116,7 @@
 
 /// Chooses one of `upstreams`, which must all belong to the call's pool.
 ///
-/// Upstreams in `tried` are used only if there is no other.
+/// Upstreams in `tried` are used only if there is no other, and not for a call that may run once.
 pub(super) fn place(
     context: &PlacementContext<'_>,
     call: &Call,
@@ -125,7 +125,7 @@
 ) -> Placement {
     let candidates = evaluate(context, call, upstreams, tried);
     if candidates.is_empty() {
-        return shortest_pause(context, call, upstreams)
+        return shortest_pause(context, call, &not_excluded(call, upstreams, tried))
             .map_or(Placement::NoUpstream, Placement::Paused);
     }
     let cheapest = |is_allowed: fn(&Candidate<'_>) -> bool| {
@@ -186,7 +186,8 @@
         Some(prompt) => rank_by_ownership(context, prompt, &lanes, &healthy),
         None => healthy.clone(),
     };
-    let untried = filter_or_all(&ranked, |it| !tried.contains(&it.record.id));
+    let allowed = not_excluded(call, &ranked, tried);
+    let untried = filter_or_all(&allowed, |it| !tried.contains(&it.record.id));
     let factors = CallFactors {
         owners: ranked.iter().take(PREFIX_OWNERS).map(|it| &it.record.id).collect(),
         prefers_owners: call
@@ -215,6 +216,20 @@
     paused.map(|it| it.wait(context.now).max(it.backlog(context.now, call.tier))).min()
 }
 
+/// Returns the upstreams that a call may be sent to. A call that may run once is not sent to one that
+/// refused it before: that refusal, sent once more, cannot be told from the response to a further
+/// attempt.
+fn not_excluded<'a>(
+    call: &Call,
+    upstreams: &[&'a Upstream],
+    tried: &[UpstreamId],
+) -> Vec<&'a Upstream> {
+    let may_repeat = call.route.kind.is_retryable();
+    let mut allowed = upstreams.to_vec();
+    allowed.retain(|it| may_repeat || !tried.contains(&it.record.id));
+    allowed
+}
+
 /// Returns the upstreams that match, or all of them if none does.
 fn filter_or_all<'a>(
     upstreams: &[&'a Upstream],
--- a/crates/relay/src/service/forward.rs
+++ b/crates/relay/src/service/forward.rs
@@ -2,6 +2,7 @@
 
 use cranberryvalve_coordination::reachability::Forwarder;
 use cranberryvalve_core::table::RouteRule;
+use cranberryvalve_policy::execution::Execution;
 use slog::info;
 
 use super::CallOutcome;
@@ -26,7 +27,8 @@
         route: &RouteRule,
         progress: &mut CallProgress,
     ) -> Option<CallOutcome> {
-        let may_repeat = route.kind.is_retryable() || !progress.execution.may_have_run();
+        // The other VM does not know which upstreams refused a call that must not reach them again.
+        let may_repeat = route.kind.is_retryable() || progress.execution == Execution::NotSent;
         let has_attempts = progress.upstream_attempts() < route.max_attempts;
         let is_hopeless = self.sender == Sender::Vm || progress.lacks_forwarders;
         if is_hopeless || !may_repeat || !has_attempts {
