fix: a head that was cut off anywhere decides nothing for the next call

Callers got 503 for a call that had run, even at two upstreams, if an upstream wrote a part of an earlier refusal on a kept connection and then the response to the call. The two heads then parse as one, which names the call. They were told apart only if the cut was in the value of a header other than Via: not if it was in the status line, where 421 alone is taken for a refusal. Such a 421 also takes the upstream out of service.

Two status lines in one head are now the sign, wherever the second one is. A value that merely names the protocol (Upgrade: h2c, HTTP/1.1) is accepted; the earlier check ended each attempt at an upstream that sends one as unknown.

--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -92,8 +92,8 @@
     }
 }
 
-/// Beginning of a status line.
-const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+/// Beginning of a status line, in which a 0 stands for any digit.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.0 000";
 
 /// Parses a response head. Returns it with its length in bytes, or `None` if more input is needed.
 ///
@@ -106,8 +106,10 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     let Some(len) = parsed_head_len(response.parse(bytes))? else { return Ok(None) };
-    if response.headers.iter().any(holds_status_line) {
-        return Err(HeadError::Malformed("a header holds a status line".into()));
+    let windows = bytes[..len].windows(STATUS_LINE_START.len());
+    // The head before a second status line was cut off.
+    if windows.filter(|it| begins_status_line(it)).nth(1).is_some() {
+        return Err(HeadError::Malformed("a head holds two status lines".into()));
     }
     let head = ResponseHead {
         status: response.code.unwrap_or_default(),
@@ -118,11 +120,12 @@
     Ok(Some((head, len)))
 }
 
-/// Returns `true` if the value of a header holds the beginning of another response, as it does if the
-/// head before that was cut off. `Via` may name the protocol.
-fn holds_status_line(header: &httparse::Header<'_>) -> bool {
-    let mut windows = header.value.windows(STATUS_LINE_START.len());
-    !header.name.eq_ignore_ascii_case("via") && windows.any(|it| it == STATUS_LINE_START)
+fn begins_status_line(bytes: &[u8]) -> bool {
+    let is_match = |byte: u8, pattern: u8| match pattern {
+        b'0' => byte.is_ascii_digit(),
+        _ => byte == pattern,
+    };
+    bytes.iter().zip(STATUS_LINE_START).all(|(byte, pattern)| is_match(*byte, *pattern))
 }
 
 #[cfg(test)]
