fix: a copy of the response to a HEAD call refuses no later call

A caller got 503 for a call that had run. The call before it on the upstream's connection was a HEAD call, whose response was sent once more: it states the length of a body, but has none. That many bytes of the response to the present call were skipped, and its body was read as a head.

A connection that has carried a HEAD call is not kept, so the body of whatever is late on a kept connection is there as its head says.

an_earlier_response_to_a_head_call_refuses_no_later_call: 503 after one run before, 200 after.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -272,7 +272,8 @@
         }
         let _waiting = self.relay.forwarding.track_attempt();
         let (outcome, reusable) = attempt.run();
-        if let Some((connection, head)) = reusable {
+        // A copy of a response to HEAD would state the length of a body that does not follow.
+        if let Some((connection, head)) = reusable.filter(|_| &*self.head.method != "HEAD") {
             let idle_connections = &self.relay.idle_connections;
             idle_connections.put(&upstream.id, upstream.incarnation, connection, &head);
         }
