fix: a stray response without a length holds no call to its deadline

Callers got 504 after 3 s, their whole deadline, when an upstream sent an earlier response without a length before the response to their call: the latter was skipped as a part of it. Nothing can follow such a response on its connection, so the attempt ends as unknown at once, and a call that may be repeated is served by another upstream.

a_repeatable_call_does_not_wait_for_its_deadline_after_a_stray_response_without_length: 504 before, 200 within a second after.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -128,6 +128,10 @@
                 Verdict::Stray | Verdict::Nameless if &*self.exchange.head.method == "HEAD" => {
                     return Err(AttemptError::Incomplete);
                 }
+                // The response to the call cannot follow one that ends with its connection.
+                Verdict::Stray | Verdict::Nameless if decoder.is_delimited_by_close() => {
+                    return Err(AttemptError::Incomplete);
+                }
                 Verdict::Stray => self.skip_response(&mut decoder)?,
                 Verdict::Nameless => {
                     self.skip_response(&mut decoder)?;
