fix: attempts use kept connections wherever the response can be attributed

Upstreams got a new connection for each attempt after the first one of a call, and for each call that another VM forwards: 3 for 3 refusals and 20 for 20 forwarded calls, where uses those that are kept. Under load each rejected call costs a handshake then, and a partition of some VMs doubles the connections of those that serve their calls, against the limit of an upstream.

The reason for new connections was that an upstream may send its response to an earlier attempt of the call once more. That concerns an attempt at the same upstream only, which the scheduler knows (`SendCommand::is_repeat`). What another VM was told arrived on connections of that VM, and a call that may run once is not forwarded after an upstream got it.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -71,8 +71,6 @@
     /// Whether the route leads to several pools.
     pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
-    /// Whether another VM forwarded the call, and may have sent it to upstreams before.
-    pub(crate) is_forwarded: bool,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
     /// What the call has in common with others that may crash upstreams.
@@ -282,11 +280,10 @@
 
     /// Takes a kept connection for the attempt, if the response to it can be attributed there.
     ///
-    /// The response to a call without an identifier cannot, nor can that to a further attempt: the
-    /// upstream may send its response to an earlier attempt of the call once more.
+    /// The response to a call without an identifier cannot, nor can that to a further attempt at the
+    /// same upstream, which may send its response to the earlier one once more.
     fn kept_connection(&self, command: &SendCommand) -> Option<Connection> {
-        let is_first = command.attempt == 1 && !self.is_forwarded;
-        self.caller_id.filter(|_| is_first)?;
+        self.caller_id.filter(|_| !command.is_repeat)?;
         let upstream = &command.upstream;
         self.relay.idle_connections.take(&upstream.id, upstream.incarnation)
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -246,7 +246,6 @@
             stream_id: stream_id.as_deref(),
             is_route_split: context.route.pools.len() > 1,
             deadline,
-            is_forwarded: self.sender == Sender::Vm,
             reports_load: false,
             suspect_keys,
         };
