fix: a restoration of the store beneath long polls is noticed within contactMs

Callers at VMs whose polls outlived a restoration were served by the state before it for up to 10 s: a departure or a configuration that was written afterwards, under a version that had been assigned before, ended no poll.

restoration_beneath_long_polls_is_noticed_by_all_vms (five VMs, a store whose waiting calls outlive the restoration, then a departure and a configuration under the versions of lost writes) failed before: after 3 s the VMs did not know of them.

Change: the first watcher of a failure domain polls the directory for half of contactMs, which is read from the settings. What it notices goes to the other VMs with its report, and ends the polls of both tables there and on the VM itself. A watcher that becomes the first one ends its long poll. Weighed: short polls of all watchers for both tables, six times the additional calls.

By calculation it costs up to 0.6 calls a second for each failure domain while its directory is quiet; not measured.

--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -136,6 +136,15 @@
         before.count() < (WATCHERS * groups).min(MAX_READERS)
     }
 
+    /// Returns `true` if the VM `own`, which reads the source itself, is the first reader that does not
+    /// fail. It polls often, so that the failure domain soon learns of a restoration, which long polls
+    /// do not show.
+    pub fn is_first_reader(&self, now: Instant, own: &VmId, vms: &[VmId]) -> bool {
+        let own_weight = weight(own);
+        let mut before = vms.iter().filter(|it| *it != own && weight(it) > own_weight);
+        before.all(|it| self.is_failing(now, it))
+    }
+
     /// Returns `true` if a VM reported that it does not reach the source, or reports no longer.
     fn is_failing(&self, now: Instant, vm: &VmId) -> bool {
         self.reports.get(vm).is_some_and(|it| {
--- a/crates/coordination/tests/watch_duty.rs
+++ b/crates/coordination/tests/watch_duty.rs
@@ -5,6 +5,7 @@
 
 use cranberryvalve_coordination::watch::JOIN_TIME;
 use cranberryvalve_coordination::watch::WatchDuty;
+use cranberryvalve_core::VmId;
 
 /// Time after its start from which a VM must know what the source has acknowledged (`contactMs`).
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -28,3 +29,18 @@
         assert!(begun_after + READ_TIME <= CONTACT_TIME, "{begun_after:?}");
     }
 }
+
+#[test]
+fn exactly_one_sound_vm_is_the_first_reader_while_others_fail() {
+    let now = Instant::now() + JOIN_TIME;
+    let vms = (0..6).map(|it| format!("vm-{it}").into()).collect::<Vec<VmId>>();
+    let mut duty = WatchDuty::new(now);
+    let mut sound = vms.clone();
+    while !sound.is_empty() {
+        let first = |it: &&VmId| duty.is_first_reader(now, it, &vms);
+        let readers = sound.iter().filter(first).cloned().collect::<Vec<VmId>>();
+        assert_eq!(readers.len(), 1, "{readers:?} of {sound:?}");
+        duty.on_report(now, &readers[0], false);
+        sound.retain(|it| *it != readers[0]);
+    }
+}
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -17,7 +17,9 @@
 use crate::socket::Connection;
 use crate::socket::Interest;
 use crate::socket::ReadOutcome;
+use crate::socket::Waker;
 use crate::socket::wait;
+use crate::sources::PollInterrupt;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,6 +64,8 @@
     TimedOut,
     /// The response is not valid HTTP or is too large.
     Malformed,
+    /// The request was interrupted.
+    Interrupted,
 }
 
 impl fmt::Display for HttpError {
@@ -70,6 +74,7 @@
             Self::Io(error) => write!(f, "connection failed: {error}"),
             Self::TimedOut => f.write_str("request timed out"),
             Self::Malformed => f.write_str("malformed response"),
+            Self::Interrupted => f.write_str("request was interrupted"),
         }
     }
 }
@@ -94,7 +99,23 @@
     ///
     /// Returns an error if no complete response arrives within `timeout`.
     pub fn get(&self, target: &str, timeout: Duration) -> Result<HttpResponse, HttpError> {
-        self.send_request("GET", target, None, timeout)
+        self.send_request("GET", target, None, Limit::new(timeout))
+    }
+
+    /// Sends a `GET` request whose response may take long, and waits for it. `interrupt` ends the wait
+    /// and closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete response arrives within `timeout` and before `interrupt`.
+    pub fn long_poll(
+        &self,
+        target: &str,
+        timeout: Duration,
+        interrupt: &PollInterrupt,
+    ) -> Result<HttpResponse, HttpError> {
+        let limit = Limit { interrupt: Some(interrupt.waker()), ..Limit::new(timeout) };
+        self.send_request("GET", target, None, limit)
     }
 
     /// Sends a `POST` request with a JSON body and waits for the complete response.
@@ -109,7 +130,7 @@
         json: &str,
         timeout: Duration,
     ) -> Result<HttpResponse, HttpError> {
-        self.send_request("POST", target, Some(json), timeout)
+        self.send_request("POST", target, Some(json), Limit::new(timeout))
     }
 
     fn send_request(
@@ -117,14 +138,13 @@
         method: &str,
         target: &str,
         json: Option<&str>,
-        timeout: Duration,
+        limit: Limit<'_>,
     ) -> Result<HttpResponse, HttpError> {
-        let deadline = Instant::now() + timeout;
         let mut idle_connection =
             self.idle_connection.lock().unwrap_or_else(PoisonError::into_inner);
         let mut connection = match idle_connection.take().filter(Connection::is_idle) {
             Some(connection) => connection,
-            None => self.connect(deadline)?,
+            None => self.connect(limit)?,
         };
         let body = json.unwrap_or_default();
         let content_type_header =
@@ -135,21 +155,21 @@
             self.address,
             body.len(),
         );
-        write_all(&connection, request.as_bytes(), deadline)?;
-        let head = receive_head(&mut connection, deadline)?;
+        write_all(&connection, request.as_bytes(), limit)?;
+        let head = receive_head(&mut connection, limit)?;
         let framing = head.framing(method).map_err(|_| HttpError::Malformed)?;
         let mut decoder = BodyDecoder::new(framing);
-        let body = receive_body(&mut connection, &mut decoder, deadline)?;
+        let body = receive_body(&mut connection, &mut decoder, limit)?;
         if head.keeps_alive() && connection.is_idle() {
             *idle_connection = Some(connection);
         }
         Ok(HttpResponse { status: head.status, body, head })
     }
 
-    fn connect(&self, deadline: Instant) -> Result<Connection, HttpError> {
+    fn connect(&self, limit: Limit<'_>) -> Result<Connection, HttpError> {
         let connection = Connection::connect(self.address)?;
-        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        wait_ready(&connection, true, deadline)?;
+        let deadline = limit.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        wait_ready(&connection, true, Limit { deadline, ..limit })?;
         match connection.connect_error()? {
             Some(error) => Err(error.into()),
             None => Ok(connection),
@@ -157,26 +177,40 @@
     }
 }
 
-fn write_all(connection: &Connection, bytes: &[u8], deadline: Instant) -> Result<(), HttpError> {
+/// When a request ends without its response.
+#[derive(Debug, Clone, Copy)]
+struct Limit<'a> {
+    deadline: Instant,
+    /// Ends the request when it is woken.
+    interrupt: Option<&'a Waker>,
+}
+
+impl Limit<'_> {
+    fn new(timeout: Duration) -> Self {
+        Self { deadline: Instant::now() + timeout, interrupt: None }
+    }
+}
+
+fn write_all(connection: &Connection, bytes: &[u8], limit: Limit<'_>) -> Result<(), HttpError> {
     let mut sent = 0;
     while sent < bytes.len() {
         let written = connection.try_write(&bytes[sent..])?;
         sent += written;
         if written == 0 {
-            wait_ready(connection, true, deadline)?;
+            wait_ready(connection, true, limit)?;
         }
     }
     Ok(())
 }
 
-fn receive_head(connection: &mut Connection, deadline: Instant) -> Result<ResponseHead, HttpError> {
+fn receive_head(connection: &mut Connection, limit: Limit<'_>) -> Result<ResponseHead, HttpError> {
     loop {
         let parsed = parse_response_head(&connection.input).map_err(|_| HttpError::Malformed)?;
         if let Some((head, len)) = parsed {
             connection.input.drain(..len);
             return Ok(head);
         }
-        if wait_and_read(connection, deadline)? == ReadOutcome::Closed {
+        if wait_and_read(connection, limit)? == ReadOutcome::Closed {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
     }
@@ -185,7 +219,7 @@
 fn receive_body(
     connection: &mut Connection,
     decoder: &mut BodyDecoder,
-    deadline: Instant,
+    limit: Limit<'_>,
 ) -> Result<Vec<u8>, HttpError> {
     let mut body = Vec::new();
     loop {
@@ -196,7 +230,7 @@
         if body.len() > MAX_RESPONSE_BYTES {
             return Err(HttpError::Malformed);
         }
-        if wait_and_read(connection, deadline)? == ReadOutcome::Closed {
+        if wait_and_read(connection, limit)? == ReadOutcome::Closed {
             return if decoder.is_delimited_by_close() {
                 Ok(body)
             } else {
@@ -206,23 +240,28 @@
     }
 }
 
-fn wait_and_read(connection: &mut Connection, deadline: Instant) -> Result<ReadOutcome, HttpError> {
-    wait_ready(connection, false, deadline)?;
+fn wait_and_read(connection: &mut Connection, limit: Limit<'_>) -> Result<ReadOutcome, HttpError> {
+    wait_ready(connection, false, limit)?;
     Ok(connection.fill()?)
 }
 
 fn wait_ready(
     connection: &Connection,
     wants_write: bool,
-    deadline: Instant,
+    limit: Limit<'_>,
 ) -> Result<(), HttpError> {
     let interest = Interest {
         upstream: Some(connection),
         upstream_output: wants_write,
+        waker: limit.interrupt,
         ..Interest::default()
     };
-    let ready = wait(interest, deadline)?;
-    if ready.timed_out { Err(HttpError::TimedOut) } else { Ok(()) }
+    let ready = wait(interest, limit.deadline)?;
+    match ready {
+        _ if ready.timed_out => Err(HttpError::TimedOut),
+        _ if ready.woken => Err(HttpError::Interrupted),
+        _ => Ok(()),
+    }
 }
 
 #[cfg(test)]
--- a/crates/relay/src/peers/directory.rs
+++ b/crates/relay/src/peers/directory.rs
@@ -38,7 +38,14 @@
         if report.reaches_source {
             self.relay.record_source_response(DIRECTORY_SOURCE);
         }
-        let missing = self.relay.shared_directory.on_report(Instant::now(), &from.vm, report);
+        let directory = &self.relay.shared_directory;
+        let known = directory.position();
+        let missing = directory.on_report(Instant::now(), &from.vm, report);
+        if let (Some(known), Some(position)) = (known, directory.position())
+            && position.era > known.era
+        {
+            self.relay.record_store_era(position.era);
+        }
         if let Some(missing) = missing {
             let request =
                 PeerMessage::FeedRequest { from: self.own_address(), position: missing.since };
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -40,6 +40,7 @@
             round += 1;
             self.send_heartbeat_round(round);
             self.relay.report_directory(None);
+            self.relay.check_long_poll();
             self.repeat_suspects(round);
             self.spread_builds(round);
             let is_alone = self.membership().alive_count() == 1;
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -156,7 +156,7 @@
         let _ = rustix::io::write(&self.0, &1_u64.to_ne_bytes());
     }
 
-    fn reset(&self) {
+    pub(crate) fn reset(&self) {
         // An error means that no wake-up is pending.
         let _ = rustix::io::read(&self.0, &mut [0; 8]);
     }
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod follow;
 mod follower;
+mod interrupt;
 mod secret;
 mod shared;
 mod versions;
@@ -26,6 +27,8 @@
 pub use cranberryvalve_coordination::versions::VersionRecord;
 pub use follow::follow_directory;
 pub use follow::follow_tables;
+pub use interrupt::PollInterrupt;
+pub(crate) use interrupt::PollInterrupts;
 pub use secret::SecretStore;
 pub use secret::read_or_create;
 pub use secret::read_or_write;
@@ -41,6 +44,8 @@
     /// The source was restored from a copy, so that earlier positions have no meaning any more; a
     /// new snapshot must be read.
     Restored(StoreEra),
+    /// The call was ended by its [`PollInterrupt`].
+    Interrupted,
     /// The source could not be reached or responded with an error.
     Failed(String),
 }
@@ -50,6 +55,7 @@
         match self {
             Self::HistoryExpired => f.write_str("the requested changes are no longer retained"),
             Self::Restored(era) => write!(f, "the source was restored and is in era {era}"),
+            Self::Interrupted => f.write_str("the call was interrupted"),
             Self::Failed(message) => f.write_str(message),
         }
     }
@@ -69,13 +75,18 @@
     /// Returns an error if the source is unreachable.
     fn snapshot(&self) -> Result<Snapshot, FeedError>;
 
-    /// Waits at most `wait` for changes after `position`.
+    /// Waits at most `wait` for changes after `position`, and not after `interrupt`.
     ///
     /// # Errors
     ///
     /// Returns an error if the source is unreachable, no longer retains these changes or is in a
-    /// later era than `position`.
-    fn changes(&self, position: StorePosition, wait: Duration) -> Result<Changes, FeedError>;
+    /// later era than `position`, or if the call was interrupted.
+    fn changes(
+        &self,
+        position: StorePosition,
+        wait: Duration,
+        interrupt: &PollInterrupt,
+    ) -> Result<Changes, FeedError>;
 }
 
 /// A source of routing tables.
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -20,6 +20,10 @@
 use super::follower::MAX_POLL_WAIT;
 use crate::state::Relay;
 
+/// Number of polls of a failure domain's first reader in the time within which a VM has to know what
+/// the store acknowledges. What a poll shows is read and passed on in the rest of that time.
+const CONTACT_TIME_POLLS: u32 = 2;
+
 /// Maximum number of present rows that cannot be decoded up to which the log names them.
 const MAX_NAMED_ROWS: usize = 100;
 
@@ -36,8 +40,8 @@
 /// Returns an error if the thread cannot be spawned.
 pub fn follow_tables(relay: &Arc<Relay>, feed: Arc<dyn RoutingTableFeed>) -> io::Result<()> {
     let relay = relay.clone();
+    let mut follower = Follower::new(relay.clone(), feed.clone())?;
     thread::Builder::new().name("tables".to_owned()).spawn(move || {
-        let mut follower = Follower::new(relay.clone(), feed.clone());
         loop {
             if follower.position.is_some() && !relay.is_source_reader() {
                 follower.pause();
@@ -74,7 +78,7 @@
             updater.run_once();
         }
     })?;
-    let follower = Follower::new(relay.clone(), feed);
+    let follower = Follower::new(relay.clone(), feed)?;
     let mut reader = DirectoryReader { relay: relay.clone(), follower };
     thread::Builder::new().name("directory reader".to_owned()).spawn(move || {
         loop {
@@ -118,13 +122,26 @@
         // Without a position, the next call reads a snapshot.
         self.follower.position = self.follower.position.and(base);
         let was_failing = self.follower.consecutive_failures > 0;
-        let update = self.follower.poll(MAX_POLL_WAIT);
+        let update = self.poll();
         let is_failing = self.follower.consecutive_failures > 0;
         let delta = shared.record_read(base, update, self.follower.recovered_at, !is_failing);
         if delta.is_some() || is_failing != was_failing {
             relay.report_directory(delta);
         }
     }
+
+    /// Polls the source: often on the first reader of the failure domain, which tells the others of a
+    /// restoration, and else until it takes that place.
+    fn poll(&mut self) -> FeedUpdate {
+        if self.relay.is_first_source_reader() {
+            return self.follower.poll(self.relay.settings.contact_time / CONTACT_TIME_POLLS);
+        }
+        let shared = &self.relay.shared_directory;
+        shared.set_long_poll(Some(self.follower.interrupt.clone()));
+        let update = self.follower.poll(MAX_POLL_WAIT);
+        shared.set_long_poll(None);
+        update
+    }
 }
 
 struct DirectoryUpdater {
--- a/crates/relay/src/sources/follower.rs
+++ b/crates/relay/src/sources/follower.rs
@@ -1,5 +1,6 @@
 //! Position in the feed of a source and the state of the connection to it.
 
+use std::io;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use super::Changes;
 use super::Feed;
 use super::FeedError;
+use super::PollInterrupt;
 use super::Row;
 use super::RowChange;
 use super::Snapshot;
@@ -74,6 +76,8 @@
 pub(super) struct Follower<F: ?Sized> {
     relay: Arc<Relay>,
     feed: Arc<F>,
+    /// Ends a long poll, as it does not show by itself that the source was restored.
+    pub(super) interrupt: Arc<PollInterrupt>,
     pub(super) position: Option<StorePosition>,
     /// Era of the last update; `None` before the first one.
     era: Option<StoreEra>,
@@ -86,8 +90,9 @@
 }
 
 impl<F: Feed + ?Sized> Follower<F> {
-    pub(super) fn new(relay: Arc<Relay>, feed: Arc<F>) -> Self {
-        Self {
+    pub(super) fn new(relay: Arc<Relay>, feed: Arc<F>) -> io::Result<Self> {
+        Ok(Self {
+            interrupt: relay.poll_interrupts.register()?,
             relay,
             feed,
             position: None,
@@ -96,7 +101,7 @@
             recovered_at: None,
             was_paused: false,
             delays_next_poll: false,
-        }
+        })
     }
 
     /// Records that the source is not read for a while. The next poll then returns at once, since the
@@ -117,7 +122,9 @@
     /// Polls the source. Blocks for at most `wait`, plus the retry delay.
     pub(super) fn poll(&mut self, wait: Duration) -> FeedUpdate {
         let wait = if std::mem::take(&mut self.was_paused) { Duration::ZERO } else { wait };
-        // Another source of the same store may have noticed a restoration first.
+        // Another source of the same store or another VM may have noticed a restoration first, which is
+        // checked from here on only.
+        self.interrupt.reset();
         let is_outdated = self.position.is_some_and(|it| it.era < self.relay.store_era());
         let result = match self.position.filter(|_| !is_outdated) {
             None => self.feed.snapshot().map(|snapshot| {
@@ -125,7 +132,7 @@
                 (snapshot.position, FeedUpdate::Snapshot { snapshot, is_restored })
             }),
             Some(position) => {
-                let changes = self.feed.changes(position, wait);
+                let changes = self.feed.changes(position, wait, &self.interrupt);
                 changes.map(|it| (it.position, FeedUpdate::Changes(it)))
             }
         };
@@ -152,6 +159,10 @@
                 self.position = None;
                 FeedUpdate::Unchanged
             }
+            Err(FeedError::Interrupted) => {
+                self.count_call("interrupted");
+                FeedUpdate::Unchanged
+            }
             Err(FeedError::Failed(error)) => {
                 self.count_call("unreachable");
                 self.handle_failure(&error);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -25,6 +25,7 @@
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_core::VmId;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SchedulerSettings;
@@ -48,6 +49,7 @@
 use crate::service::Sender;
 use crate::service::serve_connection;
 use crate::socket::Waker;
+use crate::sources::PollInterrupts;
 use crate::sources::RoutingTableFeed;
 use crate::sources::Row;
 use crate::sources::SharedDirectory;
@@ -68,6 +70,8 @@
     pub max_connections: usize,
     /// Memory for all responses that are held until they are complete, in bytes.
     pub response_memory_bytes: usize,
+    /// Time within which a VM has to know what the store acknowledges.
+    pub contact_time: Duration,
 }
 
 /// Relays calls from callers to the upstreams chosen by the scheduler, on one VM.
@@ -92,6 +96,7 @@
     last_responses: Mutex<HashMap<&'static str, Instant>>,
     /// Latest era in which the store was restored while this VM ran; 0 before that.
     store_era: AtomicU64,
+    pub(crate) poll_interrupts: PollInterrupts,
     pub(crate) shared_directory: SharedDirectory,
     pub(crate) permits: PermitCoordinator,
     pub(crate) crash_guard: CrashGuard,
@@ -129,6 +134,7 @@
             peers: OnceLock::new(),
             last_responses: Mutex::default(),
             store_era: AtomicU64::new(0),
+            poll_interrupts: PollInterrupts::default(),
             shared_directory: SharedDirectory::new(Instant::now()),
             permits: PermitCoordinator::default(),
             crash_guard: CrashGuard::new(log.clone()),
@@ -293,9 +299,11 @@
     /// Records that the store was restored from a copy and is in this era.
     pub(crate) fn record_store_era(&self, era: StoreEra) {
         let previous = self.store_era.fetch_max(era, Ordering::SeqCst);
-        if era > previous
-            && let Some(peers) = self.peers.get()
-        {
+        if era <= previous {
+            return;
+        }
+        self.poll_interrupts.interrupt_all();
+        if let Some(peers) = self.peers.get() {
             peers.check_link_key(era);
         }
     }
@@ -308,11 +316,28 @@
     /// Returns `true` if this VM reads the sources for its failure domain, or has had the time to
     /// find peers there and has none.
     pub(crate) fn is_source_reader(&self) -> bool {
-        let members = self.peers().map(Peers::failure_domain_members);
-        let (own, vms) = members.unwrap_or_else(|| ("".into(), Vec::new()));
+        let (own, vms) = self.failure_domain_members();
         self.shared_directory.is_reader(Instant::now(), &own, &vms)
     }
 
+    /// Returns `true` if this VM is the first of its failure domain to read the sources.
+    pub(crate) fn is_first_source_reader(&self) -> bool {
+        let (own, vms) = self.failure_domain_members();
+        self.shared_directory.is_first_reader(Instant::now(), &own, &vms)
+    }
+
+    /// Ends a long poll if this VM has become the first reader of its failure domain.
+    pub(crate) fn check_long_poll(&self) {
+        if self.is_first_source_reader() {
+            self.shared_directory.interrupt_long_poll();
+        }
+    }
+
+    fn failure_domain_members(&self) -> (VmId, Vec<VmId>) {
+        let members = self.peers().map(Peers::failure_domain_members);
+        members.unwrap_or_else(|| ("".into(), Vec::new()))
+    }
+
     /// Tells the other VMs of the failure domain whether this VM reaches the source of the
     /// directory, with a delta if there is one. Does nothing unless this VM reads the source.
     pub(crate) fn report_directory(&self, delta: Option<FeedDelta>) {
