test: VMs that restore a lost configuration at once, in all interleavings

Restoring a configuration was code of the daemon that no search reached. It is the state machine plan::Restoration now, with the same order: the document, then the head row under the condition of the read before.

restoration_interleavings explores three VMs (two with the lost version), two restorations, one fault of the store, with the lost document gone too or not, and a plan that is based on the lost version. In every state the head row refers to a stored document; at the end all VMs and the store agree on one document, and no confirmed plan is lost. No fault was found: both tests pass on the order of the daemon.

--- a/crates/coordination/src/plan.rs
+++ b/crates/coordination/src/plan.rs
@@ -10,6 +10,7 @@
 mod confirm;
 mod diff;
 mod hazard;
+mod restore;
 
 use std::sync::Arc;
 
@@ -34,6 +35,7 @@
 pub use diff::ClassEffect;
 pub use diff::Difference;
 pub use hazard::Hazard;
+pub use restore::Restoration;
 
 /// Change that an operator requests.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -79,7 +79,7 @@
     Fetch(FetchFrom),
     /// Activate the document and announce it to the peers.
     Activate(Arc<ConfigDocument>),
-    /// Store the document, then the head row that refers to it if the condition holds.
+    /// Carry out a [`Restoration`](crate::plan::Restoration) with this document and condition.
     Restore {
         /// Active document, which the store has lost.
         document: Arc<ConfigDocument>,
@@ -108,7 +108,7 @@
 /// assert!(replica.handle(now, ReplicaEvent::Document(older)).is_empty());
 /// assert_eq!(replica.version(), 2);
 /// ```
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     active: Option<Arc<ConfigDocument>>,
     digest: Digest,
@@ -119,7 +119,7 @@
     pending_fetch: Option<PendingFetch>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct PendingFetch {
     version: ConfigVersion,
     requested_at: Instant,
--- a/crates/coordination/src/store/memory.rs
+++ b/crates/coordination/src/store/memory.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Loses an object, as a restoration of the object store does.
+    pub fn lose_object(&mut self, key: &str) {
+        self.objects.remove(key);
+    }
+
     /// Returns the content of a row, or `None` if it does not exist.
     pub fn row(&self, key: &str) -> Option<&[u8]> {
         self.rows.get(key).map(|it| it.1.as_slice())
--- a/crates/daemon/src/control/config.rs
+++ b/crates/daemon/src/control/config.rs
@@ -7,12 +7,14 @@
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::plan::HEAD_KEY;
 use cranberryvalve_coordination::plan::Head;
+use cranberryvalve_coordination::plan::Restoration;
 use cranberryvalve_coordination::plan::body_key;
 use cranberryvalve_coordination::replica::FetchFrom;
 use cranberryvalve_coordination::replica::ReplicaAction;
 use cranberryvalve_coordination::replica::ReplicaEvent;
 use cranberryvalve_coordination::store::Condition;
 use cranberryvalve_coordination::store::Store;
+use cranberryvalve_coordination::store::execute;
 use cranberryvalve_core::ConfigDocument;
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::Digest;
@@ -75,11 +77,11 @@
 
 /// Writes a configuration again that the store has lost.
 fn restore(node: &Node, document: &ConfigDocument, condition: Condition) {
-    let head = Head::of(document);
-    let result = node
-        .store
-        .put_object(&body_key(&head.digest), &document.to_bytes())
-        .and_then(|()| node.store.write(HEAD_KEY, condition, &head.to_bytes()));
+    let (restoration, first) = Restoration::new(document, condition);
+    let mut result = execute(&node.store, &first);
+    while let Some(next) = restoration.on_reply(&result) {
+        result = execute(&node.store, &next);
+    }
     warn!(node.log, "the store had lost the configuration, it is written again";
         "version" => document.version, "era" => condition.era,
         "result" => format!("{result:?}"));
