feat: the daemon announces its build and shows what all VMs run

An operator of `cranberryvalved` could not see which build a VM runs: the daemon dropped `Builds` and sent none.

What a VM sends in a round, what it tells one that joins and what it shows moves from `relay::peers::builds` to `coordination::builds::BuildExchange`, which is pure; relay and daemon only lock, send and log. The line "VM of another protocol version" and the gauge `cranberryvalve_members` are shared in `adapters::telemetry`. `/dump` has `member_builds`, as `/state`. The build script that names the build is shared by both programs. No message changes.

--- a/crates/adapters/src/telemetry.rs
+++ b/crates/adapters/src/telemetry.rs
@@ -2,9 +2,13 @@
 
 mod log_queue;
 
+use std::collections::BTreeMap;
 use std::io;
 use std::sync::Mutex;
 
+use cranberryvalve_coordination::builds::PROTOCOL_VERSION;
+use cranberryvalve_coordination::builds::UNANNOUNCED_PROTOCOL;
+use cranberryvalve_coordination::builds::VmBuild;
 use cranberryvalve_core::VmId;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::Matcher;
@@ -15,6 +19,7 @@
 use slog::Level;
 use slog::LevelFilter;
 use slog::Logger;
+use slog::info;
 use slog::o;
 
 pub use self::log_queue::LogGuard;
@@ -53,6 +58,27 @@
         .install_recorder()
 }
 
+/// Logs VMs that announce another protocol version than this one, with both builds.
+pub fn log_other_protocols(log: &Logger, own_build: &str, announced: &[VmBuild]) {
+    for build in announced.iter().filter(|it| it.protocol_version != PROTOCOL_VERSION) {
+        info!(log, "VM of another protocol version"; "peer" => &*build.vm,
+            "peer_build" => &*build.build, "peer_protocol" => build.protocol_version,
+            "own_build" => own_build, "own_protocol" => PROTOCOL_VERSION);
+    }
+}
+
+/// Sets the gauges of the number of living VMs by protocol version.
+pub fn record_members(by_protocol: &BTreeMap<u32, usize>) {
+    // Versions without a member are set to 0 again, so the list has no gaps.
+    for protocol in UNANNOUNCED_PROTOCOL..=PROTOCOL_VERSION {
+        let count = by_protocol.get(&protocol).copied().unwrap_or(0);
+        metrics::gauge!("cranberryvalve_members", "protocol" => protocol.to_string())
+            .set(count as f64);
+    }
+    let later: usize = by_protocol.range(PROTOCOL_VERSION + 1..).map(|it| it.1).sum();
+    metrics::gauge!("cranberryvalve_members", "protocol" => "later").set(later as f64);
+}
+
 /// Returns the current time in milliseconds since the Unix epoch.
 pub fn unix_time_ms() -> u64 {
     let now = std::time::SystemTime::now();
--- a/platform/build.rs
+++ b/crates/build_name.rs
@@ -18,10 +18,10 @@
         && Path::new(&log).exists()
     {
         print_line(&format!("cargo::rerun-if-changed={log}"));
-        print_line("cargo::rerun-if-changed=build.rs");
     }
 }
 
+#[expect(clippy::print_stdout, reason = "Cargo reads these lines")]
 fn print_line(line: &str) {
     println!("{line}");
 }
--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -22,6 +22,8 @@
 //! assert_eq!(log.build_of("vm-2", 6), None);
 //! ```
 
+mod exchange;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
@@ -31,6 +33,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::exchange::Announcements;
+pub use self::exchange::BuildExchange;
+pub use self::exchange::MemberBuild;
+pub use self::exchange::REPEATED_BUILDS;
+
 /// Version of the messages between VMs that this build writes.
 pub const PROTOCOL_VERSION: u32 = 1;
 
--- a/crates/coordination/tests/build_spread.rs
+++ b/crates/coordination/tests/build_spread.rs
@@ -5,6 +5,7 @@
 use cranberryvalve_coordination::builds::BuildLog;
 use cranberryvalve_coordination::builds::CAPABILITIES;
 use cranberryvalve_coordination::builds::PROTOCOL_VERSION;
+use cranberryvalve_coordination::builds::REPEATED_BUILDS;
 use cranberryvalve_coordination::builds::VmBuild;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -19,9 +20,6 @@
 /// Length of an authentication code.
 const MAC_BYTES: usize = 32;
 
-/// Number of announcements of other VMs that are repeated every second, as in the relay.
-const REPEATED_BUILDS: usize = 4;
-
 /// Time within which each VM knows the others, in seconds: it tells one VM after the other every two
 /// seconds, so no other VM needs to forward anything.
 const MAX_ROUNDS: usize = VMS * 2;
@@ -64,7 +62,7 @@
             sent.extend(receivers.iter().map(|it| (*it, updates.clone())));
             let mut builds = vec![build_of(vm)];
             builds.extend(logs[vm].next_repeated(REPEATED_BUILDS));
-            // Neighbours and all VMs by turns, as in the relay.
+            // Neighbours and all VMs by turns, as `BuildExchange` does.
             let receiver = match round % 2 {
                 0 => receivers[round / 2 % receivers.len()],
                 _ => (vm + 1 + round / 2 % (VMS - 1)) % VMS,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -1,5 +1,6 @@
 //! Background threads that exchange state with the platform, the peers and the upstreams.
 
+mod builds;
 mod config;
 mod heartbeats;
 mod limits;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -22,6 +22,7 @@
 use slog::info;
 use slog::warn;
 
+use super::builds;
 use super::handle_replica_event;
 use super::limits;
 use crate::node::Node;
@@ -48,8 +49,11 @@
         let keys = pressure_keys(&pressure);
         let is_due = sent_at.is_none_or(|it| it.elapsed() >= HEARTBEAT_INTERVAL);
         if is_due || !keys.is_subset(&reported) {
-            round += 1;
+            round += usize::from(is_due);
             send_round(node, &pressure, is_due.then_some(round));
+            if is_due {
+                builds::send(node, round);
+            }
             reported = keys;
             sent_at = Some(Instant::now());
         }
@@ -132,6 +136,9 @@
                 limits::apply_shares(node, &shares);
             }
             Received::Message(PeerMessage::Document { body, .. }) => on_document(node, &body),
+            Received::Message(PeerMessage::Builds { builds, .. }) => {
+                builds::on_builds(node, builds);
+            }
             // This daemon gets members from the platform's list, and loads from the upstreams.
             Received::Message(
                 PeerMessage::Members { .. }
@@ -154,8 +161,7 @@
                 | PeerMessage::ForwardOffer { .. }
                 | PeerMessage::ProbeRequest { .. }
                 | PeerMessage::ProbeResponse { .. }
-                | PeerMessage::Refusals { .. }
-                | PeerMessage::Builds { .. },
+                | PeerMessage::Refusals { .. },
             ) => {}
             Received::Dropped(report) => log_dropped(node, report),
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use cranberryvalve_adapters::platform::PlatformClient;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry;
+use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::leaving::LeavingChange;
 use cranberryvalve_coordination::leaving::LeavingView;
 use cranberryvalve_coordination::ledger::Release;
@@ -38,6 +39,9 @@
 use crate::settings::Settings;
 use crate::store_breaker::StoreBreaker;
 
+/// Name of this build, which the other VMs are told.
+const BUILD: &str = env!("CRANBERRYVALVE_BUILD");
+
 /// Shared state of one VM.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -53,6 +57,7 @@
     pub(crate) started_unix_ms: u64,
     replica: Mutex<Replica>,
     membership: Mutex<Membership>,
+    builds: Mutex<BuildExchange>,
     leaving: Mutex<LeavingView>,
     limits: Mutex<LimitClient>,
     limit_coordinator: Mutex<LimitCoordinator>,
@@ -89,6 +94,7 @@
             started_unix_ms,
             replica: Mutex::new(Replica::new(Instant::now())),
             membership: Mutex::new(Membership::new(own, started_unix_ms)),
+            builds: Mutex::new(BuildExchange::new(BUILD.into())),
             leaving: Mutex::default(),
             limits: Mutex::default(),
             limit_coordinator: Mutex::default(),
@@ -106,6 +112,11 @@
         self.membership.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what each VM runs. Lock it after the membership, where both are needed.
+    pub(crate) fn builds(&self) -> MutexGuard<'_, BuildExchange> {
+        self.builds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn leaving(&self) -> MutexGuard<'_, LeavingView> {
         self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -1,5 +1,6 @@
 //! Dump of the state of the process.
 
+use cranberryvalve_coordination::builds::MemberBuild;
 use cranberryvalve_coordination::membership::MemberUpdate;
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_core::Digest;
@@ -22,6 +23,7 @@
     releases_waiting: usize,
     members: Vec<MemberUpdate>,
     members_alive: usize,
+    member_builds: Vec<MemberBuild>,
     router: RouterSnapshot,
 }
 
@@ -44,9 +46,10 @@
         let replica = node.replica();
         ConfigState { version: replica.version(), digest: replica.digest().clone(), freshness }
     };
-    let (members, members_alive) = {
+    let (members, members_alive, member_builds) = {
         let membership = node.membership();
-        (membership.list(), membership.alive_count())
+        let member_builds = node.builds().members(&membership);
+        (membership.list(), membership.alive_count(), member_builds)
     };
     Dump {
         vm: node.settings.vm.to_string(),
@@ -59,6 +62,7 @@
         releases_waiting: node.releases().len(),
         members,
         members_alive,
+        member_builds,
         router: node.dispatcher.snapshot(),
     }
 }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -10,8 +10,8 @@
 use cranberryvalve_adapters::caller::CallerServer;
 use cranberryvalve_adapters::caller::Responder;
 use cranberryvalve_adapters::caller::ServerLimits;
-use cranberryvalve_coordination::builds::PROTOCOL_VERSION;
-use cranberryvalve_coordination::builds::UNANNOUNCED_PROTOCOL;
+use cranberryvalve_adapters::telemetry::record_members;
+use cranberryvalve_coordination::builds::MemberBuild;
 use cranberryvalve_coordination::quarantine;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_policy::scheduler::SchedulerSnapshot;
@@ -19,7 +19,6 @@
 use serde::Serialize;
 
 use crate::call_log::millis;
-use crate::peers::MemberBuild;
 use crate::peers::Peers;
 use crate::state::Relay;
 
@@ -124,14 +123,7 @@
     metrics::gauge!("cranberryvalve_quarantined_keys")
         .set(relay.crash_guard.condemned().len() as f64);
     let by_protocol = relay.peers().map(Peers::members_by_protocol).unwrap_or_default();
-    // Versions without a member are set to 0 again, so the list has no gaps.
-    for protocol in UNANNOUNCED_PROTOCOL..=PROTOCOL_VERSION {
-        let count = by_protocol.get(&protocol).copied().unwrap_or(0);
-        metrics::gauge!("cranberryvalve_members", "protocol" => protocol.to_string())
-            .set(count as f64);
-    }
-    let later: usize = by_protocol.range(PROTOCOL_VERSION + 1..).map(|it| it.1).sum();
-    metrics::gauge!("cranberryvalve_members", "protocol" => "later").set(later as f64);
+    record_members(&by_protocol);
     for (source, age) in relay.source_ages() {
         metrics::gauge!("cranberryvalve_source_age_seconds", "source" => source)
             .set(age.as_secs_f64());
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -30,7 +30,7 @@
 use cranberryvalve_adapters::links::Links;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry::unix_time_ms;
-use cranberryvalve_coordination::builds::BuildLog;
+use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::origins::StreamOrigin;
@@ -51,7 +51,6 @@
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
-pub(crate) use self::builds::MemberBuild;
 pub(crate) use self::permits::PermitCoordinator;
 pub(crate) use self::tables::TableExchange;
 
@@ -102,10 +101,8 @@
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
     key: Mutex<Vec<u8>>,
-    /// Name of the build that this VM runs.
-    build: Arc<str>,
-    /// What the other VMs run.
-    builds: Mutex<BuildLog>,
+    /// What each VM runs.
+    builds: Mutex<BuildExchange>,
 }
 
 /// Joins the peers in the background once the key of the peer links can be read. Until then the VM
@@ -151,8 +148,7 @@
         probe_queries: PendingQueries::default(),
         secret,
         key: Mutex::new(key),
-        build: settings.build,
-        builds: Mutex::default(),
+        builds: Mutex::new(BuildExchange::new(settings.build)),
     });
     relay.set_peers(peers.clone());
     // The store may have been restored since the key was read.
