--- a/xtask/src/upgrade.rs
+++ b/xtask/src/upgrade.rs
@@ -91,7 +91,9 @@
         "--nocapture",
         "upgrades_by_hand",
     ];
-    print_line(&format!("from {hash}; first tries during the change that were served:"));
+    print_line(&format!(
+        "from {hash}; first tries during the change that were served, at a fixed rate:"
+    ));
     print_line(
         "| seed | VMs | course | faults | calls | upgrade | rolling restart | broken rules | \
          broken by the restart |",
