feat: a VM that does not announce its build is named in the log

An operator was told of a VM of another protocol version only if it announces one; VMs of builds before protocol 1 stood in `/state` without a build, and no line named them.

`BuildExchange` counts the rounds in which a living VM has not announced its build, for each incarnation. After 10 rounds, or 4 for each member where that is more (within half of them each VM sends to each other one by turns), the line "VM has not announced its build" names it once, with the own build and both protocol versions. Relay and daemon log it.

`a_vm_that_announces_nothing_is_named_once`, virtual time, 4 VMs: once for each incarnation, and never after its death. The method is new, so there is no run of the test before it.

--- a/crates/adapters/src/telemetry.rs
+++ b/crates/adapters/src/telemetry.rs
@@ -67,6 +67,15 @@
     }
 }
 
+/// Logs VMs that have not announced their build, as those of builds before protocol 1.
+pub fn log_silent_vms(log: &Logger, own_build: &str, vms: &[VmId]) {
+    for vm in vms {
+        info!(log, "VM has not announced its build"; "peer" => &**vm,
+            "peer_protocol" => UNANNOUNCED_PROTOCOL,
+            "own_build" => own_build, "own_protocol" => PROTOCOL_VERSION);
+    }
+}
+
 /// Sets the gauges of the number of living VMs by protocol version.
 pub fn record_members(by_protocol: &BTreeMap<u32, usize>) {
     // Versions without a member are set to 0 again, so the list has no gaps.
--- a/crates/coordination/src/builds/exchange.rs
+++ b/crates/coordination/src/builds/exchange.rs
@@ -23,6 +23,13 @@
 /// Number of announcements that a VM is sent when it joins. Other VMs send it others.
 const BUILDS_FOR_NEW_VM: usize = 64;
 
+/// Rounds in which each living VM sends its announcement to each other one twice, for each of them.
+const SILENT_ROUNDS_PER_VM: usize = 4;
+
+/// Minimum number of rounds without an announcement until a VM is named, so that a message may be lost
+/// among few VMs, or a VM be suspended.
+const MIN_SILENT_ROUNDS: usize = 10;
+
 /// A living VM, with what it runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -57,18 +64,27 @@
     pub builds: Vec<VmBuild>,
 }
 
+/// A living VM that has not announced its build.
+#[derive(Debug)]
+struct Silence {
+    incarnation: u64,
+    rounds: usize,
+    is_named: bool,
+}
+
 /// One VM's part in the exchange.
 #[derive(Debug)]
 pub struct BuildExchange {
     /// Name of the build that this VM runs.
     build: Arc<str>,
     log: BuildLog,
+    silences: BTreeMap<VmId, Silence>,
 }
 
 impl BuildExchange {
     /// Creates the part of a VM that runs `build`.
     pub fn new(build: Arc<str>) -> Self {
-        Self { build, log: BuildLog::default() }
+        Self { build, log: BuildLog::default(), silences: BTreeMap::new() }
     }
 
     /// Returns the name of the build that this VM runs.
@@ -97,6 +113,31 @@
         sent
     }
 
+    /// Returns living VMs that had the time to announce their build in this incarnation and did not,
+    /// each of them once; call it once a round.
+    pub fn take_silent(&mut self, membership: &Membership) -> Vec<VmId> {
+        let members = membership.list();
+        let limit = MIN_SILENT_ROUNDS.max(SILENT_ROUNDS_PER_VM * members.len());
+        let mut earlier = std::mem::take(&mut self.silences);
+        let mut overdue = Vec::new();
+        for it in members.iter().filter(|it| it.state == MemberState::Alive) {
+            let (vm, incarnation) = (&it.member.vm, it.incarnation);
+            if self.log.build_of(vm, incarnation).is_some() {
+                continue;
+            }
+            let silence = earlier.remove(vm).filter(|it| it.incarnation == incarnation);
+            let mut silence =
+                silence.unwrap_or(Silence { incarnation, rounds: 0, is_named: false });
+            silence.rounds += 1;
+            if silence.rounds > limit && !silence.is_named {
+                silence.is_named = true;
+                overdue.push(vm.clone());
+            }
+            self.silences.insert(vm.clone(), silence);
+        }
+        overdue
+    }
+
     /// Returns what to send to a VM that has joined.
     pub fn on_join(&mut self, membership: &Membership) -> Vec<VmBuild> {
         self.with_own_build(membership, BUILDS_FOR_NEW_VM)
--- a/crates/coordination/tests/build_exchange.rs
+++ b/crates/coordination/tests/build_exchange.rs
@@ -104,6 +104,30 @@
     assert_eq!(exchange.count_by_protocol(membership), [(0, 2), (PROTOCOL_VERSION, 1)].into());
 }
 
+#[test]
+fn a_vm_that_announces_nothing_is_named_once() {
+    let mut deployment = Deployment::new(4);
+    let silent = address(3).vm;
+    let named = |deployment: &mut Deployment| {
+        let mut named = Vec::new();
+        for _ in 0..10 {
+            deployment.run_rounds();
+            let (membership, exchange) = &mut deployment.vms[0];
+            named.extend((0..MAX_ROUNDS).flat_map(|_| exchange.take_silent(membership)));
+        }
+        named
+    };
+    assert_eq!(named(&mut deployment), std::slice::from_ref(&silent));
+    assert_eq!(named(&mut deployment), [], "only once");
+    // Another incarnation had no time to announce its build yet, and then does not.
+    deployment.tell(&update(3, 2, MemberState::Alive));
+    let (membership, exchange) = &mut deployment.vms[0];
+    assert_eq!(exchange.take_silent(membership), []);
+    assert_eq!(named(&mut deployment), [silent]);
+    deployment.tell(&update(3, 2, MemberState::Dead));
+    assert_eq!(named(&mut deployment), []);
+}
+
 #[test]
 fn a_vm_that_joins_is_told_of_all_at_once() {
     let mut deployment = Deployment::new(4);
--- a/crates/daemon/src/control/builds.rs
+++ b/crates/daemon/src/control/builds.rs
@@ -1,6 +1,7 @@
 //! Exchange of what each VM runs, over the peer links.
 
 use cranberryvalve_adapters::telemetry::log_other_protocols;
+use cranberryvalve_adapters::telemetry::log_silent_vms;
 use cranberryvalve_adapters::telemetry::record_members;
 use cranberryvalve_coordination::builds::VmBuild;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -9,13 +10,15 @@
 
 /// Sends the announcements of a round.
 pub(super) fn send(node: &Node, round: usize) {
-    let (from, announcements, by_protocol) = {
+    let from = node.membership().local().clone();
+    let (announcements, silent, own_build) = {
         let membership = node.membership();
         let mut exchange = node.builds();
+        record_members(&exchange.count_by_protocol(&membership));
         let announcements = exchange.on_round(&membership, round);
-        (membership.local().clone(), announcements, exchange.count_by_protocol(&membership))
+        (announcements, exchange.take_silent(&membership), exchange.build().clone())
     };
-    record_members(&by_protocol);
+    log_silent_vms(&node.log, &own_build, &silent);
     for it in announcements {
         let message = PeerMessage::Builds { from: from.clone(), builds: it.builds };
         node.links.send(&it.receiver, &message);
--- a/crates/relay/src/peers/builds.rs
+++ b/crates/relay/src/peers/builds.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 
 use cranberryvalve_adapters::telemetry::log_other_protocols;
+use cranberryvalve_adapters::telemetry::log_silent_vms;
 use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::builds::MemberBuild;
 use cranberryvalve_coordination::builds::VmBuild;
@@ -16,10 +17,13 @@
 impl Peers {
     /// Sends the announcements of a round.
     pub(super) fn spread_builds(&self, round: usize) {
-        let announcements = {
+        let (announcements, silent, own_build) = {
             let membership = self.membership();
-            self.builds().on_round(&membership, round)
+            let mut exchange = self.builds();
+            let announcements = exchange.on_round(&membership, round);
+            (announcements, exchange.take_silent(&membership), exchange.build().clone())
         };
+        log_silent_vms(&self.relay.log, &own_build, &silent);
         for it in announcements {
             self.send_builds(&it.receiver, it.builds);
         }
