feat: `cranberryvalve status` shows the build of each VM

During an upgrade of daemons an operator had to read each VM's dump to see how far it is. The line of a VM now ends with the build that it shows of itself, `?` for a VM that shows none.

`status_never_lacks_the_build_of_a_vm_that_responds` before: lines of 2 VMs end with `live 0`; after: both with the build of the dump.

--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -68,12 +68,14 @@
         _ => "not ready",
     };
     format!(
-        "{address:<22} {:<12} {:<12} {state:<10} version {:<6} {:<8} members {:<4} live {}\n",
+        "{address:<22} {:<12} {:<12} {state:<10} version {:<6} {:<8} members {:<4} live {:<4} build {}\n",
         dump["vm"].as_str().unwrap_or("?"),
         dump["failure_domain"].as_str().unwrap_or("?"),
         dump["config"]["version"],
         dump["config"]["freshness"].as_str().unwrap_or("?"),
         dump["members_alive"],
         dump["router"]["live_requests"],
+        // A VM shows itself first.
+        dump["member_builds"][0]["build"].as_str().unwrap_or("?"),
     )
 }
--- a/crates/cli/tests/plan_confirm.rs
+++ b/crates/cli/tests/plan_confirm.rs
@@ -73,6 +73,18 @@
     assert!(stdout(&operator.run(&["history"])).lines().count() == 3);
 }
 
+#[test]
+fn status_never_lacks_the_build_of_a_vm_that_responds() {
+    let operator = Operator::new("builds");
+    let dump = operator.cluster.vms[0].dump();
+    let build = dump["member_builds"][0]["build"].as_str().expect("the name of a build");
+    let status = stdout(&operator.run(&["status"]));
+    let shown: Vec<Option<&str>> =
+        status.lines().map(|it| it.split_once(" build ").map(|it| it.1)).collect();
+    let of_vms = shown.get(..operator.cluster.vms.len()).unwrap_or_default();
+    assert_eq!(of_vms, vec![Some(build); operator.cluster.vms.len()], "{status}");
+}
+
 #[test]
 fn status_without_a_reachable_vm_fails() {
     let mut operator = Operator::new("unreachable");
