fix: no plan is applied before a lost configuration may be written again

An operator's plan was applied at a VM that had not heard of a version that the store had lost. It took that version, so a plan that was confirmed before was lost, though a VM still used it.

Cause: a confirmation compares with what the store has, and the VM that uses the later version writes it again only with its next poll. Now a plan is applied only in an era that the VM has known for 5 s, two polls of the others, or in one without a restoration before it. The daemon waits for that once; the outcome "unsettled" is new, at the end of the list. Operators wait up to 5 s longer after a restoration, as they do at a VM that has just started in a store that was restored before.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -132,7 +132,7 @@
     match outcome {
         ConfirmOutcome::Applied { .. } => Exit::Success,
         ConfirmOutcome::Stale { .. } | ConfirmOutcome::BaseMissing { .. } => Exit::Stale,
-        ConfirmOutcome::NotApplied { .. } => Exit::Unreachable,
+        ConfirmOutcome::NotApplied { .. } | ConfirmOutcome::Unsettled => Exit::Unreachable,
         ConfirmOutcome::Unknown => Exit::Unknown,
     }
 }
@@ -149,6 +149,10 @@
              one that the plan is based on. The VMs write that one again; confirm the plan in some \
              seconds, or make a new one:\n  cranberryvalve confirm {file}\n"
         ),
+        ConfirmOutcome::Unsettled => format!(
+            "not applied: the store was restored, and VMs may write a later version again; \
+             confirm the plan in some seconds:\n  cranberryvalve confirm {file}\n"
+        ),
         ConfirmOutcome::NotApplied { error } => format!("not applied: {error}\n"),
         ConfirmOutcome::Unknown => format!(
             "unknown: the plan may or may not be applied. To find out, confirm it again, which \
--- a/crates/coordination/src/plan/confirm.rs
+++ b/crates/coordination/src/plan/confirm.rs
@@ -5,6 +5,7 @@
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::OperatorId;
 use cranberryvalve_core::PlanId;
+use cranberryvalve_core::StoreEra;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -106,6 +107,9 @@
     },
     /// The plan may or may not be applied; confirming it again resolves this.
     Unknown,
+    /// This confirmation did not apply the plan, since the store was restored recently: VMs that use
+    /// a later configuration write it again. Confirming the plan later resolves this.
+    Unsettled,
 }
 
 /// Next command of a confirmation, or its outcome.
@@ -129,6 +133,8 @@
     base: Digest,
     phase: Phase,
     condition: Condition,
+    /// Era in which the plan may be applied.
+    settled_era: Option<StoreEra>,
     write_in_doubt: bool,
     own_document_active: bool,
     failures: u32,
@@ -150,7 +156,15 @@
     /// `confirmed_unix_s` is the time of confirmation in seconds since the Unix epoch. It is stored
     /// in the document. If confirmations of one plan have different times, the first one that is
     /// written counts.
-    pub fn new(plan: &Plan, confirmed_unix_s: u64) -> (Self, StoreCommand) {
+    ///
+    /// `settled_era` is the era in which the plan may be applied, from
+    /// [`EraWatch::settled_era`](crate::era::EraWatch::settled_era) with
+    /// [`RESTORE_TIME`](crate::replica::RESTORE_TIME).
+    pub fn new(
+        plan: &Plan,
+        confirmed_unix_s: u64,
+        settled_era: Option<StoreEra>,
+    ) -> (Self, StoreCommand) {
         let document = ConfigDocument {
             version: plan.base_version + 1,
             plan: plan.id.clone(),
@@ -166,6 +180,7 @@
             base: plan.base.clone(),
             phase: Phase::ReadingHead,
             condition: Condition::absent(UNRESTORED),
+            settled_era,
             write_in_doubt: false,
             own_document_active: false,
             failures: 0,
@@ -239,6 +254,11 @@
         if !is_base {
             return self.retry_or(ConfirmOutcome::BaseMissing { current_version });
         }
+        // A VM that uses a later version may be about to write it again.
+        let era = self.condition.era;
+        if era != UNRESTORED && self.settled_era != Some(era) {
+            return ConfirmStep::Done(self.in_doubt_or(ConfirmOutcome::Unsettled));
+        }
         self.phase = Phase::PuttingBody;
         let key = body_key(&self.head.digest);
         ConfirmStep::Command(StoreCommand::PutObject { key, value: self.body.clone() })
@@ -289,7 +309,11 @@
         if self.failures < self.max_failures {
             return self.read_head();
         }
-        ConfirmStep::Done(if self.write_in_doubt { ConfirmOutcome::Unknown } else { outcome })
+        ConfirmStep::Done(self.in_doubt_or(outcome))
+    }
+
+    fn in_doubt_or(&self, outcome: ConfirmOutcome) -> ConfirmOutcome {
+        if self.write_in_doubt { ConfirmOutcome::Unknown } else { outcome }
     }
 
     fn read_head(&mut self) -> ConfirmStep {
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -27,6 +27,10 @@
 /// Time without contact with the store or a peer after which the configuration is stale.
 pub const STALE_AFTER: Duration = Duration::from_secs(5);
 
+/// Time from the moment at which a VM sees a new era of the store until the VMs that reach the store
+/// have written a lost configuration again: two of their polls, which are two seconds apart.
+pub const RESTORE_TIME: Duration = Duration::from_secs(5);
+
 /// Delay before a document that has not arrived is requested again.
 const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
--- a/crates/coordination/tests/confirm_interleavings.rs
+++ b/crates/coordination/tests/confirm_interleavings.rs
@@ -47,7 +47,7 @@
 
 /// Confirms `plan` without faults.
 fn confirm(store: &mut MemoryStore, plan: &Plan) -> ConfirmOutcome {
-    let (mut confirmation, mut command) = Confirmation::new(plan, 1);
+    let (mut confirmation, mut command) = Confirmation::new(plan, 1, Some(0));
     loop {
         match confirmation.on_reply(store.execute(&command, Delivery::Answered)) {
             ConfirmStep::Command(next) => command = next,
@@ -69,7 +69,7 @@
         let base = history(&store).remove(0);
         let plans = [plan("a", &base), plan("a", &base), plan("b", &base)];
         let stages = plans.iter().enumerate().map(|(number, plan)| {
-            let (confirmation, command) = Confirmation::new(plan, number as u64);
+            let (confirmation, command) = Confirmation::new(plan, number as u64, Some(0));
             Stage::Running(Box::new(confirmation.max_failures(MAX_FAILURES)), command)
         });
         Self {
@@ -120,6 +120,7 @@
             Stage::Ended(ConfirmOutcome::NotApplied { .. }) => Some("not applied"),
             Stage::Ended(ConfirmOutcome::BaseMissing { .. }) => Some("base missing"),
             Stage::Ended(ConfirmOutcome::Unknown) => Some("unknown"),
+            Stage::Ended(ConfirmOutcome::Unsettled) => Some("unsettled"),
         });
         ended.collect()
     }
@@ -136,7 +137,7 @@
             match stage {
                 Stage::Ended(ConfirmOutcome::Applied { .. }) => assert!(is_applied, "{self:?}"),
                 Stage::Ended(ConfirmOutcome::Stale { .. }) => assert!(!is_applied, "{self:?}"),
-                Stage::Ended(ConfirmOutcome::BaseMissing { .. }) => {
+                Stage::Ended(ConfirmOutcome::BaseMissing { .. } | ConfirmOutcome::Unsettled) => {
                     panic!("the store was not restored: {self:?}")
                 }
                 // The plan `a` has a second confirmation, which may have applied it.
--- a/crates/coordination/tests/restoration_interleavings.rs
+++ b/crates/coordination/tests/restoration_interleavings.rs
@@ -1,6 +1,7 @@
 //! Explores all interleavings of restorations of the store, of VMs that write a lost configuration
 //! again, of confirmations, and of store faults.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use cranberryvalve_core::ConfigDocument;
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::PlanId;
+use cranberryvalve_core::StoreEra;
 
 /// Maximum number of faults in one interleaving.
 const MAX_FAULTS: u32 = 1;
@@ -48,14 +50,16 @@
     now: Instant,
     polls: u32,
     activity: Activity,
+    /// Latest era in which this VM has finished a poll.
+    polled_era: Option<StoreEra>,
 }
 
 #[derive(Debug, Clone)]
 enum Activity {
     Idle,
     Reading,
-    Restoring(Restoration, StoreCommand),
-    Fetching(StoreCommand),
+    Restoring(StoreEra, Restoration, StoreCommand),
+    Fetching(StoreEra, StoreCommand),
 }
 
 /// A confirmation at one of the VMs.
@@ -73,6 +77,14 @@
     Ended(ConfirmOutcome),
 }
 
+impl Operator {
+    /// Returns the name of the outcome.
+    fn outcome(&self) -> String {
+        let Stage::Ended(outcome) = &self.stage else { panic!("the confirmation has ended") };
+        format!("{outcome:?}").split(' ').next().expect("a name").to_owned()
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Simulation {
     store: MemoryStore,
@@ -98,7 +110,7 @@
 
 /// Confirms a plan without faults, and returns the document that it writes.
 fn confirmed(store: &mut MemoryStore, plan: &Plan) -> ConfigDocument {
-    let (mut confirmation, mut command) = Confirmation::new(plan, 1);
+    let (mut confirmation, mut command) = Confirmation::new(plan, 1, Some(0));
     loop {
         match confirmation.on_reply(store.execute(&command, Delivery::Answered)) {
             ConfirmStep::Command(next) => command = next,
@@ -115,7 +127,7 @@
     fn new(start: Instant, document: &ConfigDocument) -> Self {
         let mut replica = Replica::new(start);
         replica.handle(start, ReplicaEvent::Document(Arc::new(document.clone())));
-        Self { replica, now: start, polls: 0, activity: Activity::Idle }
+        Self { replica, now: start, polls: 0, activity: Activity::Idle, polled_era: None }
     }
 
     /// Carries out one step of a poll of the head row.
@@ -128,47 +140,53 @@
             }
             Activity::Reading => match store.execute(&read_head(), delivery) {
                 StoreReply::Read(snapshot) => {
-                    let unchanged = snapshot.unchanged();
+                    let (era, unchanged) = (snapshot.era, snapshot.unchanged());
                     let head = snapshot.row.and_then(|it| Head::from_bytes(&it.value));
                     let event = ReplicaEvent::StoreHead { head, unchanged };
-                    self.perform(event)
+                    self.perform(era, event)
                 }
                 _ => Activity::Idle,
             },
-            Activity::Restoring(restoration, command) => {
+            Activity::Restoring(era, restoration, command) => {
                 let reply = store.execute(&command, delivery);
-                match restoration.on_reply(&reply) {
-                    Some(next) => Activity::Restoring(restoration, next),
-                    None => Activity::Idle,
+                match (restoration.on_reply(&reply), reply) {
+                    (Some(next), _) => Activity::Restoring(era, restoration, next),
+                    (None, StoreReply::Write(_)) => self.end_poll(era),
+                    (None, _) => Activity::Idle,
                 }
             }
-            Activity::Fetching(command) => match store.execute(&command, delivery) {
+            Activity::Fetching(era, command) => match store.execute(&command, delivery) {
                 StoreReply::FetchObject(Some(body)) => {
                     let document = ConfigDocument::from_bytes(&body).expect("a valid document");
-                    self.perform(ReplicaEvent::Document(Arc::new(document)))
+                    self.perform(era, ReplicaEvent::Document(Arc::new(document)))
                 }
                 _ => Activity::Idle,
             },
         };
     }
 
-    fn perform(&mut self, event: ReplicaEvent) -> Activity {
+    fn perform(&mut self, era: StoreEra, event: ReplicaEvent) -> Activity {
         let version = self.replica.version();
         let action = self.replica.handle(self.now, event).pop();
         assert!(self.replica.version() >= version, "the version went back: {self:?}");
         match action {
             Some(ReplicaAction::Restore { document, condition }) => {
                 let (restoration, command) = Restoration::new(&document, condition);
-                Activity::Restoring(restoration, command)
+                Activity::Restoring(era, restoration, command)
             }
             Some(ReplicaAction::Fetch(FetchFrom::Store(digest))) => {
-                Activity::Fetching(StoreCommand::FetchObject { key: body_key(&digest) })
+                Activity::Fetching(era, StoreCommand::FetchObject { key: body_key(&digest) })
             }
-            Some(ReplicaAction::Activate(_)) | None => Activity::Idle,
+            Some(ReplicaAction::Activate(_)) | None => self.end_poll(era),
             Some(other) => panic!("{other:?}"),
         }
     }
 
+    const fn end_poll(&mut self, era: StoreEra) -> Activity {
+        self.polled_era = Some(era);
+        Activity::Idle
+    }
+
     const fn is_idle(&self) -> bool {
         matches!(self.activity, Activity::Idle)
     }
@@ -201,6 +219,13 @@
         }
     }
 
+    /// Returns the era if all VMs have polled in it.
+    fn settled_era(&self) -> Option<StoreEra> {
+        let is_settled = self.restorations == 0
+            || self.vms.iter().all(|it| it.polled_era == Some(self.restorations));
+        is_settled.then_some(self.restorations)
+    }
+
     fn successors(&self) -> Vec<Self> {
         let mut deliveries = vec![Delivery::Answered];
         if self.faults < MAX_FAULTS {
@@ -252,8 +277,9 @@
     }
 
     fn start_confirmation(&mut self, number: usize) {
+        let settled_era = self.settled_era();
         let operator = &mut self.operators[number];
-        let (confirmation, command) = Confirmation::new(&operator.plan, 1);
+        let (confirmation, command) = Confirmation::new(&operator.plan, 1, settled_era);
         let confirmation = confirmation.max_failures(MAX_FAILURES);
         operator.stage = Stage::Running(Box::new(confirmation), command);
     }
@@ -325,8 +351,9 @@
     plans
 }
 
-/// Explores all interleavings, and returns the number of states.
-fn explore(start: Simulation) -> usize {
+/// Explores all interleavings, and returns the number of states and the outcomes of confirmations.
+fn explore(start: Simulation) -> (usize, BTreeSet<String>) {
+    let mut outcomes = BTreeSet::new();
     let mut visited = HashSet::new();
     let mut unexplored = vec![start];
     while let Some(simulation) = unexplored.pop() {
@@ -336,23 +363,35 @@
         simulation.check_reader();
         let successors = simulation.successors();
         if successors.is_empty() {
+            outcomes.extend(simulation.operators.iter().map(Operator::outcome));
             simulation.check_final_state();
         }
         unexplored.extend(successors);
     }
-    visited.len()
+    (visited.len(), outcomes)
 }
 
 #[test]
 fn vms_that_restore_at_once_agree_on_one_stored_document() {
     let mut simulation = Simulation::new(&[true, true, false], &[]);
     simulation.lost_objects.push(simulation.vms[0].replica.digest().clone());
-    let states = explore(simulation);
+    let (states, _) = explore(simulation);
+    assert!(states > 10_000, "only {states} states");
+}
+
+#[test]
+fn confirmed_plan_is_not_overtaken_at_a_vm_that_has_not_heard_of_it() {
+    let (states, outcomes) = explore(Simulation::new(&[true, false], &[(1, "unaware")]));
     assert!(states > 10_000, "only {states} states");
+    let expected = ["Stale", "Unsettled"].map(str::to_owned);
+    assert_eq!(outcomes, expected.into());
 }
 
 #[test]
 fn plan_on_a_lost_base_is_applied_once_or_not_at_all() {
-    let states = explore(Simulation::new(&[true, false], &[(0, "next")]));
+    let (states, outcomes) = explore(Simulation::new(&[true, false], &[(0, "next")]));
     assert!(states > 10_000, "only {states} states");
+    let expected =
+        ["Applied", "BaseMissing", "NotApplied", "Unknown", "Unsettled"].map(str::to_owned);
+    assert_eq!(outcomes, expected.into());
 }
--- a/crates/coordination/tests/restored_config.rs
+++ b/crates/coordination/tests/restored_config.rs
@@ -17,6 +17,7 @@
 use cranberryvalve_coordination::replica::ReplicaEvent;
 use cranberryvalve_coordination::store::Delivery;
 use cranberryvalve_coordination::store::MemoryStore;
+use cranberryvalve_coordination::store::Snapshot;
 use cranberryvalve_coordination::store::StoreCommand;
 use cranberryvalve_coordination::store::StoreReply;
 use cranberryvalve_core::Config;
@@ -26,9 +27,10 @@
     Plan::new(id.into(), "ana".into(), base, Arc::new(Config::default()))
 }
 
-/// Confirms a plan, and returns the outcome with the document that it writes.
+/// Confirms a plan in a settled era, and returns the outcome with the document that it writes.
 fn confirm(store: &mut MemoryStore, plan: &Plan) -> (ConfirmOutcome, ConfigDocument) {
-    let (mut confirmation, mut command) = Confirmation::new(plan, 1);
+    let era = read_head(store).era;
+    let (mut confirmation, mut command) = Confirmation::new(plan, 1, Some(era));
     loop {
         match confirmation.on_reply(store.execute(&command, Delivery::Answered)) {
             ConfirmStep::Command(next) => command = next,
@@ -53,13 +55,18 @@
     documents
 }
 
-/// Lets a replica read the head row, and carries out what it wants.
-fn poll(replica: &mut Replica, store: &mut MemoryStore) {
-    let now = Instant::now();
+fn read_head(store: &mut MemoryStore) -> Snapshot {
     let read = StoreCommand::Read { key: HEAD_KEY.into() };
     let StoreReply::Read(snapshot) = store.execute(&read, Delivery::Answered) else {
         panic!("a read returns a row");
     };
+    snapshot
+}
+
+/// Lets a replica read the head row, and carries out what it wants.
+fn poll(replica: &mut Replica, store: &mut MemoryStore) {
+    let now = Instant::now();
+    let snapshot = read_head(store);
     let unchanged = snapshot.unchanged();
     let head = snapshot.row.and_then(|it| Head::from_bytes(&it.value));
     for action in replica.handle(now, ReplicaEvent::StoreHead { head, unchanged }) {
--- a/crates/daemon/src/operator/confirm.rs
+++ b/crates/daemon/src/operator/confirm.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_adapters::telemetry::unix_time_ms;
 use cranberryvalve_coordination::plan::ConfirmOutcome;
 use cranberryvalve_coordination::plan::ConfirmStep;
 use cranberryvalve_coordination::plan::Confirmation;
 use cranberryvalve_coordination::plan::Plan;
+use cranberryvalve_coordination::replica::RESTORE_TIME;
 use cranberryvalve_coordination::replica::ReplicaEvent;
 use cranberryvalve_coordination::store::execute;
 use cranberryvalve_core::Digest;
@@ -46,7 +48,7 @@
     let status = match outcome {
         ConfirmOutcome::Applied { .. } => 200,
         ConfirmOutcome::Stale { .. } | ConfirmOutcome::BaseMissing { .. } => 409,
-        ConfirmOutcome::NotApplied { .. } => 503,
+        ConfirmOutcome::NotApplied { .. } | ConfirmOutcome::Unsettled => 503,
         ConfirmOutcome::Unknown => 504,
     };
     Ok(Response::json(&outcome).with_status_code(status))
@@ -81,9 +83,22 @@
     Err(OperatorProblem::new(428, message))
 }
 
-/// Runs the confirmation until its outcome is known.
+/// Confirms a plan. After a restoration of the store, waits once until the VMs have written a later
+/// configuration again.
 fn confirm_plan(node: &Node, plan: &Plan) -> ConfirmOutcome {
-    let (mut confirmation, mut command) = Confirmation::new(plan, unix_time_ms() / 1_000);
+    let outcome = run_confirmation(node, plan);
+    if outcome != ConfirmOutcome::Unsettled {
+        return outcome;
+    }
+    thread::sleep(RESTORE_TIME);
+    run_confirmation(node, plan)
+}
+
+/// Runs a confirmation until its outcome is known.
+fn run_confirmation(node: &Node, plan: &Plan) -> ConfirmOutcome {
+    let settled_era = node.store.eras().settled_era(Instant::now(), RESTORE_TIME);
+    let (mut confirmation, mut command) =
+        Confirmation::new(plan, unix_time_ms() / 1_000, settled_era);
     loop {
         let reply = execute(&node.store, &command);
         let has_failed = matches!(reply, cranberryvalve_coordination::store::StoreReply::Failed(_));
