fix: a release that a restoration loses is carried out again

A call that was refused with not_run and released was answered unknown for good after the store had lost the release: its claim was back, and nobody released it again.

no_interleaving_runs_the_call_twice now demands of restorations, too, that a call which nobody ran can be claimed at the end.

Cause: a VM forgot a release as soon as the store had acknowledged it. That frees no call that was run: a row of another holder stays, and a free row is claimed only once the era is settled.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -19,7 +19,8 @@
 //! A restoration of the store may lose the row of a call that was run. A claim is therefore granted
 //! only in an era that is settled: one in which the calls of the rows that may be missing are not
 //! repeated any more (see [`era`](crate::era)). Until then a call whose row is missing is reported as
-//! unknown. Holders write their rows again by a [`RowUpdate`].
+//! unknown. Holders write their rows again by a [`RowUpdate`], and claimants that gave up release theirs
+//! again (see [`releases`](crate::releases)).
 //!
 //! ```
 //! use cranberryvalve_coordination::ledger::Claim;
@@ -405,6 +406,12 @@
         release
     }
 
+    /// Returns the same release, to be carried out again after a restoration of the store.
+    #[must_use]
+    pub fn again(self) -> Self {
+        Self(RowUpdate { done: None, ..self.0 })
+    }
+
     /// Returns the key of the row.
     pub fn key(&self) -> &str {
         &self.0.key
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod reachability;
+pub mod releases;
 pub mod replica;
 pub mod store;
 pub mod transfer;
--- a/crates/coordination/tests/ledger_interleavings.rs
+++ b/crates/coordination/tests/ledger_interleavings.rs
@@ -47,6 +47,7 @@
     Granted(SendPermit),
     Releasing(Release, StoreCommand),
     Recording(RowUpdate, StoreCommand),
+    Released(Release),
     Ended,
     Crashed,
 }
@@ -105,7 +106,7 @@
                         steps.extend([Step::SendRefused(claimant), Step::Crash(claimant)]);
                     }
                 }
-                Stage::Ended | Stage::Crashed => {}
+                Stage::Released(_) | Stage::Ended | Stage::Crashed => {}
             }
         }
         if self.store.has_delayed() {
@@ -122,6 +123,13 @@
             self.faults += 1;
             self.is_restored = true;
             self.store.restore(self.store.version() - 1);
+            for stage in &mut self.stages {
+                // Its VM carries the release out again once it has noticed the restoration.
+                *stage = match std::mem::replace(stage, Stage::Ended) {
+                    Stage::Released(release) => start_release(release.again()),
+                    other => other,
+                };
+            }
             return;
         }
         let (Step::Store(claimant, _)
@@ -180,7 +188,7 @@
                 let reply = self.reply(&command, delivery);
                 match release.on_reply(&reply) {
                     Some(next) => Stage::Releasing(release, next),
-                    None if release.is_done() => Stage::Ended,
+                    None if release.is_done() => Stage::Released(release),
                     None => start_release(release),
                 }
             }
@@ -217,11 +225,11 @@
     /// Checks that a new claim is granted if all claimants ended without running the call.
     fn check_final_state(&mut self, path: &[Step]) {
         let crashed = self.stages.iter().any(|it| matches!(it, Stage::Crashed));
-        // A release that is lost with a restoration leaves the call claimed.
-        if crashed || self.is_restored || self.runs() > 0 {
+        if crashed || self.runs() > 0 {
             return;
         }
-        let step = try_claim(&mut self.store, "token-c", Some(0));
+        let era = StoreEra::from(self.is_restored);
+        let step = try_claim(&mut self.store, "token-c", Some(era));
         let is_granted = matches!(step, ClaimStep::Granted(_));
         assert!(is_granted, "the key cannot be claimed again, got {step:?}: {path:?}");
     }
--- a/crates/daemon/src/control/releases.rs
+++ b/crates/daemon/src/control/releases.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_coordination::ledger::Release;
 use cranberryvalve_coordination::store::execute;
@@ -12,22 +13,22 @@
 /// Interval between attempts to release the queued rows.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Processes the queued releases periodically.
+/// Carries out releases periodically, and again after a restoration of the store.
 pub(super) fn run(node: &Arc<Node>) {
     loop {
         thread::sleep(RETRY_INTERVAL);
         if node.store.rejects_calls() {
             continue;
         }
-        let queued = std::mem::take(&mut *node.releases());
-        let unfinished: Vec<Release> =
-            queued.into_iter().filter_map(|it| try_release(node, it)).collect();
-        node.releases().extend(unfinished);
+        let era = node.store.eras().era();
+        let due = node.releases().start_round(Instant::now(), era);
+        let tried = due.into_iter().map(|it| try_release(node, it)).collect();
+        node.releases().end_round(Instant::now(), tried);
     }
 }
 
-/// Releases one row; returns the release if it must be retried.
-fn try_release(node: &Node, mut release: Release) -> Option<Release> {
+/// Tries to release one row.
+fn try_release(node: &Node, mut release: Release) -> Release {
     let mut command = release.start();
     loop {
         let reply = execute(&node.store, &command);
@@ -36,5 +37,5 @@
             None => break,
         }
     }
-    (!release.is_done()).then_some(release)
+    release
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -15,11 +15,11 @@
 use cranberryvalve_adapters::telemetry;
 use cranberryvalve_coordination::leaving::LeavingChange;
 use cranberryvalve_coordination::leaving::LeavingView;
-use cranberryvalve_coordination::ledger::Release;
 use cranberryvalve_coordination::limits::LimitClient;
 use cranberryvalve_coordination::limits::LimitCoordinator;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::releases::Releases;
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_coordination::replica::Replica;
 use cranberryvalve_core::Config;
@@ -56,7 +56,7 @@
     leaving: Mutex<LeavingView>,
     limits: Mutex<LimitClient>,
     limit_coordinator: Mutex<LimitCoordinator>,
-    releases: Mutex<Vec<Release>>,
+    releases: Mutex<Releases>,
     draining: AtomicBool,
 }
 
@@ -118,8 +118,8 @@
         self.limit_coordinator.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the ledger rows that are still to be released.
-    pub(crate) fn releases(&self) -> MutexGuard<'_, Vec<Release>> {
+    /// Returns the releases of ledger rows.
+    pub(crate) fn releases(&self) -> MutexGuard<'_, Releases> {
         self.releases.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -56,7 +56,7 @@
         draining: node.is_draining(),
         config,
         store_calls_refused: node.store.rejects_calls(),
-        releases_waiting: node.releases().len(),
+        releases_waiting: node.releases().waiting(),
         members,
         members_alive,
         router: node.dispatcher.snapshot(),
--- a/crates/daemon/src/service/claims.rs
+++ b/crates/daemon/src/service/claims.rs
@@ -19,9 +19,6 @@
 /// Maximum number of attempts to write a response to the ledger.
 const MAX_RECORD_ATTEMPTS: u32 = 2;
 
-/// Maximum number of releases that wait for the store.
-const MAX_PENDING_RELEASES: usize = 10_000;
-
 /// Claims the call identified by `customer` and `idempotency_key`.
 ///
 /// Runs the store commands of the claim until it is decided and returns the final step.
@@ -68,15 +65,13 @@
     if release.is_done() {
         return;
     }
-    let mut releases = node.releases();
-    if releases.len() < MAX_PENDING_RELEASES {
-        releases.push(release);
+    let key = release.key().to_owned();
+    if node.releases().add(release) {
         return;
     }
-    drop(releases);
     metrics::counter!("cranberryvalve_releases_dropped_total").increment(1);
     warn!(node.log, "too many releases wait for the store; a key stays claimed";
-        "key" => release.key());
+        "key" => key);
 }
 
 /// Returns a token that no other claim has: on any VM, before or after a restart.
--- a/crates/daemon/tests/store_restorations.rs
+++ b/crates/daemon/tests/store_restorations.rs
@@ -116,3 +116,37 @@
 fn stored_version(row: &[u8]) -> Option<u64> {
     serde_json::from_slice::<serde_json::Value>(row).ok()?["version"].as_u64()
 }
+
+#[test]
+fn release_that_is_lost_is_carried_out_again() {
+    let cluster = start(2);
+    for service in &cluster.services {
+        service.set_faults(|it| it.rejecting = true);
+    }
+    let state = || ledger_state(&cluster);
+    thread::scope(|scope| {
+        let refused = scope.spawn(|| cluster.book(0, "refused"));
+        assert!(wait_until(WAIT_TIMEOUT, || state().as_deref() == Some("claimed")));
+        cluster.platform.keep_copy();
+        assert_eq!(refused.join().expect("no panic").outcome, "not_run");
+    });
+    assert!(wait_until(WAIT_TIMEOUT, || state().as_deref() == Some("void")));
+    cluster.platform.restore();
+    assert_eq!(state().as_deref(), Some("claimed"));
+    let is_released = wait_until(WAIT_TIMEOUT, || state().as_deref() == Some("void"));
+    assert!(is_released, "log:\n{}", cluster.vms[0].log());
+    for service in &cluster.services {
+        service.set_faults(|it| it.rejecting = false);
+    }
+    let is_accepted = || cluster.book(1, "refused").outcome == "completed";
+    assert!(wait_until(WAIT_TIMEOUT, is_accepted), "log:\n{}", cluster.vms[1].log());
+    assert_eq!(cluster.effect_count("refused"), 1);
+}
+
+/// Returns the state of the only row of the ledger.
+fn ledger_state(cluster: &Cluster) -> Option<String> {
+    let key = cluster.platform.keys("ledger/").pop()?;
+    let row = cluster.platform.row(&key)?;
+    let row = serde_json::from_slice::<serde_json::Value>(&row).ok()?;
+    row["state"].as_str().map(str::to_owned)
+}
