fix: the daemon announces no capability that it lacks

With its first announcement the daemon told the other VMs that it is able to do all five things that have a bit, since `of_this_build` sets them all. It ignores the messages of all five. A mechanism that chooses by capability would have chosen it. `BuildExchange` is given the capabilities: the relay's are all, the daemon's none.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -48,6 +48,9 @@
 pub const CAPABILITIES: [&str; 5] =
     ["permits", "quarantine", "stream_origins", "forwarding", "refusals"];
 
+/// Bits of all capabilities that this build knows.
+pub const ALL_CAPABILITIES: u64 = (1 << CAPABILITIES.len()) - 1;
+
 /// Maximum length of the name of a build, in bytes; longer ones are ignored.
 const MAX_BUILD_BYTES: usize = 64;
 
@@ -71,14 +74,14 @@
 }
 
 impl VmBuild {
-    /// Returns the announcement of a VM that runs this build.
+    /// Returns the announcement of a VM that runs this build and is able to do all that it knows.
     pub const fn of_this_build(vm: VmId, incarnation: u64, build: Arc<str>) -> Self {
         Self {
             vm,
             incarnation,
             protocol_version: PROTOCOL_VERSION,
             build,
-            capabilities: (1 << CAPABILITIES.len()) - 1,
+            capabilities: ALL_CAPABILITIES,
         }
     }
 
--- a/crates/coordination/src/builds/exchange.rs
+++ b/crates/coordination/src/builds/exchange.rs
@@ -77,14 +77,16 @@
 pub struct BuildExchange {
     /// Name of the build that this VM runs.
     build: Arc<str>,
+    /// What this VM is able to do.
+    capabilities: u64,
     log: BuildLog,
     silences: BTreeMap<VmId, Silence>,
 }
 
 impl BuildExchange {
-    /// Creates the part of a VM that runs `build`.
-    pub fn new(build: Arc<str>) -> Self {
-        Self { build, log: BuildLog::default(), silences: BTreeMap::new() }
+    /// Creates the part of a VM that runs `build` and has these capabilities.
+    pub fn new(build: Arc<str>, capabilities: u64) -> Self {
+        Self { build, capabilities, log: BuildLog::default(), silences: BTreeMap::new() }
     }
 
     /// Returns the name of the build that this VM runs.
@@ -178,7 +180,8 @@
 
     fn own_build(&self, membership: &Membership) -> VmBuild {
         let vm = membership.local().vm.clone();
-        VmBuild::of_this_build(vm, membership.incarnation(), self.build.clone())
+        let build = VmBuild::of_this_build(vm, membership.incarnation(), self.build.clone());
+        VmBuild { capabilities: self.capabilities, ..build }
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -42,6 +42,10 @@
 /// Name of this build, which the other VMs are told.
 const BUILD: &str = env!("CRANBERRYVALVE_BUILD");
 
+/// What the daemon announces that it is able to do: none of the mechanisms that have a bit, as it
+/// ignores their messages.
+const CAPABILITIES: u64 = 0;
+
 /// Shared state of one VM.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -94,7 +98,7 @@
             started_unix_ms,
             replica: Mutex::new(Replica::new(Instant::now())),
             membership: Mutex::new(Membership::new(own, started_unix_ms)),
-            builds: Mutex::new(BuildExchange::new(BUILD.into())),
+            builds: Mutex::new(BuildExchange::new(BUILD.into(), CAPABILITIES)),
             leaving: Mutex::default(),
             limits: Mutex::default(),
             limit_coordinator: Mutex::default(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -30,6 +30,7 @@
 use cranberryvalve_adapters::links::Links;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry::unix_time_ms;
+use cranberryvalve_coordination::builds::ALL_CAPABILITIES;
 use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_coordination::membership::Membership;
@@ -148,7 +149,7 @@
         probe_queries: PendingQueries::default(),
         secret,
         key: Mutex::new(key),
-        builds: Mutex::new(BuildExchange::new(settings.build)),
+        builds: Mutex::new(BuildExchange::new(settings.build, ALL_CAPABILITIES)),
     });
     relay.set_peers(peers.clone());
     // The store may have been restored since the key was read.
