fix: sound requests beside crashing prompts are not condemned

Cause: a request was condemned at its second crash, a prompt part at its third, so the request went first and explained the part's crashes. Responses to requests were recorded only if evidence was known already, so that nothing spoke for a request that had been served all the time. Unique sound requests that were sent again into a second crash were condemned, too.

Change: a request whose prompt has shared parts is condemned at three moments, as its parts; responses to requests are remembered like those to parts, and a key that has had one takes one moment more. With equal evidence the part that nothing responded to goes first. Requests without shared parts that nothing responded to stay at two. No message changes; position 0 tells that a request has no shared parts, which older builds send as well.

The model now has contents, repeats of sound calls and few upstreams.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -50,15 +50,16 @@
 pub use self::update::CrashReport;
 pub use self::update::SuspectUpdate;
 
-/// Number of moments with crashes that condemn a prompt part whose responses nobody remembers.
-const CRASHES_OF_UNPROVEN_PART: usize = 3;
+/// Number of moments with crashes that condemn a request without shared prompt parts. A wrong verdict
+/// concerns no other request.
+const CRASHES_OF_REQUEST: usize = 2;
 
-/// Number of moments with crashes that condemn a prompt part that upstreams have responded to
-/// before.
-const CRASHES_OF_PROVEN_PART: usize = 4;
+/// Number of moments with crashes that condemn a prompt part, or a request with shared prompt parts,
+/// since either of them may be the cause.
+const CRASHES_OF_PROMPT: usize = 3;
 
-/// Number of moments with crashes that condemn a request. A wrong verdict concerns no other request.
-const CRASHES_OF_REQUEST: usize = 2;
+/// Number of further moments if an upstream is known to have responded before.
+const FURTHER_CRASHES_IF_PROVEN: usize = 1;
 
 /// Maximum number of keys with evidence. Those with the fewest crashes are dropped first.
 const MAX_SUSPECTS: usize = 1_024;
@@ -144,10 +145,7 @@
     ) -> Vec<QuarantineChange> {
         let mut is_news = false;
         for key in keys {
-            // Most requests never come again.
-            if matches!(key, SuspectKey::PromptPart { .. }) {
-                self.responses.record(key, responded_at);
-            }
+            self.responses.record(key, responded_at);
             if self.suspects.get_mut(key).is_some_and(|it| it.add_response(responded_at)) {
                 is_news = true;
                 self.untold.insert(key.clone());
@@ -294,11 +292,12 @@
         let candidates = self.suspects.iter().filter(|(_, it)| !it.is_condemned());
         let sufficient = candidates.filter_map(|(key, evidence)| {
             let is_proven = evidence.is_proven();
-            let threshold = match key {
-                SuspectKey::Request(_) => CRASHES_OF_REQUEST,
-                SuspectKey::PromptPart { .. } if is_proven => CRASHES_OF_PROVEN_PART,
-                SuspectKey::PromptPart { .. } => CRASHES_OF_UNPROVEN_PART,
+            let unproven_threshold = match key {
+                SuspectKey::Request(_) if evidence.position() == 0 => CRASHES_OF_REQUEST,
+                SuspectKey::Request(_) | SuspectKey::PromptPart { .. } => CRASHES_OF_PROMPT,
             };
+            let further = if is_proven { FURTHER_CRASHES_IF_PROVEN } else { 0 };
+            let threshold = unproven_threshold + further;
             let moments = evidence.moments(|it| !explained.contains(it));
             (moments >= threshold).then_some((!is_proven, moments, evidence.position(), key))
         });
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -20,6 +20,10 @@
     SuspectKey::PromptPart { pool: "engines".into(), part }
 }
 
+fn request_of(body: &[u8]) -> SuspectKey {
+    SuspectKey::Request(RequestFingerprint::new(["alpha", "/read/"], body))
+}
+
 fn start(number: usize) -> UpstreamStart {
     UpstreamStart { upstream: format!("engine-{number}").into(), incarnation: 1 }
 }
@@ -251,6 +255,44 @@
     assert_eq!((vm.is_refused(&request), vm.is_refused(&part(1))), (true, false));
 }
 
+#[test]
+fn part_is_condemned_before_sound_requests_with_the_same_content() {
+    let request = request_of(b"{}");
+    let mut vm = Vm::new();
+    vm.respond(&[part(1), request.clone()]);
+    vm.crash_times(1, &[part(1), request.clone()]);
+    vm.crash_times(3, &[part(1), part(7), request.clone()]);
+    let refused = [part(1), part(7), request].map(|it| vm.is_refused(&it));
+    assert_eq!(refused, [false, true, false]);
+}
+
+#[test]
+fn sound_request_is_not_condemned_by_two_crashes_under_other_prompts() {
+    let mut vm = Vm::new();
+    for number in 0..2 {
+        vm.crash_times(1, &[part(1), part(7), request_of(&[number])]);
+        vm.crash(&[part(1), request_of(b"sound")]);
+    }
+    assert!(!vm.is_refused(&request_of(b"sound")));
+    vm.crash_times(1, &[part(1), part(7), request_of(b"2")]);
+    assert_eq!(
+        [part(1), part(7), request_of(b"sound")].map(|it| vm.is_refused(&it)),
+        [false, true, false]
+    );
+}
+
+#[test]
+fn response_before_any_crash_is_evidence_for_a_request() {
+    let (sound, crashing) = (request_of(b"poll"), request_of(b"reel 9"));
+    let mut vm = Vm::new();
+    vm.respond(std::slice::from_ref(&sound));
+    vm.crash_times(2, std::slice::from_ref(&sound));
+    vm.crash_times(2, std::slice::from_ref(&crashing));
+    assert_eq!((vm.is_refused(&sound), vm.is_refused(&crashing)), (false, true));
+    vm.crash_times(1, std::slice::from_ref(&sound));
+    assert!(vm.is_refused(&sound));
+}
+
 #[test]
 fn response_between_two_crashes_acquits_a_request() {
     let polled = SuspectKey::Request(RequestFingerprint::new(["alpha", "/status/"], b""));
@@ -298,17 +340,28 @@
 
 #[test]
 fn calls_are_stopped_on_340_vms_with_lost_messages() {
-    for seed in 0..20 {
-        let mut fleet = Fleet::new(FleetSettings { seed, vms: 340, loss: 0.05, talk: true });
-        let result = fleet.run(Duration::from_secs(90));
-        assert!(result.late_arrivals <= 3, "seed {seed}: {result:?}");
-        assert_eq!(result.sound_refused, 0, "seed {seed}: {result:?}");
+    for (seed, same_content) in (0..20).flat_map(|seed| [(seed, false), (seed, true)]) {
+        let settings =
+            FleetSettings { seed, vms: 340, loss: 0.05, same_content, ..FleetSettings::default() };
+        let result = Fleet::new(settings).run(Duration::from_secs(90));
+        assert!(result.late_arrivals <= 3, "{settings:?}: {result:?}");
+        assert_eq!(result.sound_refused, 0, "{settings:?}: {result:?}");
+    }
+}
+
+#[test]
+fn sound_calls_that_wait_in_few_upstreams_are_not_condemned() {
+    for (seed, same_content) in (0..50).flat_map(|seed| [(seed, false), (seed, true)]) {
+        let settings =
+            FleetSettings { seed, vms: 6, upstreams: 4, same_content, ..FleetSettings::default() };
+        let result = Fleet::new(settings).run(Duration::from_secs(90));
+        assert_eq!(result.sound_refused, 0, "{settings:?}: {result:?}");
     }
 }
 
 #[test]
 fn vms_that_do_not_talk_crash_many_more() {
-    let mut alone = Fleet::new(FleetSettings { seed: 1, vms: 340, loss: 0.0, talk: false });
-    let result = alone.run(Duration::from_secs(90));
+    let settings = FleetSettings { seed: 1, vms: 340, talk: false, ..FleetSettings::default() };
+    let result = Fleet::new(settings).run(Duration::from_secs(90));
     assert!(result.late_arrivals > 100, "{result:?}");
 }
--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -9,6 +9,7 @@
 
 use cranberryvalve_coordination::quarantine::Quarantine;
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
+use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_core::UpstreamStart;
 use rand::RngExt;
@@ -30,8 +31,8 @@
 /// Mean time between two sound calls that share the first part with them.
 const SOUND_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Number of upstreams; a call goes to any of them.
-const UPSTREAMS: usize = 40;
+/// Number of times that a sound call is sent, if its upstreams crash under other calls.
+const MAX_ATTEMPTS: u32 = 3;
 
 /// Steps that no run needs: a thousand messages for each VM.
 const MAX_STEPS: usize = 400_000;
@@ -41,10 +42,20 @@
 pub struct FleetSettings {
     pub seed: u64,
     pub vms: usize,
+    /// Number of upstreams; a call goes to any of them.
+    pub upstreams: usize,
     /// Fraction of messages that are lost.
     pub loss: f64,
     /// Whether the VMs tell each other what they know.
     pub talk: bool,
+    /// Whether all calls, sound ones too, differ only in their prompts.
+    pub same_content: bool,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self { seed: 0, vms: 1, upstreams: 40, loss: 0.0, talk: true, same_content: false }
+    }
 }
 
 /// What happened in a run.
@@ -53,34 +64,25 @@
     pub crashes: usize,
     /// Calls that crash upstreams, sent later than [`CONTACT_TIME`] after the fifth crash.
     pub late_arrivals: usize,
+    /// Attempts of sound calls.
     pub sound: usize,
     pub sound_refused: usize,
 }
 
+/// An attempt of a call.
+struct Attempt {
+    vm: usize,
+    keys: Vec<SuspectKey>,
+    crashes: bool,
+    /// Position among the attempts of the call.
+    number: u32,
+}
+
 enum Step {
-    Call {
-        vm: usize,
-        keys: Vec<SuspectKey>,
-        crashes: bool,
-    },
-    Respond {
-        vm: usize,
-        upstream: usize,
-        incarnation: u64,
-        sent_at: Instant,
-        keys: Vec<SuspectKey>,
-        crashes: bool,
-    },
-    Detect {
-        vm: usize,
-        start: UpstreamStart,
-        at: Instant,
-        keys: Vec<SuspectKey>,
-    },
-    Receive {
-        vm: usize,
-        updates: Vec<SuspectUpdate>,
-    },
+    Send(Attempt),
+    Respond { attempt: Attempt, upstream: usize, incarnation: u64, sent_at: Instant },
+    Detect { attempt: Attempt, start: UpstreamStart, at: Instant },
+    Receive { vm: usize, updates: Vec<SuspectUpdate> },
 }
 
 pub struct Fleet {
@@ -102,7 +104,7 @@
             settings,
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             vms: (0..settings.vms).map(|_| Quarantine::default()).collect(),
-            incarnations: vec![1; UPSTREAMS],
+            incarnations: vec![1; settings.upstreams],
             steps: BinaryHeap::new(),
             contents: Vec::new(),
             fifth_crash: None,
@@ -119,7 +121,10 @@
                 at += interval.mul_f64(-(1.0 - self.random.random::<f64>()).ln());
                 let vm = self.random.random_range(0..self.settings.vms);
                 let second = if crashes { 7 } else { 1_000 + self.random.random_range(0..50) };
-                self.push(at, Step::Call { vm, keys: vec![part(1), part(second)], crashes });
+                let content = if self.settings.same_content { 0 } else { self.contents.len() };
+                let fingerprint = RequestFingerprint::new(["alpha"], &content.to_be_bytes());
+                let keys = vec![part(1), part(second), SuspectKey::Request(fingerprint)];
+                self.push(at, Step::Send(Attempt { vm, keys, crashes, number: 1 }));
             }
         }
         while let Some(Reverse((now, index))) = self.steps.pop() {
@@ -138,31 +143,32 @@
 
     fn carry_out(&mut self, now: Instant, step: Step) {
         match step {
-            Step::Call { vm, keys, crashes } => self.call(now, vm, keys, crashes),
-            Step::Respond { vm, upstream, incarnation, sent_at, keys, crashes } => {
+            Step::Send(attempt) => self.send(now, attempt),
+            Step::Respond { attempt, upstream, incarnation, sent_at } => {
                 let start =
                     UpstreamStart { upstream: format!("engine-{upstream}").into(), incarnation };
                 if self.incarnations[upstream] != incarnation {
                     // Another call ended the upstream meanwhile.
-                    self.push(
-                        now.max(sent_at) + DETECTION,
-                        Step::Detect { vm, start, at: now, keys },
-                    );
-                } else if crashes {
+                    let detected_at = now.max(sent_at) + DETECTION;
+                    self.push(detected_at, Step::Detect { attempt, start, at: now });
+                } else if attempt.crashes {
                     self.incarnations[upstream] += 1;
                     self.result.crashes += 1;
                     if self.result.crashes == 5 {
                         self.fifth_crash = Some(now);
                     }
-                    self.push(now + DETECTION, Step::Detect { vm, start, at: now, keys });
+                    self.push(now + DETECTION, Step::Detect { attempt, start, at: now });
                 } else {
-                    self.vms[vm].record_response(now, &keys);
-                    self.tell(now, vm);
+                    self.vms[attempt.vm].record_response(now, &attempt.keys);
+                    self.tell(now, attempt.vm);
                 }
             }
-            Step::Detect { vm, start, at, keys } => {
-                self.vms[vm].record_crash(&start, at, &keys);
-                self.tell(now, vm);
+            Step::Detect { attempt, start, at } => {
+                self.vms[attempt.vm].record_crash(&start, at, &attempt.keys);
+                self.tell(now, attempt.vm);
+                if !attempt.crashes && attempt.number < MAX_ATTEMPTS {
+                    self.send(now, Attempt { number: attempt.number + 1, ..attempt });
+                }
             }
             Step::Receive { vm, updates } => {
                 self.vms[vm].merge(now, &updates);
@@ -171,19 +177,20 @@
         }
     }
 
-    fn call(&mut self, now: Instant, vm: usize, keys: Vec<SuspectKey>, crashes: bool) {
-        let is_sent = self.vms[vm].claim(now, &keys).is_ok();
-        self.tell(now, vm);
-        self.result.sound += usize::from(!crashes);
-        self.result.sound_refused += usize::from(!crashes && !is_sent);
+    /// Sends an attempt unless the VM refuses it.
+    fn send(&mut self, now: Instant, attempt: Attempt) {
+        let is_sent = self.vms[attempt.vm].claim(now, &attempt.keys).is_ok();
+        self.tell(now, attempt.vm);
+        self.result.sound += usize::from(!attempt.crashes);
+        self.result.sound_refused += usize::from(!attempt.crashes && !is_sent);
         if !is_sent {
             return;
         }
         let is_late = self.fifth_crash.is_some_and(|it| now > it + CONTACT_TIME);
-        self.result.late_arrivals += usize::from(crashes && is_late);
-        let upstream = self.random.random_range(0..UPSTREAMS);
+        self.result.late_arrivals += usize::from(attempt.crashes && is_late);
+        let upstream = self.random.random_range(0..self.settings.upstreams);
         let incarnation = self.incarnations[upstream];
-        let respond = Step::Respond { vm, upstream, incarnation, sent_at: now, keys, crashes };
+        let respond = Step::Respond { attempt, upstream, incarnation, sent_at: now };
         self.push(now + PREFILL, respond);
     }
 
