fix: failed load reports do not postpone the probe of an upstream

Callers of a stream whose only engine went down got its error after 60 s (their answer limit) instead of a few seconds: the open finding on `stream_that_cannot_resume_ends_with_an_error`, which then took 60 s and passed.

Cause: each query for the load that failed counted against the circuit, also while it was open. Three of them in 1.5 s opened it again for twice the time, so that from an open time of 2 s on it never became half-open, and the request that waited never got its probe. An engine that came back was kept out for up to 30 s in the same way.

Change: failed load reports are ignored while the circuit is open. Attempts count as before.

Evidence: `failed_load_reports_do_not_hold_a_request_to_its_limit` fails before (3 attempts of 4 within 10 s) and passes after.

--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Records that a load report failed. While the circuit is open it does not postpone the probe.
+    pub(crate) fn record_report_failure(&mut self, now: Instant) {
+        if self.state(now) != CircuitState::Open {
+            self.record_failure(now);
+        }
+    }
+
     /// Records that no connection could be made. A single such failure opens the circuit.
     pub(crate) fn record_unreachable(&mut self, now: Instant) {
         if self.state(now) != CircuitState::Open {
--- a/crates/policy/tests/upstream_health.rs
+++ b/crates/policy/tests/upstream_health.rs
@@ -77,6 +77,25 @@
     assert_eq!(circuit_state(&harness, "engine-0"), CircuitState::HalfOpen);
 }
 
+#[test]
+fn failed_load_reports_do_not_hold_a_request_to_its_limit() {
+    let mut harness = RouterHarness::new(1, 8);
+    let report_failed = || Event::LoadReportFailed { upstream: "engine-0".into() };
+    harness.arrive(1, "commentary");
+    harness.end(1, AttemptEnd::Interrupted { tokens: 10 });
+    harness.handle(report_failed());
+    // Its engine is down, and rejects each attempt and each query for its load.
+    for _ in 0..20 {
+        if harness.is_in_flight(1) {
+            harness.end(1, AttemptEnd::Interrupted { tokens: 0 });
+        }
+        harness.advance(Duration::from_millis(500));
+        harness.handle(report_failed());
+    }
+    assert_eq!(harness.sent_to(1).len(), 4);
+    assert!(harness.given_up(1).is_some(), "the request waits for a probe");
+}
+
 #[test]
 fn circuit_opens_for_a_straggler() {
     let mut harness = RouterHarness::new(4, 8);
