fix: replies to queries between VMs are matched to their senders

Cause: a query counted replies. Change: it knows which VMs have not replied yet; other replies are ignored. Messages are unchanged.

Evidence: `reply_that_is_not_awaited_does_not_complete_a_query`: [1, 2, 3, 4, 5] for [1, 4] with the code before (the test adapted to its signatures), passes after.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -177,7 +177,8 @@
         if by_coordinator.is_empty() {
             return Vec::new();
         }
-        let (request_id, from) = (self.load_queries.open(by_coordinator.len()), self.own_address());
+        let vms = by_coordinator.keys().cloned().collect();
+        let (request_id, from) = (self.load_queries.open(vms), self.own_address());
         for (coordinator, upstreams) in by_coordinator.into_values() {
             let message = PeerMessage::LoadRequest { from: from.clone(), request_id, upstreams };
             self.links.send(&coordinator, &message);
--- a/crates/relay/src/peers/forwarding.rs
+++ b/crates/relay/src/peers/forwarding.rs
@@ -44,12 +44,13 @@
         if receivers.is_empty() {
             return Vec::new();
         }
-        let (from, request_id) = (self.own_address(), self.probe_queries.open(receivers.len()));
+        let vms = receivers.iter().map(|it| it.vm.clone()).collect();
+        let (from, request_id) = (self.own_address(), self.probe_queries.open(vms));
         for receiver in receivers {
             let (from, upstreams) = (from.clone(), upstreams.to_vec());
             let message = PeerMessage::ProbeRequest { from, request_id, upstreams };
             if !self.links.send(&receiver, &message) {
-                self.probe_queries.record_reply(request_id, None);
+                self.probe_queries.record_reply(request_id, &receiver.vm, None);
             }
         }
         self.probe_queries.wait(request_id, PROBE_QUERY_TIMEOUT, |it| !it.is_empty())
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -151,8 +151,8 @@
                         &PeerMessage::LoadResponse { from: own_address, request_id, loads },
                     );
                 }
-                Received::Message(PeerMessage::LoadResponse { request_id, loads, .. }) => {
-                    self.load_queries.record_reply(request_id, loads);
+                Received::Message(PeerMessage::LoadResponse { from, request_id, loads }) => {
+                    self.load_queries.record_reply(request_id, &from.vm, loads);
                 }
                 Received::Message(PeerMessage::Paces { paces, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerPaces(paces));
@@ -192,8 +192,8 @@
                 Received::Message(PeerMessage::OriginRequest { from, request_id, stream }) => {
                     self.send_origin(&from, request_id, stream);
                 }
-                Received::Message(PeerMessage::OriginResponse { request_id, origin, .. }) => {
-                    self.origin_queries.record_reply(request_id, origin);
+                Received::Message(PeerMessage::OriginResponse { from, request_id, origin }) => {
+                    self.origin_queries.record_reply(request_id, &from.vm, origin);
                 }
                 Received::Message(PeerMessage::Refusals { refusals, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerRefusals(refusals));
@@ -201,8 +201,8 @@
                 Received::Message(PeerMessage::ProbeRequest { from, request_id, upstreams }) => {
                     self.handle_probe_request(from, request_id, upstreams);
                 }
-                Received::Message(PeerMessage::ProbeResponse { request_id, accepting, .. }) => {
-                    self.probe_queries.record_reply(request_id, accepting);
+                Received::Message(PeerMessage::ProbeResponse { from, request_id, accepting }) => {
+                    self.probe_queries.record_reply(request_id, &from.vm, accepting);
                 }
                 Received::Message(PeerMessage::ForwardRequest { from }) => {
                     self.relay.handle_forward_request(&from);
--- a/crates/relay/src/peers/origins.rs
+++ b/crates/relay/src/peers/origins.rs
@@ -52,11 +52,12 @@
         if coordinators.is_empty() {
             return None;
         }
-        let request_id = self.origin_queries.open(coordinators.len());
+        let vms = coordinators.iter().map(|it| it.vm.clone()).collect();
+        let request_id = self.origin_queries.open(vms);
         for coordinator in coordinators {
             let message = PeerMessage::OriginRequest { from: own.clone(), request_id, stream };
             if !self.links.send(coordinator, &message) {
-                self.origin_queries.record_reply(request_id, None);
+                self.origin_queries.record_reply(request_id, &coordinator.vm, None);
             }
         }
         let origins =
--- a/crates/relay/src/peers/queries.rs
+++ b/crates/relay/src/peers/queries.rs
@@ -1,6 +1,7 @@
 //! Queries to other VMs that await replies.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +10,7 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::peer::QuestionId;
+use cranberryvalve_core::VmId;
 
 /// Pending queries and what the replies have brought so far.
 #[derive(Debug)]
@@ -25,7 +27,8 @@
 
 #[derive(Debug)]
 struct PendingQuery<T> {
-    replies_pending: usize,
+    /// VMs that have not replied yet.
+    awaited: HashSet<VmId>,
     items: Vec<T>,
 }
 
@@ -37,22 +40,29 @@
 }
 
 impl<T> PendingQueries<T> {
-    /// Starts a query that expects one reply from each of `receivers` VMs.
-    pub(super) fn open(&self, receivers: usize) -> QuestionId {
+    /// Starts a query that expects one reply from each of these VMs.
+    pub(super) fn open(&self, receivers: HashSet<VmId>) -> QuestionId {
         let mut state = self.lock();
         state.last_id += 1;
         let id = state.last_id;
-        state.pending.insert(id, PendingQuery { replies_pending: receivers, items: Vec::new() });
+        state.pending.insert(id, PendingQuery { awaited: receivers, items: Vec::new() });
         id
     }
 
-    /// Records a reply. Replies to queries that are no longer pending are ignored.
-    pub(super) fn record_reply(&self, id: QuestionId, items: impl IntoIterator<Item = T>) {
+    /// Records the reply of `vm`. It is ignored if the query is no longer pending or awaits no reply
+    /// of this VM, as it was not asked or has replied before.
+    pub(super) fn record_reply(
+        &self,
+        id: QuestionId,
+        vm: &VmId,
+        items: impl IntoIterator<Item = T>,
+    ) {
         let mut state = self.lock();
         let Some(pending) = state.pending.get_mut(&id) else { return };
-        pending.items.extend(items);
-        pending.replies_pending = pending.replies_pending.saturating_sub(1);
-        self.completed.notify_all();
+        if pending.awaited.remove(vm) {
+            pending.items.extend(items);
+            self.completed.notify_all();
+        }
     }
 
     /// Waits until all replies have arrived, `timeout` has passed or the items are enough, and closes
@@ -69,7 +79,7 @@
             let remaining = deadline.saturating_duration_since(Instant::now());
             let pending = state.pending.get(&id);
             let is_complete =
-                pending.is_none_or(|it| it.replies_pending == 0 || is_enough(&it.items));
+                pending.is_none_or(|it| it.awaited.is_empty() || is_enough(&it.items));
             if is_complete || remaining.is_zero() {
                 return state.pending.remove(&id).map(|it| it.items).unwrap_or_default();
             }
@@ -82,3 +92,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+#[cfg(test)]
+mod tests;
