fix: a refusal says whether it speaks of the request or of its idempotency key

A caller that repeated a call which had run got 503 with not_run while the store was away, and could take that for a statement about its key.

refusal_of_a_repeated_call_promises_nothing_of_its_key_unless_it_was_claimed failed before at the first VM: the error had no earlier_requests. Now the error and a header say that earlier requests are unknown, in all refusals before the claim is granted (store, configuration, limits, queue, invalid requests). Once it is granted the row shows that no earlier request was run, and not_run is true of both, as before.

--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -44,11 +44,27 @@
 const RETRY_AFTER_STORE_MS: u64 = 2_000;
 
 /// Handles a call to a plain service.
+///
+/// A refusal is a statement about the idempotency key only if the key was claimed, since its row shows
+/// that no earlier request with it was run.
 pub(super) fn serve(
     node: &Arc<Node>,
     request: &CallerRequest,
     stream: &TcpStream,
     responder: &mut Responder<'_>,
+) -> Result<(), Problem> {
+    let mut is_claimed = false;
+    let result = serve_call(node, request, stream, responder, &mut is_claimed);
+    let has_key = request.head.header(IDEMPOTENCY_HEADER).is_some();
+    result.map_err(|it| if has_key && !is_claimed { it.for_this_request_only() } else { it })
+}
+
+fn serve_call(
+    node: &Arc<Node>,
+    request: &CallerRequest,
+    stream: &TcpStream,
+    responder: &mut Responder<'_>,
+    is_claimed: &mut bool,
 ) -> Result<(), Problem> {
     access::check_freshness(node)?;
     let config = node.dispatcher.config();
@@ -78,6 +94,7 @@
         key,
         metrics: RequestMetrics::start(class),
         permit: None,
+        is_claimed,
     };
     call.run(&handle, responder)
 }
@@ -107,6 +124,8 @@
     /// Permit to send a non-repeatable call; `None` before the claim is granted and once the
     /// call has been sent.
     permit: Option<SendPermit>,
+    /// Whether the claim was granted.
+    is_claimed: &'a mut bool,
 }
 
 impl PlainCall<'_> {
@@ -164,6 +183,7 @@
         let step = claims::acquire(self.node, &self.customer, &key, self.request_digest());
         if let ClaimStep::Granted(permit) = step {
             self.permit = Some(permit);
+            *self.is_claimed = true;
             return Ok(true);
         }
         handle.report_end(order.attempt, AttemptEnd::Abandoned);
--- a/crates/daemon/src/service/problem.rs
+++ b/crates/daemon/src/service/problem.rs
@@ -7,6 +7,9 @@
 use cranberryvalve_core::Outcome;
 use serde::Serialize;
 
+/// Outcome of a request that was rejected before it could be sent.
+const NOT_RUN: &str = "not_run";
+
 /// An error response to a caller.
 #[derive(Debug)]
 pub(super) struct Problem {
@@ -15,18 +18,34 @@
     kind: &'static str,
     param: Option<&'static str>,
     outcome: Option<Outcome>,
+    /// Outcome of earlier requests with the same idempotency key, if it is another one.
+    earlier_requests: Option<&'static str>,
 }
 
 impl Problem {
     /// Creates the error for an invalid request.
     pub(super) const fn invalid(status: u16, message: String) -> Self {
-        Self { status, message, kind: "invalid_request_error", param: None, outcome: None }
+        Self {
+            status,
+            message,
+            kind: "invalid_request_error",
+            param: None,
+            outcome: None,
+            earlier_requests: None,
+        }
     }
 
     /// Creates the error for an invalid field or header of the request.
     pub(super) const fn field(param: &'static str, message: String) -> Self {
         let kind = "invalid_request_error";
-        Self { status: 400, message, kind, param: Some(param), outcome: None }
+        Self {
+            status: 400,
+            message,
+            kind,
+            param: Some(param),
+            outcome: None,
+            earlier_requests: None,
+        }
     }
 
     /// Creates the error for a method other than the `accepted` one.
@@ -35,19 +54,48 @@
     }
 
     pub(super) const fn unauthorized(message: String) -> Self {
-        Self { status: 401, message, kind: "authentication_error", param: None, outcome: None }
+        Self {
+            status: 401,
+            message,
+            kind: "authentication_error",
+            param: None,
+            outcome: None,
+            earlier_requests: None,
+        }
     }
 
     pub(super) const fn forbidden(param: &'static str, message: String) -> Self {
         let kind = "permission_error";
-        Self { status: 403, message, kind, param: Some(param), outcome: None }
+        Self {
+            status: 403,
+            message,
+            kind,
+            param: Some(param),
+            outcome: None,
+            earlier_requests: None,
+        }
     }
 
     /// Creates the error for a request that ended without a complete response.
     pub(super) fn outcome(outcome: Outcome) -> Self {
         let (status, message) = describe(&outcome);
         let kind = outcome.name();
-        Self { status, message, kind, param: None, outcome: Some(outcome) }
+        Self { status, message, kind, param: None, outcome: Some(outcome), earlier_requests: None }
+    }
+
+    /// Says that the outcome is that of this request only, as nothing is known of earlier ones with the
+    /// same idempotency key.
+    #[must_use]
+    pub(super) fn for_this_request_only(mut self) -> Self {
+        if self.outcome_name() == NOT_RUN {
+            self.message.push_str("; an earlier request with the same key may have been run");
+            self.earlier_requests = Some(Outcome::Unknown.name());
+        }
+        self
+    }
+
+    fn outcome_name(&self) -> &'static str {
+        self.outcome.as_ref().map_or(NOT_RUN, Outcome::name)
     }
 
     /// Returns the error as JSON.
@@ -62,7 +110,8 @@
             message: &self.message,
             kind: self.kind,
             param: self.param,
-            outcome: self.outcome.as_ref().map_or("not_run", Outcome::name),
+            outcome: self.outcome_name(),
+            earlier_requests: self.earlier_requests,
             reason,
             retry_after_ms,
         };
@@ -74,8 +123,9 @@
         if responder.is_started() {
             return Ok(());
         }
-        let outcome = self.outcome.as_ref().map_or("not_run", Outcome::name);
+        let outcome = self.outcome_name();
         let mut headers = vec![("content-type", "application/json"), ("x-outcome", outcome)];
+        headers.extend(self.earlier_requests.map(|it| ("x-earlier-requests", it)));
         let retry_after = match &self.outcome {
             Some(Outcome::NotRun { retry_after_ms, .. }) => {
                 retry_after_ms.div_ceil(1_000).to_string()
@@ -102,6 +152,8 @@
     param: Option<&'a str>,
     outcome: &'a str,
     #[serde(skip_serializing_if = "Option::is_none")]
+    earlier_requests: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     reason: Option<&'a str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -124,6 +124,30 @@
     assert_eq!(cluster.effect_count("booking"), 1);
 }
 
+#[test]
+fn refusal_of_a_repeated_call_promises_nothing_of_its_key_unless_it_was_claimed() {
+    let cluster = start(2);
+    assert_eq!(cluster.book(0, "booked").outcome, "completed");
+    let earlier_requests =
+        |response: &ServiceResponse| response.body["error"]["earlier_requests"].clone();
+    cluster.platform.set_faults(|it| it.down = true);
+    for vm in 0..2 {
+        let refused = cluster.book(vm, "booked");
+        assert_eq!((refused.status, &*refused.outcome), (503, "not_run"));
+        assert_eq!(earlier_requests(&refused), "unknown", "VM {vm}: {:?}", refused.body);
+    }
+    cluster.platform.set_faults(|it| it.down = false);
+    for service in &cluster.services {
+        service.set_faults(|it| it.rejecting = true);
+    }
+    let is_refused = || {
+        let refused = cluster.book(1, "new");
+        let is_claimed = refused.body["error"]["reason"] != "store_unavailable";
+        is_claimed && refused.outcome == "not_run" && earlier_requests(&refused).is_null()
+    };
+    assert!(wait_until(WAIT_TIMEOUT, is_refused), "{:?}", cluster.book(1, "new").body);
+}
+
 #[test]
 fn call_broken_after_its_effect_stays_unknown() {
     let cluster = start(2);
