fix: customers keep their limits while VMs disagree about which of them live

A customer got its rate once from each coordinator that some VMs took for alive: in virtual time with 340 VMs and a limit of 680 a second, 1,360 at two sides of a partition, and 1,360 when a third of the VMs took the coordinator for dead.

Cause: any VM that got a report divided the whole limit, whoever it took for the coordinator itself, and even shares counted the living VMs only. Now a VM assigns only what it coordinates in its own view, and the part that the living VMs are of all VMs seen in the last minute, as for the permits of upstreams; even shares count the latter, too.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -4,7 +4,12 @@
 //! VM reports the demand of the customer to the coordinator, which divides the limit by max-min
 //! fairness. The shares that a coordinator assigns never add up to more than the limit. All of this
 //! is soft state: a VM without a valid share uses an even share, which is the limit divided by the
-//! number of living VMs.
+//! number of VMs that live or were seen recently.
+//!
+//! VMs that disagree about which of them live may have several coordinators. Each of them assigns
+//! only the part of the limit that the VMs that it takes for alive are of all VMs seen recently, so that
+//! the sides of a partition stay within the limit together. A VM that takes another one for the
+//! coordinator assigns nothing.
 //!
 //! The error is bounded. The number of requests in flight may exceed the limit by one for each VM
 //! that a customer has just started to use. The rate may exceed the limit for one report interval,
--- a/crates/coordination/src/limits/client.rs
+++ b/crates/coordination/src/limits/client.rs
@@ -81,7 +81,8 @@
 }
 
 impl LimitClient {
-    /// Admits a request if the customer is within its limits on this VM.
+    /// Admits a request if the customer is within its limits on this VM. `vms_known` is the number of VMs
+    /// among which a limit is divided without a coordinator: those that live or were seen recently.
     ///
     /// Call [`LimitClient::on_request_ended`] once for each admitted request.
     ///
@@ -92,7 +93,7 @@
         &mut self,
         now: Instant,
         customer: &CustomerSpec,
-        vms_alive: usize,
+        vms_known: usize,
     ) -> Result<(), LimitReached> {
         if customer.requests_per_s.is_none() && customer.max_in_flight.is_none() {
             return Ok(());
@@ -100,7 +101,7 @@
         let usage =
             self.customers.entry(customer.id.clone()).or_insert_with(|| CustomerUsage::new(now));
         usage.requested += 1;
-        let admitted = usage.admit(now, customer, vms_alive.max(1));
+        let admitted = usage.admit(now, customer, vms_known.max(1));
         match admitted {
             Ok(()) => usage.in_flight += 1,
             Err(_) => usage.refused += 1,
@@ -153,27 +154,27 @@
     ///
     /// It is the even share, except that only one request is allowed during the first report
     /// interval, since the other VMs may have been assigned the whole limit.
-    fn in_flight_without_share(&self, now: Instant, limit: u32, vms_alive: usize) -> u32 {
+    fn in_flight_without_share(&self, now: Instant, limit: u32, vms_known: usize) -> u32 {
         if now.saturating_duration_since(self.created_at) < MIN_REPORT_INTERVAL {
             return 1;
         }
-        let vms_alive = u32::try_from(vms_alive).unwrap_or(u32::MAX);
-        (limit / vms_alive).max(1)
+        let vms_known = u32::try_from(vms_known).unwrap_or(u32::MAX);
+        (limit / vms_known).max(1)
     }
 
     fn admit(
         &mut self,
         now: Instant,
         customer: &CustomerSpec,
-        vms_alive: usize,
+        vms_known: usize,
     ) -> Result<(), LimitReached> {
         let share = self.share.as_ref().filter(|it| now < it.valid_until);
-        let even_fraction = 1.0 / vms_alive as f64;
+        let even_fraction = 1.0 / vms_known as f64;
         let in_flight_limit = match share {
             Some(share) => share.in_flight,
             None => customer
                 .max_in_flight
-                .map(|limit| self.in_flight_without_share(now, limit, vms_alive)),
+                .map(|limit| self.in_flight_without_share(now, limit, vms_known)),
         };
         let rate = match share {
             Some(share) => share.requests_per_s,
--- a/crates/coordination/src/limits/coordinator.rs
+++ b/crates/coordination/src/limits/coordinator.rs
@@ -38,8 +38,8 @@
 /// };
 /// let now = Instant::now();
 /// let mut coordinator = LimitCoordinator::default();
-/// coordinator.on_report(now, &"vm-1".into(), &demand(2.0), &customer);
-/// let share = coordinator.on_report(now, &"vm-2".into(), &demand(50.0), &customer);
+/// coordinator.on_report(now, &"vm-1".into(), &demand(2.0), &customer, 1.0);
+/// let share = coordinator.on_report(now, &"vm-2".into(), &demand(50.0), &customer, 1.0);
 /// assert_eq!(share.requests_per_s, Some(8.0));
 /// ```
 #[derive(Debug, Default)]
@@ -67,21 +67,26 @@
 }
 
 impl LimitCoordinator {
-    /// Processes a report and returns the share of the reporting VM.
+    /// Processes a report and returns the share of the reporting VM. `fraction` is the part of the
+    /// limits that this coordinator may assign: less than 1 if other VMs may have another coordinator.
     pub fn on_report(
         &mut self,
         now: Instant,
         from: &VmId,
         demand: &LimitDemand,
         customer: &CustomerSpec,
+        fraction: f64,
     ) -> LimitShare {
+        let fraction = fraction.clamp(0.0, 1.0);
         let reports = self.reports.entry(customer.id.clone()).or_default();
         let lifetime = report_interval(reports.len()) * SHARE_VALIDITY_INTERVALS;
         reports.retain(|_, it| now.saturating_duration_since(it.received_at) < lifetime);
         let report = Report { demand: demand.clone(), received_at: now, assigned_in_flight: 0 };
         reports.insert(from.clone(), report);
         let rates = reports.values().map(|it| it.demand.requests_per_s).collect();
-        let in_flight = customer.max_in_flight.map(|limit| fair_in_flight(limit, reports, from));
+        let in_flight = customer
+            .max_in_flight
+            .map(|limit| fair_in_flight((f64::from(limit) * fraction) as u32, reports, from));
         if let Some(report) = reports.get_mut(from) {
             report.assigned_in_flight = in_flight.unwrap_or(0);
         }
@@ -90,7 +95,7 @@
             customer: customer.id.clone(),
             requests_per_s: customer
                 .requests_per_s
-                .map(|limit| fair_share(limit, rates, demand.requests_per_s)),
+                .map(|limit| fair_share(limit * fraction, rates, demand.requests_per_s)),
             in_flight,
             report_every_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
         }
--- a/crates/coordination/tests/damaged_messages.rs
+++ b/crates/coordination/tests/damaged_messages.rs
@@ -106,7 +106,7 @@
             }
             PeerMessage::LimitReport { from, demands } => {
                 for demand in &demands {
-                    self.limits.on_report(now, &from.vm, demand, &customer());
+                    self.limits.on_report(now, &from.vm, demand, &customer(), 1.0);
                 }
             }
             PeerMessage::Builds { builds, .. } => {
--- a/crates/coordination/tests/shared_limits.rs
+++ b/crates/coordination/tests/shared_limits.rs
@@ -48,7 +48,7 @@
         let Some(coordinator) = &mut self.coordinator else { return };
         for (name, client) in &mut self.vms {
             for demand in client.due_reports(self.now) {
-                let share = coordinator.on_report(self.now, name, &demand, &self.customer);
+                let share = coordinator.on_report(self.now, name, &demand, &self.customer, 1.0);
                 client.on_share(self.now, &share);
             }
         }
@@ -159,7 +159,7 @@
             for demand in client.due_reports(deployment.now) {
                 reports += 1;
                 let share =
-                    coordinator.on_report(deployment.now, name, &demand, &deployment.customer);
+                    coordinator.on_report(deployment.now, name, &demand, &deployment.customer, 1.0);
                 client.on_share(deployment.now, &share);
             }
         }
--- a/crates/daemon/src/control/limits.rs
+++ b/crates/daemon/src/control/limits.rs
@@ -67,13 +67,23 @@
     shares.iter().for_each(|share| limits.on_share(now, share));
 }
 
+/// Returns the shares of `from` in the limits of the customers that this VM coordinates.
 fn compute_shares(node: &Node, from: &VmId, demands: &[LimitDemand]) -> Vec<LimitShare> {
     let now = Instant::now();
     let config = node.dispatcher.config();
+    let (alive, known) = {
+        let membership = node.membership();
+        (membership.alive_names(), membership.known_count() + 1)
+    };
+    let fraction = alive.len() as f64 / known as f64;
     let mut coordinator = node.limit_coordinator();
     let shares = demands.iter().filter_map(|demand| {
+        let own = coordinator_of(&demand.customer, &alive)?;
+        if *own != node.settings.vm {
+            return None;
+        }
         let customer = config.customer(&demand.customer)?;
-        Some(coordinator.on_report(now, from, demand, customer))
+        Some(coordinator.on_report(now, from, demand, customer, fraction))
     });
     shares.collect()
 }
