fix: attempts use kept connections wherever the response can be attributed

The reason for new connections was that an upstream may send its response to an earlier attempt of the call once more. That concerns an attempt at the same upstream only, which the scheduler knows (`SendCommand::is_repeat`), and calls that upstreams may have got through other VMs. A VM that forwards a call now says that none has (`x-cranberryvalve-not-run: 0` in the request).

--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -182,6 +182,7 @@
         }
         upstream.record_attempt(now, &tracked.call, &choice.reason);
         let send_by = upstream.rate_limit.use_permit(now);
+        let is_repeat = tracked.tried.contains(&choice.upstream);
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.sent_to = Some(choice.upstream.clone());
@@ -190,6 +191,7 @@
             id,
             attempt: tracked.attempts,
             upstream: upstream.record.clone(),
+            is_repeat,
             prefix_source,
             send_by,
             reason: choice.reason,
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -276,6 +276,8 @@
     pub attempt: Attempt,
     /// Upstream to send the attempt to.
     pub upstream: UpstreamRecord,
+    /// Whether an earlier attempt of the call may have reached the upstream.
+    pub is_repeat: bool,
     /// Engine from whose cache the upstream may fetch the prompt's prefix, if any.
     pub prefix_source: Option<Box<UpstreamRecord>>,
     /// Time by which the request must be sent, as the permit for it ends then; `None` if the
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,6 +36,7 @@
 use crate::state::Relay;
 
 pub(crate) use self::delivery::Delivery;
+pub(crate) use self::forward::is_unsent;
 
 /// Maximum time to establish a connection to an upstream. It covers several round trips between
 /// failure domains with one lost packet.
@@ -71,8 +72,8 @@
     /// Whether the route leads to several pools.
     pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
-    /// Whether another VM forwarded the call, and may have sent it to upstreams before.
-    pub(crate) is_forwarded: bool,
+    /// Whether upstreams may have got the call through other VMs.
+    pub(crate) may_have_been_sent: bool,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
     /// What the call has in common with others that may crash upstreams.
@@ -282,11 +283,11 @@
 
     /// Takes a kept connection for the attempt, if the response to it can be attributed there.
     ///
-    /// The response to a call without an identifier cannot, nor can that to a further attempt: the
-    /// upstream may send its response to an earlier attempt of the call once more.
+    /// The response to a call without an identifier cannot, nor can that to a further attempt at the
+    /// same upstream, which may send its response to the earlier one once more.
     fn kept_connection(&self, command: &SendCommand) -> Option<Connection> {
-        let is_first = command.attempt == 1 && !self.is_forwarded;
-        self.caller_id.filter(|_| is_first)?;
+        let is_repeat = command.is_repeat || self.may_have_been_sent;
+        self.caller_id.filter(|_| !is_repeat)?;
         let upstream = &command.upstream;
         self.relay.idle_connections.take(&upstream.id, upstream.incarnation)
     }
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_coordination::reachability::Forwarder;
 
 use super::Attempt;
@@ -18,8 +19,13 @@
 use crate::attribution::classify_forwarded;
 use crate::caller::CallerConnection;
 use crate::dialect::ForwardedCall;
+use crate::refusal::NOT_RUN_HEADER;
 use crate::response::ResponseHead;
 
+/// Value of [`NOT_RUN_HEADER`] in a forwarded request that no upstream has got, through whichever VM.
+/// VMs of earlier builds do not send the header: they ask a second VM after upstreams refused the call.
+const UNSENT: &str = "0";
+
 /// A VM that forwards a call. It tells the scheduler and the other VMs what there is to tell.
 struct ForwardingVm<'a> {
     exchange: &'a Exchange<'a>,
@@ -86,14 +92,22 @@
         let mut head = format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target);
         for (name, value) in end_to_end_headers(self.head.headers(), self.head.header("connection"))
         {
-            if !replaced.iter().any(|(it, _)| *it == name) {
+            if name != NOT_RUN_HEADER && !replaced.iter().any(|(it, _)| *it == name) {
                 push_header(&mut head, name, value);
             }
         }
         for (name, value) in &replaced {
             push_header(&mut head, name, value);
         }
+        if upstream_attempts == 0 {
+            push_header(&mut head, NOT_RUN_HEADER, UNSENT);
+        }
         push_header(&mut head, "connection", "close");
         self.append_body(head)
     }
 }
+
+/// Returns `true` if the VM that forwards a request states that no upstream has got it.
+pub(crate) fn is_unsent(head: &RequestHead) -> bool {
+    head.header(NOT_RUN_HEADER) == Some(UNSENT)
+}
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -121,6 +121,7 @@
 
 /// Header of a VM's own refusal of a call that another VM forwarded to it: the number of attempts that
 /// upstreams refused. Without it, a refusal does not confirm to the other VM that the call was not run.
+/// In the forwarded request, it states the same of the attempts before.
 pub(crate) const NOT_RUN_HEADER: &str = "x-cranberryvalve-not-run";
 
 /// Returns `true` if a status promises that the request was not run.
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -42,6 +42,7 @@
 use crate::exchange::AttemptTrace;
 use crate::exchange::Delivery;
 use crate::exchange::Exchange;
+use crate::exchange::is_unsent;
 use crate::refusal::InvalidRequest;
 use crate::refusal::Refusal;
 use crate::socket::Connection;
@@ -246,7 +247,7 @@
             stream_id: stream_id.as_deref(),
             is_route_split: context.route.pools.len() > 1,
             deadline,
-            is_forwarded: self.sender == Sender::Vm,
+            may_have_been_sent: self.sender == Sender::Vm && !is_unsent(&request.head),
             reports_load: false,
             suspect_keys,
         };
