--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -36,6 +36,7 @@
 use crate::state::Relay;
 
 pub(crate) use self::delivery::Delivery;
+pub(crate) use self::forward::is_unsent;
 
 /// Maximum time to establish a connection to an upstream. It covers several round trips between
 /// failure domains with one lost packet.
@@ -71,6 +72,8 @@
     /// Whether the route leads to several pools.
     pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
+    /// Whether upstreams may have got the call through other VMs.
+    pub(crate) may_have_been_sent: bool,
     /// Whether the upstream's load coordinator is notified of the load.
     pub(crate) reports_load: bool,
     /// What the call has in common with others that may crash upstreams.
@@ -283,7 +286,8 @@
     /// The response to a call without an identifier cannot, nor can that to a further attempt at the
     /// same upstream, which may send its response to the earlier one once more.
     fn kept_connection(&self, command: &SendCommand) -> Option<Connection> {
-        self.caller_id.filter(|_| !command.is_repeat)?;
+        let is_repeat = command.is_repeat || self.may_have_been_sent;
+        self.caller_id.filter(|_| !is_repeat)?;
         let upstream = &command.upstream;
         self.relay.idle_connections.take(&upstream.id, upstream.incarnation)
     }
