perf: known evidence of crashes is not judged again

Cause: each message about crashes made a VM judge all keys that it knew. A crash reaches a VM in up to nine messages for each VM that saw it, and most bring nothing new.

Change: only keys whose evidence has changed are judged, and all of them when a verdict that explained crashes ends. At the bound of the number of keys the weakest one is looked up once, not for each update.

evidence_that_is_known_is_not_judged_again fails on the code before (with only the counter added to it) and passes after; quarantine (24) passes, VMs that agree in any order among them.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -46,6 +46,7 @@
 
 use self::evidence::Crash;
 use self::evidence::Evidence;
+use self::evidence::Strength;
 use self::responses::RecentResponses;
 pub use self::update::CrashReport;
 pub use self::update::SuspectUpdate;
@@ -106,6 +107,13 @@
     responses: RecentResponses,
     /// Keys whose evidence still has to be sent to the neighbours.
     untold: BTreeSet<SuspectKey>,
+    /// Keys whose evidence has changed since the last judgement.
+    unjudged: BTreeSet<SuspectKey>,
+    /// Whether a verdict that explained crashes has ended since then, so that all keys are judged.
+    has_unexplained: bool,
+    keys_judged: u64,
+    /// Strength of the weakest key; `None` if it was not looked up since evidence has changed.
+    weakest_strength: Option<Strength>,
 }
 
 impl Quarantine {
@@ -131,7 +139,9 @@
             if evidence.add_crash(&crash) {
                 self.untold.insert(key.clone());
             }
+            self.unjudged.insert(key.clone());
         }
+        self.weakest_strength = None;
         self.enforce_capacity();
         self.judge()
     }
@@ -143,15 +153,13 @@
         responded_at: Instant,
         keys: &[SuspectKey],
     ) -> Vec<QuarantineChange> {
-        let mut is_news = false;
         for key in keys {
             self.responses.record(key, responded_at);
             if self.suspects.get_mut(key).is_some_and(|it| it.add_response(responded_at)) {
-                is_news = true;
-                self.untold.insert(key.clone());
+                self.record_news(key);
             }
         }
-        if is_news { self.judge() } else { Vec::new() }
+        self.judge()
     }
 
     /// Merges what another VM knows.
@@ -165,7 +173,7 @@
             let mut is_new = evidence.merge(now, update);
             is_new |= responded_at.is_some_and(|it| evidence.add_response(it));
             if is_new {
-                self.untold.insert(update.key.clone());
+                self.record_news(&update.key);
             }
         }
         self.judge()
@@ -212,14 +220,29 @@
 
     /// Drops outdated evidence.
     pub fn on_tick(&mut self, now: Instant) {
+        self.weakest_strength = None;
         self.suspects.retain(|_, it| {
             it.drop_old_crashes(now);
             let memory = if it.is_condemned() { VERDICT_MEMORY } else { EVIDENCE_MEMORY };
             let age = it.last_changed_at().map(|it| now.saturating_duration_since(it));
-            age.is_some_and(|it| it < memory)
+            let is_recent = age.is_some_and(|it| it < memory);
+            self.has_unexplained |= it.is_condemned() && !is_recent;
+            is_recent
         });
     }
 
+    /// Returns the number of times that a key was judged, which is most of the work.
+    pub const fn keys_judged(&self) -> u64 {
+        self.keys_judged
+    }
+
+    /// Records that what is known of a key has changed.
+    fn record_news(&mut self, key: &SuspectKey) {
+        self.untold.insert(key.clone());
+        self.unjudged.insert(key.clone());
+        self.weakest_strength = None;
+    }
+
     /// Takes what still has to be sent to all neighbouring VMs.
     ///
     /// A VM forwards whatever is new to it, so an update reaches all VMs in as many rounds as the
@@ -263,14 +286,26 @@
     }
 
     /// Condemns keys, the best explanation first, and lifts verdicts that no longer hold.
+    ///
+    /// Only evidence that has changed can do either, unless crashes have lost their explanation.
     fn judge(&mut self) -> Vec<QuarantineChange> {
         let mut changes = Vec::new();
-        for (key, evidence) in &mut self.suspects {
-            if evidence.lift_if_acquitted() {
+        let mut candidates = std::mem::take(&mut self.unjudged);
+        for key in &candidates {
+            if self.suspects.get_mut(key).is_some_and(Evidence::lift_if_acquitted) {
+                self.has_unexplained = true;
                 changes.push(QuarantineChange::Lifted { key: key.clone() });
             }
         }
-        while let Some(key) = self.best_explanation() {
+        if std::mem::take(&mut self.has_unexplained) {
+            candidates = self.suspects.keys().cloned().collect();
+        }
+        self.keys_judged += candidates.len() as u64;
+        candidates.retain(|key| {
+            let evidence = self.suspects.get(key).filter(|it| !it.is_condemned());
+            evidence.is_some_and(|it| it.moments(|_| true) >= crashes_that_condemn(key, it))
+        });
+        while let Some(key) = self.best_explanation(&candidates) {
             if let Some(evidence) = self.suspects.get_mut(&key) {
                 evidence.condemn();
                 let crashed = evidence.crashed_upstreams();
@@ -280,26 +315,23 @@
         changes
     }
 
-    /// Returns the key that accounts best for crashes that no condemned key explains: one that
+    /// Returns the candidate that accounts best for crashes that no condemned key explains: one that
     /// nothing has responded to, then the one with most crashes, then the most specific one.
-    fn best_explanation(&self) -> Option<SuspectKey> {
+    fn best_explanation(&self, candidates: &BTreeSet<SuspectKey>) -> Option<SuspectKey> {
+        if candidates.is_empty() {
+            return None;
+        }
         let explained: BTreeSet<&UpstreamStart> = self
             .suspects
             .values()
             .filter(|it| it.is_condemned())
             .flat_map(Evidence::starts)
             .collect();
-        let candidates = self.suspects.iter().filter(|(_, it)| !it.is_condemned());
-        let sufficient = candidates.filter_map(|(key, evidence)| {
-            let is_proven = evidence.is_proven();
-            let unproven_threshold = match key {
-                SuspectKey::Request(_) if evidence.position() == 0 => CRASHES_OF_REQUEST,
-                SuspectKey::Request(_) | SuspectKey::PromptPart { .. } => CRASHES_OF_PROMPT,
-            };
-            let further = if is_proven { FURTHER_CRASHES_IF_PROVEN } else { 0 };
-            let threshold = unproven_threshold + further;
+        let sufficient = candidates.iter().filter_map(|key| {
+            let evidence = self.suspects.get(key).filter(|it| !it.is_condemned())?;
             let moments = evidence.moments(|it| !explained.contains(it));
-            (moments >= threshold).then_some((!is_proven, moments, evidence.position(), key))
+            let is_sufficient = moments >= crashes_that_condemn(key, evidence);
+            is_sufficient.then_some((!evidence.is_proven(), moments, evidence.position(), key))
         });
         sufficient.max().map(|(.., key)| key.clone())
     }
@@ -313,11 +345,21 @@
         if self.suspects.len() < MAX_SUSPECTS {
             return true;
         }
-        let weakest =
-            self.weakest().filter(|(_, it)| it.strength() < (false, update.crashes.len()));
-        let Some(key) = weakest.map(|(key, _)| key.clone()) else { return false };
-        self.remove(&key);
-        true
+        let strength = Strength { is_condemned: false, crashes: update.crashes.len() };
+        if self.weakest_strength.is_some_and(|it| it >= strength) {
+            return false;
+        }
+        let Some((key, weakest)) = self.weakest().map(|(key, it)| (key.clone(), it.strength()))
+        else {
+            return false;
+        };
+        let is_stronger = weakest < strength;
+        if is_stronger {
+            self.remove(&key);
+        } else {
+            self.weakest_strength = Some(weakest);
+        }
+        is_stronger
     }
 
     fn enforce_capacity(&mut self) {
@@ -333,6 +375,17 @@
 
     fn remove(&mut self, key: &SuspectKey) {
         self.untold.remove(key);
-        self.suspects.remove(key);
+        self.weakest_strength = None;
+        let removed = self.suspects.remove(key);
+        self.has_unexplained |= removed.is_some_and(|it| it.is_condemned());
     }
 }
+
+/// Returns the number of moments with crashes that condemn a key.
+fn crashes_that_condemn(key: &SuspectKey, evidence: &Evidence) -> usize {
+    let if_unproven = match key {
+        SuspectKey::Request(_) if evidence.position() == 0 => CRASHES_OF_REQUEST,
+        SuspectKey::Request(_) | SuspectKey::PromptPart { .. } => CRASHES_OF_PROMPT,
+    };
+    if_unproven + if evidence.is_proven() { FURTHER_CRASHES_IF_PROVEN } else { 0 }
+}
--- a/crates/coordination/src/quarantine/evidence.rs
+++ b/crates/coordination/src/quarantine/evidence.rs
@@ -41,6 +41,14 @@
     pub(super) at: Instant,
 }
 
+/// Order by which evidence is kept: verdicts, then the number of crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Strength {
+    pub(super) is_condemned: bool,
+    /// Number of crashes that no response acquits of.
+    pub(super) crashes: usize,
+}
+
 /// Evidence for and against a key.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Evidence {
@@ -200,9 +208,8 @@
         self.crashes.last().map(|it| it.at).max(self.last_trial_at)
     }
 
-    /// Returns an order by which evidence is kept: verdicts, then the number of crashes.
-    pub(super) fn strength(&self) -> (bool, usize) {
-        (self.is_condemned(), self.active_crashes().count())
+    pub(super) fn strength(&self) -> Strength {
+        Strength { is_condemned: self.is_condemned(), crashes: self.active_crashes().count() }
     }
 
     fn active_crashes(&self) -> impl Iterator<Item = &Crash> {
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -359,6 +359,20 @@
     }
 }
 
+#[test]
+fn evidence_that_is_known_is_not_judged_again() {
+    let mut vm = Vm::new();
+    for number in 0..1_000 {
+        vm.crash_times(1, &[part(number % 40), part(number)]);
+    }
+    let known = vm.quarantine.updates(vm.now, 48);
+    let judged_before = vm.quarantine.keys_judged();
+    (0..100).for_each(|_| assert_eq!(vm.quarantine.merge(vm.now, &known), []));
+    assert_eq!(vm.quarantine.keys_judged(), judged_before);
+    vm.crash(&[part(1), part(2_000)]);
+    assert_eq!(vm.quarantine.keys_judged(), judged_before + 2);
+}
+
 #[test]
 fn vms_that_do_not_talk_crash_many_more() {
     let settings = FleetSettings { seed: 1, vms: 340, talk: false, ..FleetSettings::default() };
