test(standins): the proxy resets, slows down and loses, in one direction if need be

The proxy also turned a reset of one end into an orderly end at the other, so that a response without length that a worker had reset looked complete behind it: it passes resets on now, and forgets connections that have ended.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,7 +7,7 @@
 //!   responses, and stops when the caller disconnects;
 //! - [`service`]: a plain service that records each effect;
 //! - [`platform`]: the table service, the object store and the list of VMs;
-//! - [`proxy`]: a TCP proxy that delays, stalls and cuts connections.
+//! - [`proxy`]: a TCP proxy that delays, stalls, slows down, resets and cuts connections.
 //!
 //! [`vm`] starts real daemons, [`cluster`] starts a complete deployment, and [`client`] sends
 //! requests to them.
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,8 +1,10 @@
 //! A TCP proxy that injects faults.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::mem::take;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -24,6 +26,9 @@
 /// Interval between two checks whether connections are still stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval between two checks whether a silent connection is to be reset.
+const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of connections that wait to be accepted.
 const BACKLOG: i32 = 128;
 
@@ -33,6 +38,15 @@
 /// Time after which a connection attempt shows that the queue is full.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// One in this many connections and chunks of data is lost on a lossy link: 2 %.
+const LOSS_INTERVAL: u64 = 50;
+
+/// Time after which a lost chunk is sent again: the shortest retransmission timeout of Linux.
+const RETRANSMISSION_DELAY: Duration = Duration::from_millis(200);
+
+/// Time after which a lost attempt to connect is repeated: the first timeout of Linux.
+const RECONNECTION_DELAY: Duration = Duration::from_secs(1);
+
 /// Stack size of a thread that copies data, in bytes.
 const STACK_BYTES: usize = 128 * 1024;
 
@@ -43,14 +57,34 @@
     shared: Arc<Shared>,
 }
 
+/// Direction of data on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToTarget,
+    ToCaller,
+}
+
 struct Shared {
     target: SocketAddr,
     /// Connections with a lower number forward no data.
     stalled_below: AtomicU64,
+    /// Connections with a lower number are reset.
+    reset_below: AtomicU64,
     next_connection: AtomicU64,
     refusing: AtomicBool,
     delay_ms: AtomicU64,
-    connections: Mutex<Vec<(TcpStream, TcpStream)>>,
+    /// Rate of each direction; 0 for no limit.
+    bytes_per_s: AtomicU64,
+    is_lossy: AtomicBool,
+    /// Whether data from callers is held up.
+    is_one_way: AtomicBool,
+    /// Number of chunks of data so far.
+    chunks: AtomicU64,
+    /// Held while a chunk passes a link with a limited rate, one lock for each direction.
+    to_target: Mutex<()>,
+    to_caller: Mutex<()>,
+    /// Open connections by number.
+    connections: Mutex<BTreeMap<u64, (TcpStream, TcpStream)>>,
     /// Thread that accepts connections.
     acceptor: Mutex<Option<JoinHandle<()>>>,
     /// Connections that fill the queue of those that wait to be accepted.
@@ -69,9 +103,16 @@
         let shared = Arc::new(Shared {
             target,
             stalled_below: AtomicU64::new(0),
+            reset_below: AtomicU64::new(0),
             next_connection: AtomicU64::new(0),
             refusing: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
+            bytes_per_s: AtomicU64::new(0),
+            is_lossy: AtomicBool::new(false),
+            is_one_way: AtomicBool::new(false),
+            chunks: AtomicU64::new(0),
+            to_target: Mutex::default(),
+            to_caller: Mutex::default(),
             connections: Mutex::default(),
             acceptor: Mutex::default(),
             queued: Mutex::default(),
@@ -99,7 +140,7 @@
     /// Closes all open connections, and closes new ones at once until [`Proxy::heal`].
     pub fn cut(&self) {
         self.shared.refusing.store(true, Ordering::SeqCst);
-        for (caller, target) in lock(&self.shared.connections).drain(..) {
+        for (caller, target) in take(&mut *lock(&self.shared.connections)).into_values() {
             let _ = caller.shutdown(Shutdown::Both);
             let _ = target.shutdown(Shutdown::Both);
         }
@@ -180,6 +221,42 @@
         self.shared.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
     }
 
+    /// Resets all open connections, while new ones are forwarded.
+    pub fn reset_open(&self) {
+        let next = self.shared.next_connection.load(Ordering::SeqCst);
+        for (caller, target) in take(&mut *lock(&self.shared.connections)).into_values() {
+            for stream in [caller, target] {
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            }
+        }
+        // The last handles of the sockets are those of the threads that copy data.
+        self.shared.reset_below.store(next, Ordering::SeqCst);
+    }
+
+    /// Holds up what callers send, until [`Proxy::heal_quality`].
+    pub fn hold_up_callers(&self) {
+        self.shared.is_one_way.store(true, Ordering::SeqCst);
+    }
+
+    /// Limits each direction to a rate, until [`Proxy::heal_quality`].
+    pub fn limit_rate(&self, bytes_per_s: u64) {
+        self.shared.bytes_per_s.store(bytes_per_s, Ordering::SeqCst);
+    }
+
+    /// Loses 2 % of the data and of the attempts to connect, which arrive with the delay of a
+    /// retransmission, until [`Proxy::heal_quality`].
+    pub fn lose_packets(&self) {
+        self.shared.is_lossy.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends [`Proxy::hold_up_callers`], [`Proxy::limit_rate`] and [`Proxy::lose_packets`]. Open
+    /// connections go on, with what was held up.
+    pub fn heal_quality(&self) {
+        self.shared.is_one_way.store(false, Ordering::SeqCst);
+        self.shared.bytes_per_s.store(0, Ordering::SeqCst);
+        self.shared.is_lossy.store(false, Ordering::SeqCst);
+    }
+
     /// Ends all faults for new connections.
     ///
     /// Connections that are open now forward no more data.
@@ -215,40 +292,62 @@
         if self.refusing.load(Ordering::SeqCst) {
             return;
         }
+        if self.is_lossy.load(Ordering::SeqCst) && number.is_multiple_of(LOSS_INTERVAL) {
+            let shared = self.clone();
+            let thread = thread::Builder::new().stack_size(STACK_BYTES);
+            let _ = thread.spawn(move || {
+                thread::sleep(RECONNECTION_DELAY);
+                shared.forward(number, caller);
+            });
+            return;
+        }
+        self.forward(number, caller);
+    }
+
+    fn forward(self: &Arc<Self>, number: u64, caller: TcpStream) {
         let Ok(target) = TcpStream::connect(self.target) else { return };
-        let _ = caller.set_nodelay(true);
-        let _ = target.set_nodelay(true);
+        for stream in [&caller, &target] {
+            let _ = stream.set_nodelay(true);
+            let _ = stream.set_read_timeout(Some(RESET_CHECK_INTERVAL));
+        }
         let clones = (caller.try_clone(), target.try_clone());
         if let (Ok(caller), Ok(target)) = clones {
-            lock(&self.connections).push((caller, target));
+            lock(&self.connections).insert(number, (caller, target));
         }
         let clones = (caller.try_clone(), target.try_clone());
         if let (Ok(caller_end), Ok(target_end)) = clones {
-            self.copy(number, caller, target_end);
-            self.copy(number, target, caller_end);
+            let was_reset = Arc::default();
+            let flow = |from, to, direction| Flow {
+                shared: self.clone(),
+                number,
+                from,
+                to,
+                direction,
+                was_reset: Arc::clone(&was_reset),
+            };
+            flow(caller, target_end, Direction::ToTarget).start();
+            flow(target, caller_end, Direction::ToCaller).start();
         }
     }
 
-    /// Starts a thread that copies data in one direction.
-    fn copy(self: &Arc<Self>, number: u64, mut from: TcpStream, mut to: TcpStream) {
-        let shared = self.clone();
-        let thread = thread::Builder::new().stack_size(STACK_BYTES);
-        let _ = thread.spawn(move || {
-            let mut bytes = [0; 16 * 1024];
-            while let Ok(length) = from.read(&mut bytes) {
-                if shared.wait_while_stalled(number) || length == 0 {
-                    break;
-                }
-                thread::sleep(Duration::from_millis(shared.delay_ms.load(Ordering::SeqCst)));
-                if shared.wait_while_stalled(number) || to.write_all(&bytes[..length]).is_err() {
-                    break;
-                }
-            }
-            if !shared.is_stalled(number) {
-                let _ = to.shutdown(Shutdown::Both);
-                let _ = from.shutdown(Shutdown::Both);
-            }
-        });
+    /// Waits as long as a chunk of data takes on the link as it is now.
+    fn pass_link(&self, length: usize, direction: Direction) {
+        thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::SeqCst)));
+        let chunk = self.chunks.fetch_add(1, Ordering::SeqCst);
+        if self.is_lossy.load(Ordering::SeqCst) && chunk.is_multiple_of(LOSS_INTERVAL) {
+            thread::sleep(RETRANSMISSION_DELAY);
+        }
+        let bytes_per_s = self.bytes_per_s.load(Ordering::SeqCst);
+        if bytes_per_s > 0 {
+            let _turn = lock(match direction {
+                Direction::ToTarget => &self.to_target,
+                Direction::ToCaller => &self.to_caller,
+            });
+            thread::sleep(Duration::from_secs_f64(length as f64 / bytes_per_s as f64));
+        }
+        while direction == Direction::ToTarget && self.is_one_way.load(Ordering::SeqCst) {
+            thread::sleep(STALL_CHECK_INTERVAL);
+        }
     }
 
     fn is_stalled(&self, number: u64) -> bool {
@@ -263,3 +362,69 @@
         self.is_stalled(number)
     }
 }
+
+/// Data of a connection in one direction.
+struct Flow {
+    shared: Arc<Shared>,
+    /// Number of the connection.
+    number: u64,
+    from: TcpStream,
+    to: TcpStream,
+    direction: Direction,
+    /// Whether either end has reset the connection.
+    was_reset: Arc<AtomicBool>,
+}
+
+impl Flow {
+    /// Starts a thread that copies the data.
+    fn start(self) {
+        let thread = thread::Builder::new().stack_size(STACK_BYTES);
+        let _ = thread.spawn(move || self.run());
+    }
+
+    fn run(mut self) {
+        let mut bytes = [0; 16 * 1024];
+        while let Some(length) = self.read(&mut bytes) {
+            if self.shared.wait_while_stalled(self.number) || length == 0 {
+                break;
+            }
+            self.shared.pass_link(length, self.direction);
+            if self.shared.wait_while_stalled(self.number)
+                || self.to.write_all(&bytes[..length]).is_err()
+            {
+                break;
+            }
+        }
+        if self.shared.is_stalled(self.number) {
+            return;
+        }
+        if !self.is_reset() {
+            let _ = self.to.shutdown(Shutdown::Both);
+            let _ = self.from.shutdown(Shutdown::Both);
+        }
+        // A reset is passed on once no handle is left.
+        lock(&self.shared.connections).remove(&self.number);
+    }
+
+    /// Reads data; `None` if the connection has failed or is to be reset.
+    fn read(&mut self, bytes: &mut [u8]) -> Option<usize> {
+        loop {
+            match self.from.read(bytes) {
+                _ if self.is_reset() => return None,
+                Ok(length) => return Some(length),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {
+                    let _ = SockRef::from(&self.to).set_linger(Some(Duration::ZERO));
+                    self.was_reset.store(true, Ordering::SeqCst);
+                    return None;
+                }
+                Err(_) => return None,
+            }
+        }
+    }
+
+    fn is_reset(&self) -> bool {
+        self.was_reset.load(Ordering::SeqCst)
+            || self.number < self.shared.reset_below.load(Ordering::SeqCst)
+    }
+}
