--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -78,8 +78,10 @@
 pub struct PeerSettings {
     /// Name of this VM, unique among its peers.
     pub vm: VmId,
-    /// Address at which this VM listens for its peers.
+    /// Address at which the peers reach this VM.
     pub address: SocketAddr,
+    /// Address at which this VM listens for its peers.
+    pub listen_address: SocketAddr,
     /// Failure domain that this VM runs in.
     pub failure_domain: Arc<str>,
     /// Addresses of VMs to contact first; some may be stale.
@@ -143,7 +145,8 @@
     };
     let peers = Arc::new(Peers {
         relay: relay.clone(),
-        links: Links::listen(settings.address, SharedKey::new(&key)).map_err(io::Error::other)?,
+        links: Links::listen(settings.listen_address, SharedKey::new(&key))
+            .map_err(io::Error::other)?,
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: PendingQueries::default(),
