--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -28,6 +28,11 @@
     vms: Option<u64>,
     #[options(no_short, help = "play this plan instead, a JSON file that a failed run kept")]
     plan: Option<String>,
+    #[options(
+        no_short,
+        help = "play the plans of platform/tests/soak/by-hand, then the seeds if any are named"
+    )]
+    by_hand: bool,
     #[options(no_short, help = "leave out the faults that a failed plan does not need")]
     shorten: bool,
 }
@@ -57,11 +62,15 @@
     if flags.seeds == Some(0) {
         bail!("--seeds: at least 1");
     }
+    if flags.by_hand && flags.plan.is_some() {
+        bail!("--by-hand: not together with --plan");
+    }
     let numbers = [
         ("CRANBERRYVALVE_SOAK_SEED", flags.seed),
         ("CRANBERRYVALVE_SOAK_SEEDS", flags.seeds),
         ("CRANBERRYVALVE_SOAK_MINUTES", flags.minutes),
         ("CRANBERRYVALVE_SOAK_VMS", flags.vms),
+        ("CRANBERRYVALVE_SOAK_BY_HAND", flags.by_hand.then_some(1)),
         ("CRANBERRYVALVE_SOAK_SHORTEN", flags.shorten.then_some(1)),
     ];
     let mut variables: Vec<(&'static str, String)> = numbers
