--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -24,7 +24,7 @@
     seeds: Option<u64>,
     #[options(no_short, help = "start no further run after this time")]
     minutes: Option<u64>,
-    #[options(no_short, help = "number of VMs in each run (default: 2 to 5, by the seed)")]
+    #[options(no_short, help = "number of VMs in each run (default: 2 to 6, by the seed)")]
     vms: Option<u64>,
     #[options(no_short, help = "play this plan instead, a JSON file that a failed run kept")]
     plan: Option<String>,
