fix: a request that crashes brittle upstreams is held back like others

Cause: since no crash in a brittle pool counted as evidence, as it might be a fall for want of room.

A crash counts now unless its upstream had refused more than N/2 requests in the second before it. Above 65 VMs, where a VM is told of some refusals only, it stays as it was.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -79,6 +79,7 @@
 pub use position::StorePosition;
 pub use pressure::PressureDigest;
 pub use pressure::PressureEntry;
+pub use refusal::MAX_REFUSAL_RECEIVERS;
 pub use refusal::UpstreamRefusal;
 pub use suspect::PartId;
 pub use suspect::SuspectKey;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -5,6 +5,10 @@
 
 use crate::UpstreamId;
 
+/// Maximum number of VMs that are told of a refusal. All others hear of it in deployments that are no
+/// larger.
+pub const MAX_REFUSAL_RECEIVERS: usize = 64;
+
 /// An upstream that fails under too many refusals had no room for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/policy/src/scheduler/brittleness.rs
+++ b/crates/policy/src/scheduler/brittleness.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_core::MAX_REFUSAL_RECEIVERS;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamRefusal;
 
@@ -23,6 +24,12 @@
 /// requests that are on their way when an upstream becomes full are refused, too.
 const REFUSAL_MARGIN: u32 = 2;
 
+/// Time in which the refusals of an upstream count together.
+const REFUSAL_WINDOW: Duration = Duration::from_secs(1);
+
+/// Maximum number of refusals of an upstream that are remembered.
+const MAX_REFUSALS: usize = 64;
+
 /// Shortest time for which a full upstream is left alone: the time until its refusal is known to all
 /// VMs of a region.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
@@ -52,6 +59,21 @@
         self.max_refusals_per_s(now, pool).is_some()
     }
 
+    /// Returns `true` if an upstream that failed at `at` may have done so for want of room: its pool is
+    /// brittle, and it had refused more requests than the VMs together make use of. Fewer refusals
+    /// show nothing in deployments that are so large that this VM does not hear of all.
+    pub fn may_lack_room(&self, at: Instant, upstream: &UpstreamId) -> bool {
+        let Some(known) = self.upstreams.get(upstream) else { return false };
+        let Some(max_refusals_per_s) = self.max_refusals_per_s(at, &known.record.pool) else {
+            return false;
+        };
+        let hears_of_all = self.vm_count as usize <= MAX_REFUSAL_RECEIVERS + 1;
+        let is_recent = |it: &&Instant| at.saturating_duration_since(**it) <= REFUSAL_WINDOW;
+        let refusals = known.refused_at.iter().filter(is_recent).count();
+        let usual = (max_refusals_per_s / REFUSAL_MARGIN) as usize;
+        !hears_of_all || max_refusals_per_s == 0 || refusals > usual.min(MAX_REFUSALS - 1)
+    }
+
     /// Takes the refusals of brittle upstreams that still have to be told to the other VMs.
     pub fn take_refusals(&mut self) -> Vec<UpstreamRefusal> {
         std::mem::take(&mut self.unsent_refusals)
@@ -75,6 +97,11 @@
         let known = self.upstreams.get_mut(&refusal.upstream);
         if let Some(known) = known.filter(|it| it.record.incarnation == refusal.incarnation) {
             known.pause.extend(now, pause);
+            known.refused_at.retain(|it| now.saturating_duration_since(*it) <= REFUSAL_WINDOW);
+            if known.refused_at.len() == MAX_REFUSALS {
+                known.refused_at.remove(0);
+            }
+            known.refused_at.push(now);
             let share = known.brittle_share.unwrap_or(f64::from(known.own_in_flight()));
             known.brittle_share = Some((share / 2.0).max(1.0));
         }
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -88,6 +88,8 @@
     /// Number of requests that this VM may have in flight there while the upstream is brittle; `None`
     /// before its first refusal.
     pub(super) brittle_share: Option<f64>,
+    /// Latest refusals while the upstream was brittle, to this VM and to those that told it.
+    pub(super) refused_at: Vec<Instant>,
     pub(super) circuit: CircuitBreaker,
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
@@ -126,6 +128,7 @@
             rate_limit: RateLimit::default(),
             brittleness: None,
             brittle_share: None,
+            refused_at: Vec::new(),
             circuit: CircuitBreaker::new(),
             cache: PrefixCache::default(),
             is_engine: false,
--- a/crates/policy/tests/brittle_upstreams.rs
+++ b/crates/policy/tests/brittle_upstreams.rs
@@ -112,3 +112,37 @@
     harness.advance(Duration::from_secs(3));
     assert!(!harness.scheduler.is_brittle(harness.now, SERVICES));
 }
+
+#[test]
+fn crashes_with_few_refusals_before_them_are_not_for_want_of_room() {
+    let mut harness = Harness::new(two_services());
+    let lacks_room =
+        |harness: &Harness| harness.scheduler.may_lack_room(harness.now, &"p-near".into());
+    let refuse = |harness: &mut Harness, count: usize| {
+        let event = SchedulerEvent::PeerRefusals(vec![refusal("p-near"); count]);
+        harness.scheduler.handle(harness.now, event);
+    };
+    refuse(&mut harness, 9);
+    assert!(!lacks_room(&harness), "it is not brittle");
+    harness.advance(Duration::from_millis(1_001));
+    announce_brittleness(&mut harness, "p-far");
+    // Half of the 8 refusals that it bears.
+    refuse(&mut harness, 4);
+    assert!(!lacks_room(&harness));
+    refuse(&mut harness, 1);
+    assert!(lacks_room(&harness));
+    harness.advance(Duration::from_secs(1));
+    assert!(lacks_room(&harness));
+    harness.advance(Duration::from_millis(1));
+    assert!(!lacks_room(&harness));
+}
+
+#[test]
+fn crashes_of_brittle_upstreams_prove_nothing_where_refusals_are_not_heard_of() {
+    for (vm_count, expected) in [(65, false), (66, true)] {
+        let mut harness = Harness::new(two_services());
+        announce_brittleness(&mut harness, "p-near");
+        harness.scheduler.handle(harness.now, SchedulerEvent::VmCountChanged(vm_count));
+        assert_eq!(harness.scheduler.may_lack_room(harness.now, &"p-near".into()), expected);
+    }
+}
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -202,7 +202,8 @@
                     upstream: interruption.upstream.id.clone(),
                     incarnation: interruption.upstream.incarnation,
                 };
-                if self.is_in_service(&start) {
+                let may_lack_room = self.dispatcher.may_lack_room(interruption.at, &start.upstream);
+                if self.is_in_service(&start) && !may_lack_room {
                     by_start.entry(start).or_default().push(interruption);
                 }
             }
@@ -237,15 +238,10 @@
         }
     }
 
-    /// Returns `true` if the directory lists this start of the upstream, and not as leaving, and the
-    /// upstream does not fail for want of room.
+    /// Returns `true` if the directory lists this start of the upstream, and not as leaving.
     fn is_in_service(&self, start: &UpstreamStart) -> bool {
         let listed = self.dispatcher.upstream(&start.upstream);
-        listed.is_some_and(|it| {
-            it.incarnation == start.incarnation
-                && !it.is_leaving
-                && !self.dispatcher.is_brittle(&it.pool)
-        })
+        listed.is_some_and(|it| it.incarnation == start.incarnation && !it.is_leaving)
     }
 
     fn record_crash(&self, start: &UpstreamStart, interruptions: &[Interruption]) {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -190,9 +190,9 @@
         self.lock().scheduler.take_refusals()
     }
 
-    /// Returns `true` if the upstreams of a pool fail under too many refusals.
-    pub(crate) fn is_brittle(&self, pool: &str) -> bool {
-        self.lock().scheduler.is_brittle(Instant::now(), pool)
+    /// Returns `true` if an upstream that failed at `at` may have refused too many requests.
+    pub(crate) fn may_lack_room(&self, at: Instant, upstream: &UpstreamId) -> bool {
+        self.lock().scheduler.may_lack_room(at, upstream)
     }
 
     /// Returns all known departures of upstreams.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -38,6 +38,7 @@
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::MAX_REFUSAL_RECEIVERS;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamRefusal;
@@ -70,9 +71,6 @@
 /// 340 VMs every half second.
 const MAX_PACES_PER_MESSAGE: usize = 24;
 
-/// Maximum number of VMs that are told of a refusal.
-const MAX_REFUSAL_RECEIVERS: usize = 64;
-
 /// Settings for joining the peers.
 #[derive(Debug, Clone)]
 pub struct PeerSettings {
