--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -39,6 +39,7 @@
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::quarantine::SuspectUpdate;
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::MAX_REFUSAL_RECEIVERS;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamRefusal;
@@ -70,16 +71,15 @@
 /// 340 VMs every half second.
 const MAX_PACES_PER_MESSAGE: usize = 24;
 
-/// Maximum number of VMs that are told of a refusal.
-const MAX_REFUSAL_RECEIVERS: usize = 64;
-
 /// Settings for joining the peers.
 #[derive(Debug, Clone)]
 pub struct PeerSettings {
     /// Name of this VM, unique among its peers.
     pub vm: VmId,
-    /// Address at which this VM listens for its peers.
+    /// Address at which the peers reach this VM.
     pub address: SocketAddr,
+    /// Address at which this VM listens for its peers.
+    pub listen_address: SocketAddr,
     /// Failure domain that this VM runs in.
     pub failure_domain: Arc<str>,
     /// Addresses of VMs to contact first; some may be stale.
@@ -141,7 +141,8 @@
     };
     let peers = Arc::new(Peers {
         relay: relay.clone(),
-        links: Links::listen(settings.address, SharedKey::new(&key)).map_err(io::Error::other)?,
+        links: Links::listen(settings.listen_address, SharedKey::new(&key))
+            .map_err(io::Error::other)?,
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
         load_queries: PendingQueries::default(),
