perf: the weakest evidence of crashes is looked up for many keys at once

At the bound of 1,024 keys each new key looked at all of them for the weakest one.

Change: the weakest keys are looked up together, once a second or when none of them is left.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -111,9 +111,16 @@
     unjudged: BTreeSet<SuspectKey>,
     /// Whether a verdict that explained crashes has ended since then, so that all keys are judged.
     has_unexplained: bool,
-    keys_judged: u64,
-    /// Strength of the weakest key; `None` if it was not looked up since evidence has changed.
-    weakest_strength: Option<Strength>,
+    keys_examined: u64,
+    /// The weakest keys as last looked up; `None` before that and after each tick.
+    weakest: Option<WeakestKeys>,
+}
+
+/// Keys with the weakest evidence.
+#[derive(Debug)]
+struct WeakestKeys {
+    strength: Strength,
+    keys: Vec<SuspectKey>,
 }
 
 impl Quarantine {
@@ -141,7 +148,6 @@
             }
             self.unjudged.insert(key.clone());
         }
-        self.weakest_strength = None;
         self.enforce_capacity();
         self.judge()
     }
@@ -220,7 +226,7 @@
 
     /// Drops outdated evidence.
     pub fn on_tick(&mut self, now: Instant) {
-        self.weakest_strength = None;
+        self.weakest = None;
         self.suspects.retain(|_, it| {
             it.drop_old_crashes(now);
             let memory = if it.is_condemned() { VERDICT_MEMORY } else { EVIDENCE_MEMORY };
@@ -231,16 +237,21 @@
         });
     }
 
-    /// Returns the number of times that a key was judged, which is most of the work.
-    pub const fn keys_judged(&self) -> u64 {
-        self.keys_judged
+    /// Returns the number of times that a key was judged or considered for removal, which is most of the
+    /// work.
+    pub const fn keys_examined(&self) -> u64 {
+        self.keys_examined
     }
 
     /// Records that what is known of a key has changed.
     fn record_news(&mut self, key: &SuspectKey) {
         self.untold.insert(key.clone());
         self.unjudged.insert(key.clone());
-        self.weakest_strength = None;
+    }
+
+    /// Returns `true` if something has to be sent to the neighbouring VMs.
+    pub fn has_updates(&self) -> bool {
+        !self.untold.is_empty()
     }
 
     /// Takes what still has to be sent to all neighbouring VMs.
@@ -300,7 +311,7 @@
         if std::mem::take(&mut self.has_unexplained) {
             candidates = self.suspects.keys().cloned().collect();
         }
-        self.keys_judged += candidates.len() as u64;
+        self.keys_examined += candidates.len() as u64;
         candidates.retain(|key| {
             let evidence = self.suspects.get(key).filter(|it| !it.is_condemned());
             evidence.is_some_and(|it| it.moments(|_| true) >= crashes_that_condemn(key, it))
@@ -346,41 +357,57 @@
             return true;
         }
         let strength = Strength { is_condemned: false, crashes: update.crashes.len() };
-        if self.weakest_strength.is_some_and(|it| it >= strength) {
-            return false;
-        }
-        let Some((key, weakest)) = self.weakest().map(|(key, it)| (key.clone(), it.strength()))
-        else {
-            return false;
-        };
-        let is_stronger = weakest < strength;
-        if is_stronger {
-            self.remove(&key);
-        } else {
-            self.weakest_strength = Some(weakest);
-        }
-        is_stronger
+        self.remove_weakest(|it| it < strength)
     }
 
     fn enforce_capacity(&mut self) {
-        while self.suspects.len() > MAX_SUSPECTS {
-            let Some(key) = self.weakest().map(|(key, _)| key.clone()) else { return };
-            self.remove(&key);
-        }
+        while self.suspects.len() > MAX_SUSPECTS && self.remove_weakest(|_| true) {}
     }
 
-    fn weakest(&self) -> Option<(&SuspectKey, &Evidence)> {
-        self.suspects.iter().min_by_key(|(_, it)| it.strength())
+    /// Removes one of the weakest keys if `is_removable` holds for their strength; returns `true` if it
+    /// did. They are looked up together, as a series of crashes replaces many.
+    fn remove_weakest(&mut self, is_removable: impl Fn(Strength) -> bool) -> bool {
+        loop {
+            let suspects = &self.suspects;
+            let weakest = self.weakest.get_or_insert_with(|| {
+                self.keys_examined += suspects.len() as u64;
+                WeakestKeys::of(suspects)
+            });
+            if !is_removable(weakest.strength) {
+                return false;
+            }
+            let strength = weakest.strength;
+            let is_current =
+                |it: &SuspectKey| suspects.get(it).is_some_and(|it| it.strength() == strength);
+            let found = std::iter::from_fn(|| weakest.keys.pop()).find(is_current);
+            if let Some(key) = found {
+                self.remove(&key);
+                return true;
+            }
+            if self.suspects.is_empty() {
+                return false;
+            }
+            self.weakest = None;
+        }
     }
 
     fn remove(&mut self, key: &SuspectKey) {
         self.untold.remove(key);
-        self.weakest_strength = None;
         let removed = self.suspects.remove(key);
         self.has_unexplained |= removed.is_some_and(|it| it.is_condemned());
     }
 }
 
+impl WeakestKeys {
+    fn of(suspects: &BTreeMap<SuspectKey, Evidence>) -> Self {
+        let strengths: Vec<(&SuspectKey, Strength)> =
+            suspects.iter().map(|(key, it)| (key, it.strength())).collect();
+        let strength = strengths.iter().map(|it| it.1).min().unwrap_or_default();
+        let weakest = strengths.into_iter().filter(|it| it.1 == strength);
+        Self { strength, keys: weakest.map(|it| it.0.clone()).collect() }
+    }
+}
+
 /// Returns the number of moments with crashes that condemn a key.
 fn crashes_that_condemn(key: &SuspectKey, evidence: &Evidence) -> usize {
     let if_unproven = match key {
--- a/crates/coordination/src/quarantine/evidence.rs
+++ b/crates/coordination/src/quarantine/evidence.rs
@@ -42,7 +42,7 @@
 }
 
 /// Order by which evidence is kept: verdicts, then the number of crashes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Strength {
     pub(super) is_condemned: bool,
     /// Number of crashes that no response acquits of.
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -366,11 +366,31 @@
         vm.crash_times(1, &[part(number % 40), part(number)]);
     }
     let known = vm.quarantine.updates(vm.now, 48);
-    let judged_before = vm.quarantine.keys_judged();
+    let judged_before = vm.quarantine.keys_examined();
     (0..100).for_each(|_| assert_eq!(vm.quarantine.merge(vm.now, &known), []));
-    assert_eq!(vm.quarantine.keys_judged(), judged_before);
+    assert_eq!(vm.quarantine.keys_examined(), judged_before);
     vm.crash(&[part(1), part(2_000)]);
-    assert_eq!(vm.quarantine.keys_judged(), judged_before + 2);
+    assert_eq!(vm.quarantine.keys_examined(), judged_before + 2);
+}
+
+#[test]
+fn series_of_crashes_does_not_examine_all_keys_for_each_new_one() {
+    let (mut vm, mut other) = (Vm::new(), Vm::new());
+    for number in 0..1_024 {
+        vm.crash_times(1, &[part(number)]);
+    }
+    for number in (2_000..2_500).flat_map(|it| [it, it]) {
+        other.wait(0.1);
+        other.crash(&[part(number)]);
+    }
+    other.quarantine.take_updates(other.now);
+    let told = other.quarantine.updates(other.now, 500);
+    let examined_before = vm.quarantine.keys_examined();
+    told.iter().for_each(|it| {
+        vm.quarantine.merge(vm.now, std::slice::from_ref(it));
+    });
+    let examined = vm.quarantine.keys_examined() - examined_before;
+    assert_eq!((told.len(), examined), (500, 1_024 + 500));
 }
 
 #[test]
