fix(standins): a proxy resets connections that it has just accepted

Cause: the target accepts a connection before the proxy has listed it, and only listed connections were set to end with a reset. Now the threads that copy the data set this themselves.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -398,9 +398,12 @@
         if self.shared.is_stalled(self.number) {
             return;
         }
-        if !self.is_reset() {
-            let _ = self.to.shutdown(Shutdown::Both);
-            let _ = self.from.shutdown(Shutdown::Both);
+        for stream in [&self.to, &self.from] {
+            let _ = if self.is_reset() {
+                SockRef::from(stream).set_linger(Some(Duration::ZERO))
+            } else {
+                stream.shutdown(Shutdown::Both)
+            };
         }
         // A reset is passed on once no handle is left.
         lock(&self.shared.connections).remove(&self.number);
@@ -414,7 +417,6 @@
                 Ok(length) => return Some(length),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {
-                    let _ = SockRef::from(&self.to).set_linger(Some(Duration::ZERO));
                     self.was_reset.store(true, Ordering::SeqCst);
                     return None;
                 }
