fix: evidence against a request is not dropped before that against prompt parts

A VM then forgot the only crash that it knew of a request.

evidence_against_a_request_is_kept_when_there_are_too_many_keys fails before and passes after.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -120,6 +120,7 @@
 #[derive(Debug)]
 struct WeakestKeys {
     strength: Strength,
+    /// The first one to remove is the last. Prompt parts are removed before requests.
     keys: Vec<SuspectKey>,
 }
 
@@ -403,7 +404,7 @@
         let strengths: Vec<(&SuspectKey, Strength)> =
             suspects.iter().map(|(key, it)| (key, it.strength())).collect();
         let strength = strengths.iter().map(|it| it.1).min().unwrap_or_default();
-        let weakest = strengths.into_iter().filter(|it| it.1 == strength);
+        let weakest = strengths.into_iter().rev().filter(|it| it.1 == strength);
         Self { strength, keys: weakest.map(|it| it.0.clone()).collect() }
     }
 }
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -393,6 +393,17 @@
     assert_eq!((told.len(), examined), (500, 1_024 + 500));
 }
 
+#[test]
+fn evidence_against_a_request_is_kept_when_there_are_too_many_keys() {
+    let mut vm = Vm::new();
+    for number in 0..1_024 {
+        vm.crash_times(1, &[part(number)]);
+    }
+    let request = request_of(b"reel 9");
+    vm.crash_times(2, std::slice::from_ref(&request));
+    assert!(vm.is_refused(&request));
+}
+
 #[test]
 fn vms_that_do_not_talk_crash_many_more() {
     let settings = FleetSettings { seed: 1, vms: 340, talk: false, ..FleetSettings::default() };
