fix: members that a VM missed are repeated in heartbeats

A living member was told to each receiver once, in a heartbeat that may be lost, as while a link to a restarted process is set up again. With four VMs, VM 1 and the member it missed are no neighbours of each other, so that nothing else told them.

Which message was lost on that machine is not in its output.

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -9,6 +9,7 @@
 //! (Chord: Stoica et al., 2001). With 340 members, each has 9 neighbours and an update reaches all
 //! members in at most 9 hops.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::Bound;
@@ -36,10 +37,13 @@
 /// domain of 340 VMs in 8.
 const MAX_LOSS_UPDATES: usize = 48;
 
-/// Maximum number of updates of living members in one heartbeat. Each receiver is told of them once:
-/// a member that was missed makes itself known with its own heartbeats.
+/// Maximum number of updates of living members in one heartbeat, besides the repeated ones.
 const MAX_ALIVE_UPDATES: usize = 8;
 
+/// Number of living members that each heartbeat repeats in turn. Heartbeats may be lost, and two
+/// members that are no neighbours of each other do not send any to each other.
+const REPEATED_UPDATES: usize = 2;
+
 /// Highest incarnation that a member may have, far above any start time in Unix milliseconds. Above
 /// it, a member could not refute what is said of it.
 const MAX_INCARNATION: u64 = u64::MAX / 2;
@@ -117,6 +121,8 @@
     /// Members that died or left, with the number of heartbeats that will still carry the update.
     losses: BTreeMap<VmId, u32>,
     alive: BTreeSet<VmId>,
+    /// Member that was repeated last.
+    repeated: Option<VmId>,
 }
 
 impl Outbox {
@@ -365,7 +371,16 @@
             self.members.iter().for_each(|(vm, it)| outbox.push(vm, it.state));
             outbox
         });
-        let due = outbox.take_due();
+        let mut due = outbox.take_due();
+        let is_repeated = |(vm, it): &(&VmId, &Member)| {
+            it.state == MemberState::Alive && &***vm != receiver && !due.contains(vm)
+        };
+        let start = outbox.repeated.as_ref().unwrap_or(&self.local.vm);
+        let repeated = ring_after(&self.members, start).filter(is_repeated);
+        let repeated: Vec<VmId> =
+            repeated.take(REPEATED_UPDATES).map(|(vm, _)| vm.clone()).collect();
+        outbox.repeated = repeated.last().cloned().or_else(|| outbox.repeated.take());
+        due.extend(repeated);
         updates.extend(due.iter().filter_map(|it| self.members.get(it)).map(Member::update));
         updates
     }
@@ -375,25 +390,23 @@
         self.outboxes.values_mut().for_each(|it| it.push(vm, state));
     }
 
-    /// Records that `sender` knows what it has sent, if that is the state in which this VM has the
-    /// member.
+    /// Records that `sender` knows what it has sent. If this VM knows of a later state, the sender
+    /// is told of that.
     fn record_told(&mut self, sender: &VmId, update: &MemberUpdate) {
         let vm = &update.member.vm;
-        let is_same =
-            |it: &Member| (it.incarnation, it.state) == (update.incarnation, update.state);
-        if self.members.get(vm).is_some_and(is_same)
-            && let Some(outbox) = self.outboxes.get_mut(sender)
-        {
-            outbox.remove(vm);
+        let Some(member) = self.members.get(vm) else { return };
+        let Some(outbox) = self.outboxes.get_mut(sender) else { return };
+        match (member.incarnation, member.state).cmp(&(update.incarnation, update.state)) {
+            Ordering::Less => {}
+            Ordering::Equal => outbox.remove(vm),
+            Ordering::Greater => outbox.push(vm, member.state),
         }
     }
 
     /// Returns the living members in ring order, starting with the one after this VM.
     fn ring(&self) -> Vec<&PeerAddress> {
-        let own: &str = &self.local.vm;
-        let after = self.members.range::<str, _>((Bound::Excluded(own), Bound::Unbounded));
-        let before = self.members.range::<str, _>((Bound::Unbounded, Bound::Excluded(own)));
-        let alive = after.chain(before).filter(|(_, it)| it.state == MemberState::Alive);
+        let members = ring_after(&self.members, &self.local.vm);
+        let alive = members.filter(|(_, it)| it.state == MemberState::Alive);
         alive.map(|(_, it)| &it.address).collect()
     }
 
@@ -419,6 +432,15 @@
     }
 }
 
+/// Returns the members in ring order, starting with the one after `vm`; `vm` itself comes last.
+fn ring_after<'a>(
+    members: &'a BTreeMap<VmId, Member>,
+    vm: &str,
+) -> impl Iterator<Item = (&'a VmId, &'a Member)> {
+    let after = members.range::<str, _>((Bound::Excluded(vm), Bound::Unbounded));
+    after.chain(members.range::<str, _>((Bound::Unbounded, Bound::Included(vm))))
+}
+
 /// Returns the indexes of the neighbours among the other VMs of a ring: those at distances 1, 2, 4
 /// and so on.
 fn neighbour_indexes(other_vms: usize) -> impl Iterator<Item = usize> {
--- a/crates/coordination/tests/member_discovery.rs
+++ b/crates/coordination/tests/member_discovery.rs
@@ -14,6 +14,9 @@
 /// Rounds after which all VMs know each other: more than enough for any order of messages.
 const MAX_ROUNDS: usize = 30;
 
+/// Rounds after which four VMs know each other although a few messages in a row were lost.
+const MAX_LOSSY_ROUNDS: usize = 5;
+
 fn address(number: usize) -> PeerAddress {
     PeerAddress {
         vm: format!("vm-{number}").into(),
@@ -23,6 +26,18 @@
 }
 
 fn send(vms: &mut [Membership], now: Instant, from: usize, to: usize) {
+    send_over(&mut |_| false, vms, now, from, to);
+}
+
+/// Sends a heartbeat and the reply to it, each of which is lost if `is_lost` says so of its
+/// receiver.
+fn send_over(
+    is_lost: &mut impl FnMut(usize) -> bool,
+    vms: &mut [Membership],
+    now: Instant,
+    from: usize,
+    to: usize,
+) {
     let receiver = address(to);
     let heartbeat = Heartbeat {
         from: vms[from].local().clone(),
@@ -34,24 +49,47 @@
         pressure: PressureDigest::default(),
         members: vms[from].updates_for(&receiver.vm),
     };
+    if is_lost(to) {
+        return;
+    }
     let relation = vms[to].on_heartbeat(now, &heartbeat);
     if !relation.is_neighbour {
-        send_updates(vms, now, to, from);
+        send_updates(is_lost, vms, now, to, from);
     }
 }
 
 /// Sends the reply to a heartbeat of a VM that is not a neighbour.
-fn send_updates(vms: &mut [Membership], now: Instant, from: usize, to: usize) {
+fn send_updates(
+    is_lost: &mut impl FnMut(usize) -> bool,
+    vms: &mut [Membership],
+    now: Instant,
+    from: usize,
+    to: usize,
+) {
     let receiver = address(to);
     let sender = vms[from].local().clone();
     let incarnation = vms[from].incarnation();
     let members = vms[from].updates_for(&receiver.vm);
+    if is_lost(to) {
+        return;
+    }
     vms[to].on_direct_message(now, &sender, incarnation);
     members.iter().for_each(|it| vms[to].on_update(now, it));
 }
 
 /// Lets the running VMs send heartbeats for some rounds.
 fn run(vms: &mut [Membership], now: &mut Instant, rounds: usize, running: &[usize]) {
+    run_over(&mut |_| false, vms, now, rounds, running);
+}
+
+/// Lets the running VMs send heartbeats for some rounds, some of which are lost.
+fn run_over(
+    is_lost: &mut impl FnMut(usize) -> bool,
+    vms: &mut [Membership],
+    now: &mut Instant,
+    rounds: usize,
+    running: &[usize],
+) {
     for round in 0..rounds {
         *now += ROUND;
         for vm in running {
@@ -61,7 +99,7 @@
             for receiver in receivers {
                 let to = usize::from(receiver.address.port()) - 1_000;
                 if running.contains(&to) {
-                    send(vms, *now, *vm, to);
+                    send_over(is_lost, vms, *now, *vm, to);
                 }
             }
         }
@@ -90,6 +128,40 @@
     }
 }
 
+#[test]
+fn restarted_vm_is_told_despite_loss() {
+    let mut now = Instant::now();
+    let mut vms: Vec<_> = (0..4).map(|it| Membership::new(address(it), 1)).collect();
+    for vm in 1..4 {
+        send(&mut vms, now, vm, 0);
+    }
+    let all = [0, 1, 2, 3];
+    run(&mut vms, &mut now, MAX_ROUNDS, &all);
+    let mut failed = Vec::new();
+    for (restarted, seed) in all.iter().flat_map(|vm| all.map(|seed| (*vm, seed))) {
+        for first_lost in 1..7 {
+            let incarnation = vms[restarted].incarnation() + 1;
+            vms[restarted] = Membership::new(address(restarted), incarnation);
+            let mut arrivals = 0;
+            // Three messages in a row to the new process are lost.
+            let is_lost = &mut |to: usize| {
+                arrivals += usize::from(to == restarted);
+                to == restarted && (first_lost..first_lost + 3).contains(&arrivals)
+            };
+            if seed != restarted {
+                send_over(is_lost, &mut vms, now, restarted, seed);
+            }
+            run_over(is_lost, &mut vms, &mut now, MAX_LOSSY_ROUNDS, &all);
+            let counts: Vec<usize> = vms.iter().map(Membership::alive_count).collect();
+            if counts != [4; 4] {
+                failed.push((restarted, seed, first_lost, counts));
+            }
+            run(&mut vms, &mut now, 70, &all);
+        }
+    }
+    assert_eq!(failed, []);
+}
+
 #[test]
 fn restarted_vm_without_a_living_seed_is_found() {
     let mut now = Instant::now();
