--- a/crates/daemon/src/service/problem.rs
+++ b/crates/daemon/src/service/problem.rs
@@ -10,6 +10,9 @@
 /// Outcome of a request that was rejected before it could be sent.
 const NOT_RUN: &str = "not_run";
 
+/// Kind of the error for a request that is not valid.
+const INVALID_REQUEST: &str = "invalid_request_error";
+
 /// An error response to a caller.
 #[derive(Debug)]
 pub(super) struct Problem {
@@ -25,27 +28,12 @@
 impl Problem {
     /// Creates the error for an invalid request.
     pub(super) const fn invalid(status: u16, message: String) -> Self {
-        Self {
-            status,
-            message,
-            kind: "invalid_request_error",
-            param: None,
-            outcome: None,
-            earlier_requests: None,
-        }
+        Self::new(status, INVALID_REQUEST, message)
     }
 
     /// Creates the error for an invalid field or header of the request.
-    pub(super) const fn field(param: &'static str, message: String) -> Self {
-        let kind = "invalid_request_error";
-        Self {
-            status: 400,
-            message,
-            kind,
-            param: Some(param),
-            outcome: None,
-            earlier_requests: None,
-        }
+    pub(super) fn field(param: &'static str, message: String) -> Self {
+        Self { param: Some(param), ..Self::new(400, INVALID_REQUEST, message) }
     }
 
     /// Creates the error for a method other than the `accepted` one.
@@ -54,33 +42,22 @@
     }
 
     pub(super) const fn unauthorized(message: String) -> Self {
-        Self {
-            status: 401,
-            message,
-            kind: "authentication_error",
-            param: None,
-            outcome: None,
-            earlier_requests: None,
-        }
+        Self::new(401, "authentication_error", message)
     }
 
-    pub(super) const fn forbidden(param: &'static str, message: String) -> Self {
-        let kind = "permission_error";
-        Self {
-            status: 403,
-            message,
-            kind,
-            param: Some(param),
-            outcome: None,
-            earlier_requests: None,
-        }
+    pub(super) fn forbidden(param: &'static str, message: String) -> Self {
+        Self { param: Some(param), ..Self::new(403, "permission_error", message) }
     }
 
     /// Creates the error for a request that ended without a complete response.
     pub(super) fn outcome(outcome: Outcome) -> Self {
         let (status, message) = describe(&outcome);
-        let kind = outcome.name();
-        Self { status, message, kind, param: None, outcome: Some(outcome), earlier_requests: None }
+        let error = Self::new(status, outcome.name(), message);
+        Self { outcome: Some(outcome), ..error }
+    }
+
+    const fn new(status: u16, kind: &'static str, message: String) -> Self {
+        Self { status, message, kind, param: None, outcome: None, earlier_requests: None }
     }
 
     /// Says that the outcome is that of this request only, as nothing is known of earlier ones with the
