--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -217,9 +217,9 @@
         std::iter::once(self.local.clone()).chain(others).collect()
     }
 
-    /// Returns the number of known members in any state, excluding this VM.
+    /// Returns the number of known members in any state, including this VM.
     pub fn known_count(&self) -> usize {
-        self.members.len()
+        1 + self.members.len()
     }
 
     /// Returns the states of all members, excluding this VM.
--- a/crates/daemon/src/control/limits.rs
+++ b/crates/daemon/src/control/limits.rs
@@ -73,7 +73,7 @@
     let config = node.dispatcher.config();
     let (alive, known) = {
         let membership = node.membership();
-        (membership.alive_names(), membership.known_count() + 1)
+        (membership.alive_names(), membership.known_count())
     };
     let fraction = alive.len() as f64 / known as f64;
     let mut coordinator = node.limit_coordinator();
--- a/crates/daemon/src/service/access.rs
+++ b/crates/daemon/src/service/access.rs
@@ -63,7 +63,7 @@
     node: &'a Node,
     customer: &CustomerSpec,
 ) -> Result<LimitGuard<'a>, Problem> {
-    let vms_known = node.membership().known_count() + 1;
+    let vms_known = node.membership().known_count();
     let admitted = node.limits().admit(Instant::now(), customer, vms_known);
     match admitted {
         Ok(()) => Ok(LimitGuard { node, customer: customer.id.clone() }),
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -99,7 +99,7 @@
     /// partitioned from this one continue to use their share.
     fn update_vm_count(&self) {
         let known = u32::try_from(self.membership().known_count()).unwrap_or(u32::MAX);
-        let vm_count = if known == 0 { INITIAL_VM_COUNT } else { known + 1 };
+        let vm_count = if known == 1 { INITIAL_VM_COUNT } else { known };
         self.relay.dispatcher.handle(SchedulerEvent::VmCountChanged(vm_count));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vm_count));
     }
--- a/crates/relay/src/peers/permits.rs
+++ b/crates/relay/src/peers/permits.rs
@@ -95,6 +95,6 @@
     /// from this one have a coordinator of their own, which issues the rest.
     fn issued_fraction(&self) -> f64 {
         let membership = self.membership();
-        membership.alive_count() as f64 / (membership.known_count() + 1) as f64
+        membership.alive_count() as f64 / membership.known_count() as f64
     }
 }
