--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -23,6 +23,7 @@
 use cranberryvalve_adapters::caller::CallerServer;
 use cranberryvalve_adapters::caller::Responder;
 use cranberryvalve_adapters::caller::ServerLimits;
+use cranberryvalve_adapters::caller::StreamWriter;
 use cranberryvalve_coordination::orders::FencedOrder;
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::Tier;
@@ -110,6 +111,12 @@
     pub complete: bool,
 }
 
+/// Last part of a response.
+struct ResponseEnd<'a> {
+    writer: StreamWriter<'a>,
+    events: String,
+}
+
 /// A fake engine that runs until it is dropped.
 pub struct Engine {
     name: String,
@@ -291,7 +298,7 @@
                 responder.respond(400, &headers, b"{\"error\":{\"outcome\":\"no resumption\"}}");
             return;
         }
-        let run = EngineRun {
+        let mut run = EngineRun {
             attempt_id: body["request_id"].as_str().unwrap_or_default().to_owned(),
             priority: body["priority"].as_u64().unwrap_or(0) as Tier,
             prompt: body["messages"][0]["content"].as_str().unwrap_or_default().to_owned(),
@@ -299,52 +306,51 @@
             tokens: 0,
             complete: false,
         };
-        let run = self.generate(&body, run, stream, responder);
+        let end = self.generate(&body, &mut run, stream, responder);
+        {
+            // Whoever sees the end of the response finds its record.
+            let mut runs = lock(&self.shared.runs);
+            run.complete = end.is_some_and(|mut it| it.writer.send(&it.events).is_ok());
+            runs.push(run);
+        }
         responder.close();
-        lock(&self.shared.runs).push(run);
     }
 
-    /// Generates the tokens of an attempt, and returns its record.
-    fn generate(
+    /// Generates the tokens of an attempt. Returns the end of its response, or `None` if the response
+    /// breaks off.
+    fn generate<'a>(
         &self,
         body: &Value,
-        mut run: EngineRun,
+        run: &mut EngineRun,
         stream: &TcpStream,
-        responder: &mut Responder<'_>,
-    ) -> EngineRun {
-        let Some(_slot) = self.shared.scheduler.acquire(run.priority, || is_disconnected(stream))
-        else {
-            return run;
-        };
+        responder: &mut Responder<'a>,
+    ) -> Option<ResponseEnd<'a>> {
+        let _slot = self.shared.scheduler.acquire(run.priority, || is_disconnected(stream))?;
         let (digest, count) = response_parameters(body);
         self.shared.sleep_scaled(self.shared.prefill_time(&digest));
-        let Ok(mut writer) = responder.stream(&[("content-type", "text/event-stream")]) else {
-            return run;
-        };
+        let mut writer = responder.stream(&[("content-type", "text/event-stream")]).ok()?;
         for position in run.start..count {
             let faults = lock(&self.shared.faults).clone();
             if faults.cut_after_tokens.is_some_and(|it| run.tokens >= it) || faults.down {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
-                return run;
+                return None;
             }
             if faults.stall_after_tokens.is_some_and(|it| run.tokens >= it) {
                 self.hold_open(stream);
-                return run;
+                return None;
             }
             self.shared.sleep_scaled(self.shared.settings.token_interval);
             run.tokens += 1;
             let is_last = position + 1 == count;
-            let events = token_events(&run, &digest, position, is_last, faults.reorders_chunks);
-            if writer.send(&events).is_err() {
-                return run;
-            }
+            let events = token_events(run, &digest, position, is_last, faults.reorders_chunks);
+            writer.send(&events).ok()?;
         }
         let end = json!({
             "id": run.attempt_id, "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
             "usage": { "completion_tokens": count },
         });
-        run.complete = writer.send(&format!("data: {end}\n\ndata: [DONE]\n\n")).is_ok();
-        run
+        let events = format!("data: {end}\n\ndata: [DONE]\n\n");
+        Some(ResponseEnd { writer, events })
     }
 
     /// Keeps a stream open without data until the fault ends or the caller disconnects.
