fix: a stream that its caller does not read is not the caller's leaving

A write to a caller that reaches the call's deadline was mapped to the same error as a closed connection: the call counted as caller_gone, without a status or a failed attempt, and explain said that the caller left. Ruled out: the upstream's call, which was ended in both cases, and the scheduler, to which both say nothing of the upstream's health.

Writes now fail with a typed error. The call ends as partial, its attempt as `unread`, and explain says that the caller had not read the stream.

Seen beside it, and left: a caller that reads nothing for more than 2.5 s while the buffers are full is cut off by the kernel (TCP_USER_TIMEOUT also ends a connection whose window stays closed): once at 3.2 s of a deadline of 8 s, and that counts as caller_gone.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -131,6 +131,10 @@
             number("total_ms"),
             text("failures")
         ),
+        "partial" if text("failures").ends_with(":unread") => format!(
+            "the caller had not read the stream from {upstream} by its deadline; {} events were sent",
+            number("events")
+        ),
         "partial" => format!(
             "the stream from {upstream} broke off after {} events: {}",
             number("events"),
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,6 @@
 mod upstream;
 
 use std::fmt::Write as _;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -24,6 +23,7 @@
 use self::attempt::RequestWriter;
 use self::upstream::ScheduledUpstream;
 use crate::caller::CallerConnection;
+use crate::caller::WriteError;
 use crate::dialect::UpstreamRequest;
 use crate::dispatch::CallGuard;
 use crate::events::EventId;
@@ -135,6 +135,8 @@
     Incomplete,
     /// The caller closed its connection.
     CallerDisconnected,
+    /// The caller had not read the stream by the call's deadline.
+    Unread,
     /// The call's deadline has passed.
     DeadlineExceeded {
         /// Whether the call may have been sent by then.
@@ -153,9 +155,10 @@
             Self::Buffered(response) if response.head.status >= 500 => AttemptEnd::Failed,
             Self::Buffered(_) | Self::Streamed { .. } => AttemptEnd::Complete,
             Self::Incomplete => AttemptEnd::Interrupted,
-            Self::CallerDisconnected | Self::DeadlineExceeded { .. } | Self::Quarantined(_) => {
-                AttemptEnd::Abandoned
-            }
+            Self::CallerDisconnected
+            | Self::Unread
+            | Self::DeadlineExceeded { .. }
+            | Self::Quarantined(_) => AttemptEnd::Abandoned,
         }
     }
 
@@ -176,6 +179,7 @@
     pub(crate) const fn failure(&self) -> Option<&'static str> {
         match (self, self.end()) {
             (Self::DeadlineExceeded { .. }, _) => Some("time_over"),
+            (Self::Unread, _) => Some("unread"),
             (_, AttemptEnd::Complete | AttemptEnd::Abandoned) => None,
             (_, end) => Some(end.name()),
         }
@@ -202,6 +206,7 @@
 enum AttemptError {
     Incomplete,
     CallerDisconnected,
+    Unread,
     DeadlineExceeded { is_sent: bool },
 }
 
@@ -210,6 +215,7 @@
         match error {
             AttemptError::Incomplete => Self::Incomplete,
             AttemptError::CallerDisconnected => Self::CallerDisconnected,
+            AttemptError::Unread => Self::Unread,
             AttemptError::DeadlineExceeded { is_sent } => Self::DeadlineExceeded { is_sent },
         }
     }
@@ -411,10 +417,12 @@
     }
 }
 
-impl From<io::Error> for AttemptError {
-    /// Only I/O on the caller's connection is converted; upstream errors are mapped explicitly.
-    fn from(_: io::Error) -> Self {
-        Self::CallerDisconnected
+impl From<WriteError> for AttemptError {
+    fn from(error: WriteError) -> Self {
+        match error {
+            WriteError::Disconnected => Self::CallerDisconnected,
+            WriteError::Unread => Self::Unread,
+        }
     }
 }
 
--- a/crates/relay/src/exchange/delivery.rs
+++ b/crates/relay/src/exchange/delivery.rs
@@ -1,12 +1,12 @@
 //! The response to a caller across all attempts of its call.
 
-use std::io;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::caller::BegunStream;
 use crate::caller::CallerConnection;
 use crate::caller::UnsentResponse;
+use crate::caller::WriteError;
 use crate::events::EventBatch;
 use crate::events::EventId;
 use crate::events::EventReader;
@@ -94,7 +94,7 @@
         events: &EventBatch,
         position: StreamPosition,
         deadline: Instant,
-    ) -> io::Result<()> {
+    ) -> Result<(), WriteError> {
         let mut stream = self.take_stream(caller, head, deadline)?;
         stream.send_events(caller, &events.bytes, deadline)?;
         self.state = State::Begun(stream);
@@ -109,7 +109,7 @@
         caller: &mut CallerConnection,
         head: &ResponseHead,
         deadline: Instant,
-    ) -> io::Result<()> {
+    ) -> Result<(), WriteError> {
         self.take_stream(caller, head, deadline)?.end(caller, deadline)
     }
 
@@ -118,11 +118,11 @@
         caller: &mut CallerConnection,
         head: &ResponseHead,
         deadline: Instant,
-    ) -> io::Result<BegunStream> {
+    ) -> Result<BegunStream, WriteError> {
         match std::mem::take(&mut self.state) {
             State::Unsent(response) => response.begin_stream(caller, head, deadline),
             State::Begun(stream) => Ok(stream),
-            State::Over => Err(io::ErrorKind::NotConnected.into()),
+            State::Over => Err(WriteError::Disconnected),
         }
     }
 
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -391,7 +391,9 @@
             AttemptOutcome::Streamed { .. } => Some(CallOutcome::Streamed),
             AttemptOutcome::Quarantined(refusal) => Some(progress.quarantine_outcome(&refusal)),
             AttemptOutcome::CallerDisconnected => Some(CallOutcome::CallerDisconnected),
-            AttemptOutcome::DeadlineExceeded { .. } => Some(progress.outcome_at_deadline()),
+            AttemptOutcome::Unread | AttemptOutcome::DeadlineExceeded { .. } => {
+                Some(progress.outcome_at_deadline())
+            }
         };
         call_guard.attempt_ended(attempt, end);
         if matches!(end, AttemptEnd::Refused { .. }) {
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -169,7 +169,9 @@
             AttemptOutcome::Incomplete | AttemptOutcome::Unattested => {
                 Some(self.failure(LostResponse::Invalid, DEFAULT_RETRY_AFTER, "another VM failed"))
             }
-            AttemptOutcome::DeadlineExceeded { .. } => Some(self.outcome_at_deadline()),
+            AttemptOutcome::Unread | AttemptOutcome::DeadlineExceeded { .. } => {
+                Some(self.outcome_at_deadline())
+            }
             AttemptOutcome::NotSent
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::NotRun { .. }
