fix(daemon): a stream that times out is partial and does not end like a whole one

A write to a caller that reached its limit of 10 s was taken for a caller that left: the request counted in callers_left and had no outcome. After it, dropping the chunk encoder sent the chunk of the failed write once more and the chunk that ends the body, so that a caller that read again saw the body end as if it were whole, without [DONE].

A failed write now closes the connection, and one that timed out ends the request as partial. A response of a plain service is counted as completed before it is sent, and stays so.

--- a/crates/adapters/src/caller/response.rs
+++ b/crates/adapters/src/caller/response.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 use std::io;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpStream;
 
 use chunked_transfer::Encoder;
@@ -95,20 +96,23 @@
 
 /// Writes the body of a streamed response.
 ///
-/// Dropping it sends the final chunk, which ends the body.
+/// Dropping it sends the final chunk, which ends the body, unless a write failed.
 pub struct StreamWriter<'a> {
     chunks: Encoder<&'a TcpStream>,
 }
 
 impl StreamWriter<'_> {
-    /// Sends `piece` immediately, without buffering it.
+    /// Sends `piece` immediately, without buffering it. A failure closes the connection.
     ///
     /// # Errors
     ///
     /// Fails if the caller has disconnected or a write times out.
     pub fn send(&mut self, piece: &str) -> io::Result<()> {
-        self.chunks.write_all(piece.as_bytes())?;
-        self.chunks.flush()
+        let result = self.chunks.write_all(piece.as_bytes()).and_then(|()| self.chunks.flush());
+        result.inspect_err(|_| {
+            // When it is dropped, the encoder would send the chunk again and end the body.
+            let _ = self.chunks.get_ref().shutdown(Shutdown::Both);
+        })
     }
 }
 
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -135,6 +135,8 @@
     Broken,
     /// The caller disconnected.
     Disconnected,
+    /// The caller did not read the response in time.
+    Unread,
 }
 
 /// Result of an attempt to call an upstream.
@@ -145,6 +147,8 @@
     Declined(UpstreamResponse),
     /// The caller disconnected.
     Disconnected,
+    /// The caller did not read the response in time.
+    Unread,
     /// The attempt failed; the router decides on a retry.
     Failed,
 }
@@ -168,6 +172,7 @@
                         }
                         CallResult::Declined(reply) => return self.forward(&reply, responder),
                         CallResult::Disconnected => return self.on_disconnect(responder),
+                        CallResult::Unread => return self.on_unread(responder),
                         CallResult::Failed => {}
                     }
                 }
@@ -241,8 +246,10 @@
                 ChunkAction::Lost => break StreamEnd::Broken,
             };
             decode_pace.record(tokens.len(), handle, order.attempt);
-            if self.deliver(&tokens, is_complete, responder).is_err() {
-                break StreamEnd::Disconnected;
+            if let Err(error) = self.deliver(&tokens, is_complete, responder) {
+                // The error of a write that reached its time limit (`SO_SNDTIMEO`).
+                let is_unread = error.kind() == io::ErrorKind::WouldBlock;
+                break if is_unread { StreamEnd::Unread } else { StreamEnd::Disconnected };
             }
             if is_complete {
                 break StreamEnd::Complete;
@@ -255,6 +262,7 @@
                 (CallResult::Finished, AttemptEnd::Complete { token_interval })
             }
             StreamEnd::Disconnected => (CallResult::Disconnected, AttemptEnd::Abandoned),
+            StreamEnd::Unread => (CallResult::Unread, AttemptEnd::Abandoned),
             StreamEnd::Broken if cancel.is_cancelled() => {
                 (CallResult::Disconnected, AttemptEnd::Abandoned)
             }
@@ -313,6 +321,13 @@
         Ok(())
     }
 
+    /// Ends a response of which the caller has a part and does not read the rest.
+    fn on_unread(&self, responder: &mut Responder<'s>) -> Result<(), Problem> {
+        self.metrics.record_outcome(&Outcome::Partial);
+        responder.close();
+        Ok(())
+    }
+
     fn timeouts(&self) -> Timeouts {
         let idle_timeout = Duration::from_millis(self.class.silence_limit_ms);
         let first_token = Duration::from_millis(self.class.first_token_target_ms);
