fix(policy): failures while a circuit is open do not extend its open time

Each further three failures of attempts that were sent before the circuit opened opened it once more, for twice the time: with 12 requests in flight at an upstream that broke, it was out for 8 s in place of 1 s. Failed load reports and connections already spared an open circuit; failed attempts now do, too.

failures_while_it_is_open_do_not_extend_the_open_time fails before (open after 1.1 s) and passes after.

--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -161,7 +161,7 @@
 
     pub(super) fn on_load_report_failed(&mut self, now: Instant, id: &str) {
         if let Some(upstream) = self.upstreams.entry(id) {
-            upstream.circuit.record_report_failure(now);
+            upstream.circuit.record_failure(now);
         }
     }
 
--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -114,20 +114,18 @@
     }
 
     /// Records a failure. Opens the circuit if a probe failed or there were enough failures.
+    ///
+    /// Failures while it is open are of attempts that were sent before, and show nothing new.
     pub(crate) fn record_failure(&mut self, now: Instant) {
+        if self.state(now) == CircuitState::Open {
+            return;
+        }
         self.consecutive_failures += 1;
         if self.probe_in_flight || self.consecutive_failures >= FAILURE_THRESHOLD {
             self.open(now);
         }
     }
 
-    /// Records that a load report failed. While the circuit is open it does not postpone the probe.
-    pub(crate) fn record_report_failure(&mut self, now: Instant) {
-        if self.state(now) != CircuitState::Open {
-            self.record_failure(now);
-        }
-    }
-
     /// Records that no connection could be made. A single such failure opens the circuit.
     pub(crate) fn record_unreachable(&mut self, now: Instant) {
         if self.state(now) != CircuitState::Open {
