fix(policy): a response without a measured pace does not close a straggler's circuit

A response of one token, which has no pace, counted as a success at normal speed and closed a circuit that was opened for slowness. It now lets the next probe through, and only a measured pace that is no straggler's closes the circuit. response_too_short_to_show_the_pace_does_not_close_a_straggler fails before and passes after.

Left: a response of two tokens counts as a whole sample of the pace.

--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -214,7 +214,7 @@
     fn update_circuit(&mut self, now: Instant, id: &str, end: AttemptEnd) {
         let Some(it) = self.upstreams.entry(id) else { return };
         match end {
-            AttemptEnd::Complete { token_interval: None } => it.circuit.record_success(),
+            AttemptEnd::Complete { token_interval: None } => it.circuit.record_whole_response(),
             AttemptEnd::Complete { token_interval: Some(token_interval) } => {
                 it.circuit.record_whole_response();
                 self.upstreams.record_token_interval(now, id, token_interval);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -452,7 +452,7 @@
 
 fn record_health(now: Instant, upstream: &mut Upstream, end: AttemptEnd) {
     match end {
-        AttemptEnd::Complete => upstream.circuit.record_success(),
+        AttemptEnd::Complete => upstream.circuit.record_whole_response(),
         AttemptEnd::NotSent => upstream.circuit.record_unreachable(now),
         AttemptEnd::Refused { misdirected } => {
             upstream.is_gone |= misdirected;
--- a/crates/policy/src/upstream/circuit.rs
+++ b/crates/policy/src/upstream/circuit.rs
@@ -102,7 +102,10 @@
     pub(crate) fn record_whole_response(&mut self) {
         match self.open_reason {
             OpenReason::Failures => *self = Self::new(),
-            OpenReason::Slowness => self.consecutive_failures = 0,
+            OpenReason::Slowness => {
+                self.consecutive_failures = 0;
+                self.probe_in_flight = false;
+            }
         }
     }
 
@@ -114,11 +117,6 @@
         }
     }
 
-    /// Records a successful response at normal speed and closes the circuit.
-    pub(crate) fn record_success(&mut self) {
-        *self = Self::new();
-    }
-
     /// Opens the circuit because the upstream is a straggler.
     pub(crate) fn open_for_slowness(&mut self, now: Instant) {
         if self.state(now) == CircuitState::Open {
--- a/crates/policy/tests/circuit_rules.rs
+++ b/crates/policy/tests/circuit_rules.rs
@@ -132,3 +132,30 @@
     harness.handle(Event::ResponseStarted { id: probe.id, attempt: probe.attempt });
     assert_eq!(circuit(&harness, "engine-0"), CircuitState::Closed);
 }
+
+#[test]
+fn response_too_short_to_show_the_pace_does_not_close_a_straggler() {
+    let mut harness = RouterHarness::new(4, 8);
+    let end_of = |upstream: &str| {
+        let interval_ms = if upstream == "engine-2" { 200 } else { 20 };
+        AttemptEnd::Complete { token_interval: Some(Duration::from_millis(interval_ms)) }
+    };
+    let mut id = 0;
+    while circuit(&harness, "engine-2") == CircuitState::Closed {
+        id += 1;
+        assert!(id < 1_000, "the straggler is not found");
+        let sent = start_stream(&mut harness, id).expect("a free slot");
+        harness.end(id, end_of(&sent.upstream));
+    }
+    harness.advance(Duration::from_millis(1_100));
+    for _ in 0..200 {
+        id += 1;
+        let sent = start_stream(&mut harness, id).expect("a free slot");
+        harness.end(id, AttemptEnd::Complete { token_interval: None });
+        if &*sent.upstream == "engine-2" {
+            assert_eq!(circuit(&harness, "engine-2"), CircuitState::HalfOpen);
+            return;
+        }
+    }
+    panic!("the straggler got no probe");
+}
