test: VMs of a later version and of none are named in logs and state

Cause: that a VM whose build is too old or too new is named with both versions was written in code and docs, and shown by no run of processes.

Change: a stand-in for a VM of another build (standins::peer) sends heartbeats and announces protocol 300, or nothing. Node and daemon show both in `member_builds` (`null` and 0 for the one without), write a line with `peer_build`, `peer_protocol`, `own_build` and `own_protocol` for each, and serve their callers.

The code needed no change.

--- a/crates/daemon/tests/member_builds.rs
+++ b/crates/daemon/tests/member_builds.rs
@@ -6,6 +6,10 @@
 use cranberryvalve_coordination::builds::PROTOCOL_VERSION;
 use cranberryvalve_standins::cluster::Cluster;
 use cranberryvalve_standins::cluster::ClusterSettings;
+use cranberryvalve_standins::peer::logs_other_versions;
+use cranberryvalve_standins::peer::shows_other_versions;
+use cranberryvalve_standins::peer::start_other_versions;
+use cranberryvalve_standins::vm::SHARED_SECRET;
 use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 use serde_json::Value;
@@ -54,3 +58,22 @@
     *vm = Vm::start_at(vm.settings.clone(), addresses).expect("the daemon starts");
     assert!(wait_until(WAIT_TIMEOUT, || all_show(&cluster)), "{:#?}", dumps(&cluster));
 }
+
+#[test]
+fn vms_of_other_versions_are_named() {
+    let settings = ClusterSettings { vms: 1, engines: 1, ..ClusterSettings::default() };
+    let program = Path::new(env!("CARGO_BIN_EXE_cranberryvalved"));
+    let cluster = Cluster::start(program, settings).expect("the deployment starts");
+    let vm = &cluster.vms[0];
+    let other = (&*vm.settings.name, vm.peer_address);
+    let _peers = start_other_versions(SHARED_SECRET.as_bytes(), other);
+    let members = || vm.dump()["member_builds"].take();
+    assert!(wait_until(WAIT_TIMEOUT, || shows_other_versions(&members())), "{:#}", members());
+    let own_build = members()[0]["build"].take();
+    assert!(
+        wait_until(WAIT_TIMEOUT, || logs_other_versions(&vm.log(), &own_build)),
+        "{}",
+        vm.log()
+    );
+    assert_eq!(cluster.book(0, "booking-1").status, 200, "it serves its callers all the same");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 //!   responses, and stops when the caller disconnects;
 //! - [`service`]: a plain service that records each effect;
 //! - [`platform`]: the table service, the object store and the list of VMs;
+//! - [`peer`]: a VM of another build, that only sends heartbeats;
 //! - [`proxy`]: a TCP proxy that delays, stalls, slows down, resets and cuts connections.
 //!
 //! [`vm`] starts real daemons, [`cluster`] starts a complete deployment, and [`client`] sends
@@ -24,6 +25,7 @@
 pub mod cluster;
 pub mod config;
 pub mod engine;
+pub mod peer;
 pub mod platform;
 pub mod ports;
 pub mod proxy;
