feat: explain names the build that handled a request

Cause: lines of calls carried no build, and the daemon wrote no line about a request at all, so an upgrade's failures could not be told apart by build.

`explain` names each VM and build that handled the request; lines without the field are read, with the build `unknown`. - The daemon writes `call ended` and `call refused` like the relay. The request is named by `x-request-id`, else the idempotency key, else the id of the answer. Lines of requests answered within the targets at the first attempt are limited by the relay's limiter, which moved to `adapters::telemetry`. - Ids of a daemon's answers contain the start of the process: they were repeated after a restart, so a request could not be told from one of the build before. - `explain` says of a call that was answered from the ledger that it was.

Ruled out: the build in `started` lines only, as they may be rotated away.

--- a/crates/adapters/src/telemetry.rs
+++ b/crates/adapters/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Logs and metrics.
 
 mod log_queue;
+mod rate_limiter;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -23,6 +24,7 @@
 use slog::o;
 
 pub use self::log_queue::LogGuard;
+pub use self::rate_limiter::LogRateLimiter;
 
 use self::log_queue::LogQueue;
 
@@ -30,10 +32,11 @@
 const DURATION_BUCKETS_S: [f64; 14] =
     [0.001, 0.005, 0.01, 0.02, 0.039, 0.08, 0.15, 0.3, 0.6, 1.0, 1.5, 3.0, 10.0, 30.0];
 
-/// Creates a logger that writes JSON lines to standard output without blocking its callers.
+/// Creates a logger that writes JSON lines to standard output without blocking its callers. Each line
+/// names the VM and its build.
 ///
 /// Dropping the guard waits for a limited time until the queued lines are written.
-pub fn logger(vm: &VmId, level: Level) -> (Logger, LogGuard) {
+pub fn logger(vm: &VmId, build: &'static str, level: Level) -> (Logger, LogGuard) {
     let (queue, guard) = LogQueue::start(io::stdout());
     let json = slog_json::Json::new(queue)
         .set_newlines(true)
@@ -44,7 +47,7 @@
         ))
         .build();
     let drain = LevelFilter::new(Mutex::new(json).fuse(), level).fuse();
-    (Logger::root(drain, o!("vm" => vm.to_string())), guard)
+    (Logger::root(drain, o!("build" => build, "vm" => vm.to_string())), guard)
 }
 
 /// Installs the metrics recorder of the process.
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -19,11 +19,20 @@
     "source is back",
     "feed lost its history",
     "draining",
-    "started",
+    STARTED,
 ];
 
+/// Message of the first line of a process.
+const STARTED: &str = "started";
+
 /// Fields that are common to lines, which [`render`] leaves out of their field lists.
-const COMMON_FIELDS: [&str; 5] = ["message", "time_unix_ms", "vm", "level", "request"];
+const COMMON_FIELDS: [&str; 6] = ["message", "time_unix_ms", "vm", "build", "level", "request"];
+
+/// Stands for the upstream of a call that was not sent.
+const NO_UPSTREAM: &str = "-";
+
+/// Stands for the build in lines of builds that did not write it.
+const UNKNOWN_BUILD: &str = "unknown";
 
 /// A parsed log line.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +40,8 @@
 pub(crate) struct Line {
     pub(crate) time_unix_ms: u64,
     pub(crate) vm: String,
+    /// Name of the build that wrote the line; `None` for builds that did not write it.
+    pub(crate) build: Option<String>,
     pub(crate) message: String,
     /// Whether the line is about the request itself.
     pub(crate) is_own: bool,
@@ -46,6 +57,16 @@
     pub(crate) lines: Vec<Line>,
     /// Outcome of the request in one sentence.
     pub(crate) summary: String,
+    /// VM and build of each process that handled the request, in the order of their first lines.
+    pub(crate) handled_by: Vec<Handler>,
+}
+
+/// A process that handled a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub(crate) struct Handler {
+    pub(crate) vm: String,
+    pub(crate) build: Option<String>,
 }
 
 /// Reads log lines.
@@ -66,6 +87,7 @@
     Some(Line {
         time_unix_ms: fields.get("time_unix_ms")?.as_u64()?,
         vm: text("vm")?,
+        build: text("build"),
         message: text("message")?,
         is_own: false,
         fields,
@@ -98,7 +120,20 @@
         .map(|it| Line { is_own: is_own(it), ..it.clone() })
         .collect();
     selected.sort_by_key(|it| it.time_unix_ms);
-    Some(Timeline { request: request.to_owned(), lines: selected, summary })
+    let handled_by = handlers(selected.iter().filter(|it| it.is_own));
+    Some(Timeline { request: request.to_owned(), lines: selected, summary, handled_by })
+}
+
+/// Returns the processes that wrote these lines, each of them once.
+fn handlers<'a>(own: impl Iterator<Item = &'a Line>) -> Vec<Handler> {
+    let mut handlers = Vec::new();
+    for line in own {
+        let handler = Handler { vm: line.vm.clone(), build: line.build.clone() };
+        if !handlers.contains(&handler) {
+            handlers.push(handler);
+        }
+    }
+    handlers
 }
 
 /// Returns whether a line is about the state of a VM, or of one of the request's upstreams.
@@ -118,7 +153,7 @@
         return "it has not ended, or the line of its end is missing".to_owned();
     };
     let number = |name: &str| ending.fields.get(name).and_then(Value::as_u64).unwrap_or(0);
-    let text = |name: &str| ending.fields.get(name).and_then(Value::as_str).unwrap_or("-");
+    let text = |name: &str| ending.fields.get(name).and_then(Value::as_str).unwrap_or(NO_UPSTREAM);
     let upstream = text("upstream");
     match text("outcome") {
         "not_run" => format!(
@@ -148,6 +183,9 @@
             number("events")
         ),
         _ if ending.fields.get("late") == Some(&Value::Bool(true)) => late_cause(&number, upstream),
+        _ if upstream == NO_UPSTREAM => {
+            format!("it was answered as an earlier call was, in {} ms", number("total_ms"))
+        }
         _ => format!("{upstream} answered in {} ms", number("total_ms")),
     }
 }
@@ -170,10 +208,17 @@
 pub(crate) fn render(timeline: &Timeline) -> String {
     let start_ms = timeline.lines.first().map_or(0, |it| it.time_unix_ms);
     let mut text = format!("request {}: {}\n", timeline.request, timeline.summary);
+    for Handler { vm, build } in &timeline.handled_by {
+        let build = build.as_deref().unwrap_or(UNKNOWN_BUILD);
+        text.push_str(&format!("handled by {vm}, build {build}\n"));
+    }
     for line in &timeline.lines {
         let mark = if line.is_own { '*' } else { ' ' };
         let at_ms = line.time_unix_ms - start_ms;
         text.push_str(&format!("{mark} {at_ms:>7} ms  {}  {}", line.vm, line.message));
+        if let Some(build) = line.build.as_ref().filter(|_| line.message == STARTED) {
+            text.push_str(&format!("  build={build:?}"));
+        }
         for (name, value) in &line.fields {
             if !COMMON_FIELDS.contains(&&**name) && !value.is_null() {
                 text.push_str(&format!("  {name}={value}"));
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod live_calls;
 mod node;
 mod operator;
+mod request_log;
 mod request_metrics;
 mod service;
 mod settings;
@@ -18,6 +19,7 @@
 use slog::error;
 use slog::info;
 
+use crate::node::BUILD;
 use crate::node::Node;
 use crate::settings::Settings;
 
@@ -27,7 +29,7 @@
         Ok(None) => return ExitCode::SUCCESS,
         Err(report) => return settings::print_error(&report),
     };
-    let (log, _guard) = telemetry::logger(&settings.vm, settings.log_level);
+    let (log, _guard) = telemetry::logger(&settings.vm, BUILD, settings.log_level);
     match run(settings, log.clone()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -13,6 +13,7 @@
 use cranberryvalve_adapters::platform::PlatformClient;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry;
+use cranberryvalve_adapters::telemetry::LogRateLimiter;
 use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::leaving::LeavingChange;
 use cranberryvalve_coordination::leaving::LeavingView;
@@ -24,6 +25,7 @@
 use cranberryvalve_coordination::replica::Freshness;
 use cranberryvalve_coordination::replica::Replica;
 use cranberryvalve_core::Config;
+use cranberryvalve_core::RequestId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_policy::Event;
 use cranberryvalve_policy::RouterSettings;
@@ -40,7 +42,7 @@
 use crate::store_breaker::StoreBreaker;
 
 /// Name of this build, which the other VMs are told.
-const BUILD: &str = env!("CRANBERRYVALVE_BUILD");
+pub(crate) const BUILD: &str = env!("CRANBERRYVALVE_BUILD");
 
 /// What the daemon announces that it is able to do: none of the mechanisms that have a bit, as it
 /// ignores their messages.
@@ -58,6 +60,7 @@
     pub(crate) disconnect_monitor: DisconnectMonitor,
     pub(crate) key: SharedKey,
     pub(crate) live_calls: LiveCalls,
+    pub(crate) request_log_limiter: LogRateLimiter,
     pub(crate) started_unix_ms: u64,
     replica: Mutex<Replica>,
     membership: Mutex<Membership>,
@@ -95,6 +98,7 @@
             disconnect_monitor: DisconnectMonitor::start(),
             key,
             live_calls: LiveCalls::default(),
+            request_log_limiter: LogRateLimiter::new(Instant::now()),
             started_unix_ms,
             replica: Mutex::new(Replica::new(Instant::now())),
             membership: Mutex::new(Membership::new(own, started_unix_ms)),
@@ -143,10 +147,14 @@
         self.replica().freshness(Instant::now())
     }
 
+    /// Returns an identifier that no other request has, on any VM and after any restart.
+    pub(crate) fn unique_id(&self, request: RequestId) -> String {
+        format!("{}-{}-{request}", self.settings.vm, self.started_unix_ms)
+    }
+
     /// Returns an identifier that no other attempt has, on any VM and after any restart.
     pub(crate) fn attempt_id(&self, order: &SendCommand) -> Arc<str> {
-        let (vm, started_unix_ms) = (&self.settings.vm, self.started_unix_ms);
-        format!("{vm}-{started_unix_ms}-{}-{}", order.id, order.attempt).into()
+        format!("{}-{}", self.unique_id(order.id), order.attempt).into()
     }
 
     /// Handles the leaving state that an upstream reported of itself in a response or load report.
--- a/crates/daemon/src/request_metrics.rs
+++ b/crates/daemon/src/request_metrics.rs
@@ -1,14 +1,19 @@
 //! Metrics of requests by service class.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use cranberryvalve_core::Outcome;
 use cranberryvalve_core::ServiceClass;
+use cranberryvalve_core::UpstreamId;
+
+use crate::node::Node;
+use crate::request_log::RequestLog;
 
 /// Records the metrics of one request from its arrival to its outcome.
-#[derive(Debug)]
-pub(crate) struct RequestMetrics {
+pub(crate) struct RequestMetrics<'a> {
+    log: RequestLog<'a>,
     class: String,
     first_token_target: Duration,
     token_interval_target: Duration,
@@ -17,12 +22,13 @@
     tokens: u64,
 }
 
-impl RequestMetrics {
-    /// Counts a new request and starts to measure it.
-    pub(crate) fn start(class: &ServiceClass) -> Self {
+impl<'a> RequestMetrics<'a> {
+    /// Counts a new request, which lines call `request`, and starts to measure it.
+    pub(crate) fn start(node: &'a Node, class: &ServiceClass, request: Arc<str>) -> Self {
         metrics::counter!("cranberryvalve_requests_total", "class" => class.id.to_string())
             .increment(1);
         Self {
+            log: RequestLog::start(node, class, request),
             class: class.id.to_string(),
             first_token_target: Duration::from_millis(class.first_token_target_ms),
             token_interval_target: Duration::from_millis(class.token_interval_target_ms),
@@ -44,6 +50,11 @@
         }
     }
 
+    /// Records that an attempt is made at an upstream.
+    pub(crate) fn record_attempt(&mut self, upstream: &UpstreamId) {
+        self.log.record_attempt(upstream);
+    }
+
     /// Records tokens delivered to the caller; the response of a plain service counts as one token.
     pub(crate) fn record_delivered(&mut self, tokens: u64) {
         self.tokens += tokens;
@@ -72,12 +83,14 @@
 
     /// Records that the caller disconnected before the response was complete.
     pub(crate) fn record_disconnect(&self) {
+        self.log.log_disconnect(self.tokens);
         metrics::counter!("cranberryvalve_callers_left_total", "class" => self.class.clone())
             .increment(1);
     }
 
     /// Records the outcome of the request.
     pub(crate) fn record_outcome(&self, outcome: &Outcome) {
+        self.log.log_outcome(outcome, self.meets_targets(), self.tokens);
         let class = self.class.clone();
         metrics::counter!("cranberryvalve_outcomes_total",
             "class" => class.clone(), "outcome" => outcome.name())
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -17,9 +17,9 @@
 use eyre::Result;
 use eyre::WrapErr;
 use serde::Serialize;
-use slog::debug;
 
 use crate::node::Node;
+use crate::request_log::log_refusal;
 use crate::service::problem::Problem;
 
 /// Starts the server for callers.
@@ -44,8 +44,9 @@
     fn handle(&self, request: CallerRequest, stream: &TcpStream, responder: &mut Responder<'_>) {
         let result = self.route(&request, stream, responder);
         if let Err(problem) = result {
-            debug!(self.node.log, "refused"; "path" => request.head.path(),
-                "status" => problem.status, "message" => &problem.message);
+            if !problem.is_logged {
+                log_refusal(&self.node, &request.head, problem.status, &problem.message);
+            }
             // An error means that the caller has disconnected, so it is ignored.
             let _ = problem.send(responder);
         }
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -40,6 +40,7 @@
 use crate::dispatcher::NewRequest;
 use crate::dispatcher::RequestHandle;
 use crate::node::Node;
+use crate::request_log::caller_id;
 use crate::request_metrics::RequestMetrics;
 
 /// Request header with the resume token of an earlier response.
@@ -74,14 +75,15 @@
     let _disconnect_guard = node.disconnect_monitor.watch(stream, handle.disconnect_handler());
     let claims =
         ResumeClaims { customer: customer.id.clone(), request: digest, stream: handle.id() };
-    let id = format!("chatcmpl-{}-{}", node.settings.vm, handle.id());
-    let response = ChatResponse::new(&body, id.into(), claims.sign(&node.key), position);
+    let id: Arc<str> = format!("chatcmpl-{}", node.unique_id(handle.id())).into();
+    let name = caller_id(&request.head).map_or_else(|| id.clone(), Into::into);
+    let response = ChatResponse::new(&body, id, claims.sign(&node.key), position);
     let mut call = ChatCall {
         node,
         class,
         body,
         response,
-        metrics: RequestMetrics::start(class),
+        metrics: RequestMetrics::start(node, class, name),
         assembler: TokenAssembler::new(position),
     };
     call.run(&handle, responder)
@@ -123,7 +125,7 @@
     class: &'a ServiceClass,
     body: ChatBody,
     response: ChatResponse<'s>,
-    metrics: RequestMetrics,
+    metrics: RequestMetrics<'a>,
     assembler: TokenAssembler,
 }
 
@@ -188,6 +190,7 @@
             priority: order.priority,
             position: self.assembler.position(),
         };
+        self.metrics.record_attempt(&upstream.id);
         let cancel = handle.start_attempt();
         self.assembler.start_attempt(request.attempt_id.clone());
         let start = self.assembler.position();
@@ -281,7 +284,7 @@
 
     fn give_up(&mut self, outcome: Outcome, responder: &mut Responder<'s>) -> Result<(), Problem> {
         self.metrics.record_outcome(&outcome);
-        let problem = Problem::outcome(outcome);
+        let problem = Problem::outcome(outcome).logged();
         if responder.is_started() {
             self.response.fail(&problem.body());
             responder.close();
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -32,11 +32,10 @@
 use crate::dispatcher::NewRequest;
 use crate::dispatcher::RequestHandle;
 use crate::node::Node;
+use crate::request_log::IDEMPOTENCY_HEADER;
+use crate::request_log::caller_id;
 use crate::request_metrics::RequestMetrics;
 
-/// Request header with the key that identifies a non-repeatable call.
-const IDEMPOTENCY_HEADER: &str = "idempotency-key";
-
 /// Maximum length of an idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -86,13 +85,15 @@
         prefix_hash: None,
     });
     let _disconnect_guard = node.disconnect_monitor.watch(stream, handle.disconnect_handler());
+    let name =
+        caller_id(&request.head).map_or_else(|| node.unique_id(handle.id()).into(), Into::into);
     let mut call = PlainCall {
         node,
         request,
         customer: customer.id.clone(),
         class,
         key,
-        metrics: RequestMetrics::start(class),
+        metrics: RequestMetrics::start(node, class, name),
         permit: None,
         is_claimed,
     };
@@ -120,7 +121,7 @@
     class: &'a ServiceClass,
     /// Idempotency key; `None` if the call is repeatable.
     key: Option<Arc<str>>,
-    metrics: RequestMetrics,
+    metrics: RequestMetrics<'a>,
     /// Permit to send a non-repeatable call; `None` before the claim is granted and once the
     /// call has been sent.
     permit: Option<SendPermit>,
@@ -220,6 +221,7 @@
         order: &SendCommand,
         upstream: &UpstreamSpec,
     ) -> Option<UpstreamResponse> {
+        self.metrics.record_attempt(&upstream.id);
         let sent = self.permit.take().map(SendPermit::send);
         let _live_call = sent.as_ref().map(|it| self.node.live_calls.register(it));
         // A non-repeatable call is finished even if its caller disconnects, so that the response
@@ -309,7 +311,7 @@
 
     fn problem_for(&self, outcome: Outcome) -> Problem {
         self.metrics.record_outcome(&outcome);
-        Problem::outcome(outcome)
+        Problem::outcome(outcome).logged()
     }
 
     fn request_digest(&self) -> Digest {
--- a/crates/daemon/src/service/problem.rs
+++ b/crates/daemon/src/service/problem.rs
@@ -20,6 +20,8 @@
     outcome: Option<Outcome>,
     /// Outcome of earlier requests with the same idempotency key, if it is another one.
     earlier_requests: Option<&'static str>,
+    /// Whether a line about the end of the request was logged.
+    pub(super) is_logged: bool,
 }
 
 impl Problem {
@@ -32,6 +34,7 @@
             param: None,
             outcome: None,
             earlier_requests: None,
+            is_logged: false,
         }
     }
 
@@ -45,6 +48,7 @@
             param: Some(param),
             outcome: None,
             earlier_requests: None,
+            is_logged: false,
         }
     }
 
@@ -61,6 +65,7 @@
             param: None,
             outcome: None,
             earlier_requests: None,
+            is_logged: false,
         }
     }
 
@@ -73,6 +78,7 @@
             param: Some(param),
             outcome: None,
             earlier_requests: None,
+            is_logged: false,
         }
     }
 
@@ -80,7 +86,15 @@
     pub(super) fn outcome(outcome: Outcome) -> Self {
         let (status, message) = describe(&outcome);
         let kind = outcome.name();
-        Self { status, message, kind, param: None, outcome: Some(outcome), earlier_requests: None }
+        Self {
+            status,
+            message,
+            kind,
+            param: None,
+            outcome: Some(outcome),
+            earlier_requests: None,
+            is_logged: false,
+        }
     }
 
     /// Says that the outcome is that of this request only, as nothing is known of earlier ones with the
@@ -94,6 +108,13 @@
         self
     }
 
+    /// Marks a problem whose request has a line about its end.
+    #[must_use]
+    pub(super) const fn logged(mut self) -> Self {
+        self.is_logged = true;
+        self
+    }
+
     fn outcome_name(&self) -> &'static str {
         self.outcome.as_ref().map_or(NOT_RUN, Outcome::name)
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_adapters::telemetry::LogRateLimiter;
 use cranberryvalve_coordination::feed::FeedDelta;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
@@ -36,7 +37,6 @@
 use slog::warn;
 use socket2::SockRef;
 
-use crate::call_log::LogRateLimiter;
 use crate::connections::IdleConnections;
 use crate::crashes::CrashGuard;
 use crate::dialect::Dialect;
