feat: earlier builds read today's bytes in cargo xtask upgrade

Cause: that earlier builds read what today's code writes was tried by hand once, and by runs only as far as their VMs exchanged messages.

Change: before it plays, `cargo xtask upgrade` writes the samples of landed_bytes by today's code and has the earlier commit's code read them: a test made of the sample modules whose landing is the commit or an ancestor of it is placed into the commit's worktree, among the tests of adapters, which may use all that the samples need in each landing. It names what is read to another value, and what is unknown there but taken for a message. `--bytes` stops after that. A new worktree takes over what this one has built, if there is no other.

Seen: the message and the row `document` share a name; the first run compared one with the other and failed. They are told apart by order, as names in files of landings cannot change.

A byte of `document-request` changed by hand: "misreads [document-request]". landed_bytes (4 passed), xtask (17 passed).

Not run: rows of the relay and resume tokens by earlier code; their bytes equal those of the landings.

--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -5,8 +5,13 @@
 #[path = "support/landed/all.rs"]
 mod landed;
 
+#[path = "support/landed_file.rs"]
+mod landed_file;
+
 use std::collections::BTreeSet;
+use std::env;
 use std::fmt::Write;
+use std::fs;
 
 use cranberryvalve_coordination::peer::PeerMessage;
 
@@ -14,6 +19,9 @@
 use landed::builds;
 use landed::first;
 use landed::origins;
+use landed::text;
+use landed_file::from_file;
+use landed_file::misread;
 
 /// Bytes written by 4be04b687788008f6b425cb4a2b5989f1cb51a68.
 const FIRST: &str = include_str!("data/landed/4be04b687788008f6b425cb4a2b5989f1cb51a68.txt");
@@ -32,25 +40,6 @@
     file
 }
 
-/// Returns the names and bytes in a file.
-///
-/// # Panics
-///
-/// Panics if the file is not in the format that [`to_file`] writes.
-fn from_file(file: &str) -> Vec<(String, Vec<u8>)> {
-    let entries = file.split("\n\n").filter(|it| !it.trim().is_empty());
-    let field = |entry: &str, name: &str| {
-        let line = entry.lines().find_map(|it| it.strip_prefix(name));
-        line.unwrap_or_else(|| panic!("no `{name}` in {entry}")).trim().to_owned()
-    };
-    entries.map(|it| (field(it, "name:"), from_hex(&field(it, "bytes:")))).collect()
-}
-
-fn from_hex(hex: &str) -> Vec<u8> {
-    let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
-    pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect()
-}
-
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
@@ -101,11 +90,33 @@
     assert_eq!(covered, existing);
 }
 
+#[test]
+fn misread_bytes_are_named() {
+    let known = samples();
+    assert_eq!(misread(&to_file(&samples()), &known), [""; 0]);
+    // Two messages are changed, and the last one is missing. Of two unknown values, one is taken for a
+    // message.
+    let mut changed = samples();
+    changed.pop();
+    changed[0].bytes.pop();
+    changed[1].bytes[0] = changed[0].bytes[0];
+    let later = |name, bytes| Sample { name, bytes, ..text("", "") };
+    changed.push(later("later-row", b"{}".to_vec()));
+    changed.push(later("later-message", known[1].bytes.clone()));
+    let names = [known[0].name, known[1].name, "later-message", "builds"];
+    assert_eq!(misread(&to_file(&changed), &known), names);
+}
+
 /// Prints the file of this build, for the landing that it becomes: `cargo test --package
-/// cranberryvalve-coordination --test landed_bytes -- --ignored --nocapture`.
+/// cranberryvalve-coordination --test landed_bytes -- --ignored --nocapture`. Writes it to the file
+/// that `CRANBERRYVALVE_LANDED_FILE` names, if that is set.
 #[test]
 #[ignore = "prints a data file"]
 #[expect(clippy::print_stdout, reason = "the output is the data file")]
 fn print_landed_bytes() {
-    print!("{}", to_file(&samples()));
+    let text = to_file(&samples());
+    match env::var("CRANBERRYVALVE_LANDED_FILE") {
+        Ok(file) => fs::write(file, text).expect("a writable folder"),
+        Err(_) => print!("{text}"),
+    }
 }
--- a/crates/coordination/tests/support/landed/all.rs
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -18,7 +18,7 @@
 
 /// A value, its encoding by this build, and what this build makes of the encoding by another one.
 pub(crate) struct Sample {
-    /// Name of the value, unique among the samples.
+    /// Name of the value. Where a message and a row share one, the message is first.
     pub(crate) name: &'static str,
     /// Encoding of the value by this build.
     pub(crate) bytes: Vec<u8>,
--- /dev/null
+++ b/crates/coordination/tests/support/landed_file.rs
@@ -0,0 +1,43 @@
+//! Files with the bytes of messages and rows.
+
+use cranberryvalve_coordination::peer::PeerMessage;
+
+use crate::landed::Sample;
+
+/// Returns the names of values in a file of another build that this build reads differently, of those
+/// that it has no sample of but takes for a message, and of its own that the file lacks.
+pub(crate) fn misread(file: &str, samples: &[Sample]) -> Vec<String> {
+    let mut rest: Vec<&Sample> = samples.iter().collect();
+    let mut misread = Vec::new();
+    for (name, bytes) in from_file(file) {
+        let sample = rest.iter().position(|it| it.name == name).map(|it| rest.remove(it));
+        let is_read = sample.map_or_else(
+            || postcard::from_bytes::<PeerMessage>(&bytes).is_err(),
+            |it| (it.is_read_from)(&bytes),
+        );
+        if !is_read {
+            misread.push(name);
+        }
+    }
+    misread.extend(rest.iter().map(|it| it.name.to_owned()));
+    misread
+}
+
+/// Returns the names and bytes in a file.
+///
+/// # Panics
+///
+/// Panics if the file is not one of landed bytes.
+pub(crate) fn from_file(file: &str) -> Vec<(String, Vec<u8>)> {
+    let entries = file.split("\n\n").filter(|it| !it.trim().is_empty());
+    let field = |entry: &str, name: &str| {
+        let line = entry.lines().find_map(|it| it.strip_prefix(name));
+        line.unwrap_or_else(|| panic!("no `{name}` in {entry}")).trim().to_owned()
+    };
+    entries.map(|it| (field(it, "name:"), from_hex(&field(it, "bytes:")))).collect()
+}
+
+fn from_hex(hex: &str) -> Vec<u8> {
+    let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
+    pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect()
+}
--- a/xtask/src/upgrade.rs
+++ b/xtask/src/upgrade.rs
@@ -1,5 +1,7 @@
 //! Plays rolling upgrades from the program of an earlier commit to the present one.
 
+mod bytes;
+
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
@@ -61,6 +63,8 @@
         help = "keep the story and the logs of each run, also if it breaks no rule"
     )]
     keep: bool,
+    #[options(no_short, help = "only check that the commit reads what the present build writes")]
+    bytes: bool,
 }
 
 /// Runs upgrades with the arguments of `cargo xtask upgrade`.
@@ -74,7 +78,12 @@
     let system = fs::read_to_string(SYSTEM_FILE).unwrap_or_default();
     let commit = flags.from.as_deref().or(production(&system)).unwrap_or(DEFAULT_COMMIT);
     let hash = full_hash(Path::new("."), commit)?;
-    let program = build_program(&hash)?;
+    let worktree = worktree(&hash)?;
+    bytes::check(&worktree, &hash)?;
+    if flags.bytes {
+        return Ok(());
+    }
+    let program = build_program(&worktree, &hash)?;
     variables.push(("CRANBERRYVALVE_UPGRADE_OLD", program.display().to_string()));
     variables.push(("CRANBERRYVALVE_UPGRADE_FROM", hash[..SHORT_HASH_DIGITS].to_owned()));
     let variables: Vec<(&str, &str)> =
@@ -155,8 +164,8 @@
     }
 }
 
-/// Builds the platform's program of a commit, and returns its path.
-fn build_program(hash: &str) -> Result<PathBuf> {
+/// Returns the worktree of a commit, which is added if there is none.
+fn worktree(hash: &str) -> Result<PathBuf> {
     let folder = Path::new(WORKTREES_FOLDER).join(hash);
     let text = folder.display().to_string();
     if !folder.is_dir() {
@@ -170,8 +179,14 @@
             "{text} is not at commit {hash}; remove it with `git worktree remove --force {text}`"
         );
     }
-    print_line(&format!("building the program of {hash} in {text}"));
     copy_dependencies(&folder)?;
+    Ok(folder)
+}
+
+/// Builds the platform's program of a commit in its worktree, and returns its path.
+fn build_program(folder: &Path, hash: &str) -> Result<PathBuf> {
+    let text = folder.display().to_string();
+    print_line(&format!("building the program of {hash} in {text}"));
     let manifest = format!("{text}/Cargo.toml");
     let target = format!("{text}/target");
     let package = ["--package", "cranberryvalve-platform"];
@@ -182,7 +197,8 @@
     program.canonicalize().wrap_err_with(|| format!("{} was not built", program.display()))
 }
 
-/// Copies what another worktree has built to a new one: most commits have the same dependencies.
+/// Copies what another worktree, or else this one, has built to a new one: most commits have the same
+/// dependencies.
 fn copy_dependencies(folder: &Path) -> Result<()> {
     let build_folder = folder.join(BUILD_FOLDER);
     if build_folder.exists() {
@@ -190,9 +206,11 @@
     }
     let worktrees = fs::read_dir(WORKTREES_FOLDER).wrap_err("cannot read the worktrees")?;
     let mut build_folders = worktrees.filter_map(|it| Some(it.ok()?.path().join(BUILD_FOLDER)));
-    let Some(other) = build_folders.find(|it| it.join("deps").is_dir()) else {
+    let other = build_folders.find(|it| it.join("deps").is_dir());
+    let other = other.unwrap_or_else(|| Path::new(BUILD_FOLDER).to_owned());
+    if !other.join("deps").is_dir() {
         return Ok(());
-    };
+    }
     fs::create_dir_all(&build_folder).wrap_err("cannot write to the worktree")?;
     for name in REUSED_FOLDERS {
         // Cargo compares the times of files, which the copy has to keep.
