--- a/crates/daemon/src/service/problem.rs
+++ b/crates/daemon/src/service/problem.rs
@@ -23,6 +23,8 @@
     outcome: Option<Outcome>,
     /// Outcome of earlier requests with the same idempotency key, if it is another one.
     earlier_requests: Option<&'static str>,
+    /// Whether a line about the end of the request was logged.
+    pub(super) is_logged: bool,
 }
 
 impl Problem {
@@ -57,7 +59,15 @@
     }
 
     const fn new(status: u16, kind: &'static str, message: String) -> Self {
-        Self { status, message, kind, param: None, outcome: None, earlier_requests: None }
+        Self {
+            status,
+            message,
+            kind,
+            param: None,
+            outcome: None,
+            earlier_requests: None,
+            is_logged: false,
+        }
     }
 
     /// Says that the outcome is that of this request only, as nothing is known of earlier ones with the
@@ -71,6 +81,13 @@
         self
     }
 
+    /// Marks a problem whose request has a line about its end.
+    #[must_use]
+    pub(super) const fn logged(mut self) -> Self {
+        self.is_logged = true;
+        self
+    }
+
     fn outcome_name(&self) -> &'static str {
         self.outcome.as_ref().map_or(NOT_RUN, Outcome::name)
     }
