--- a/crates/daemon/src/request_log.rs
+++ b/crates/daemon/src/request_log.rs
@@ -31,9 +31,12 @@
     names.find(|it| !it.is_empty() && it.len() <= MAX_ID_BYTES)
 }
 
-/// Logs a request that was refused before it was placed.
+/// Logs a request that was refused before it was placed, at a limited rate: a customer above its limit
+/// may send any number.
 pub(crate) fn log_refusal(node: &Node, head: &RequestHead, status: u16, message: &str) {
+    let Some(left_out) = node.refusal_log_limiter.acquire(Instant::now()) else { return };
     info!(node.log, "call refused";
+        "left_out" => left_out,
         "path" => head.path(),
         "status" => status,
         "reason" => message,
