fix: a daemon told to stop right after its start stops in order

Cause: the handlers of SIGTERM and SIGINT were installed after the servers were started, so a signal in between killed the process with the requests that it had accepted.

Ruled out: a stop that takes longer than 30 s; the process was gone at once.

Change: the handlers are installed before the first socket. `Vm::restart` of the stand-ins starts a program in place of another and keeps the log, which was lost.

--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -19,11 +19,20 @@
 /// Time without requests in flight after which the process stops.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
 
-/// Waits for a stop signal (SIGTERM or SIGINT).
-pub(crate) fn wait_for_signal() -> Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    signals.forever().next();
-    Ok(())
+/// Stop signals (SIGTERM and SIGINT), which do not end the process from now on.
+pub(crate) struct StopSignals(Signals);
+
+impl StopSignals {
+    /// Installs the handlers. Call it before the first request is accepted, which a signal would
+    /// interrupt.
+    pub(crate) fn install() -> Result<Self> {
+        Ok(Self(Signals::new([SIGTERM, SIGINT])?))
+    }
+
+    /// Waits for a signal, which may have come already.
+    pub(crate) fn wait(mut self) {
+        self.0.forever().next();
+    }
 }
 
 /// Stops without interrupting any request.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -19,6 +19,7 @@
 use slog::error;
 use slog::info;
 
+use crate::lifecycle::StopSignals;
 use crate::node::BUILD;
 use crate::node::Node;
 use crate::settings::Settings;
@@ -40,6 +41,7 @@
 }
 
 fn run(settings: Settings, log: slog::Logger) -> eyre::Result<()> {
+    let stop_signals = StopSignals::install()?;
     let node = Arc::new(Node::new(settings, log)?);
     let callers = service::start(&node)?;
     let _operator_address = operator::start(&node)?;
@@ -48,7 +50,7 @@
         "caller_address" => callers.address().to_string(),
         "operator_address" => node.settings.operator_address.to_string(),
         "peer_address" => node.settings.peer_address.to_string());
-    lifecycle::wait_for_signal()?;
+    stop_signals.wait();
     lifecycle::stop_gracefully(&node, &callers);
     info!(node.log, "stopped");
     Ok(())
--- a/crates/daemon/tests/graceful_stop.rs
+++ b/crates/daemon/tests/graceful_stop.rs
@@ -1,8 +1,10 @@
 //! A planned stop interrupts no request.
 
+use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_standins::client;
 use cranberryvalve_standins::client::ChatRequest;
@@ -14,6 +16,9 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Number of starts, each of which is stopped as soon as the VM accepts callers.
+const STARTS: usize = 12;
+
 fn start() -> Cluster {
     let settings = ClusterSettings { engines: 1, drain_ms: 600, ..ClusterSettings::default() };
     Cluster::start(Path::new(env!("CARGO_BIN_EXE_cranberryvalved")), settings)
@@ -66,3 +71,20 @@
     assert!(response.complete, "{response:?}");
     assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
 }
+
+#[test]
+fn stop_at_the_start() {
+    let mut cluster = start();
+    let program = Path::new(env!("CARGO_BIN_EXE_cranberryvalved"));
+    let vm = &mut cluster.vms[1];
+    for _ in 0..STARTS {
+        vm.restart(program).expect("the daemon starts");
+        let accepts = || TcpStream::connect(vm.caller_address).is_ok();
+        let end = Instant::now() + WAIT_TIMEOUT;
+        while !accepts() {
+            assert!(Instant::now() < end, "the VM does not accept callers");
+        }
+        vm.terminate();
+        assert_eq!(vm.wait_exit(WAIT_TIMEOUT), Some(0), "{}", vm.log());
+    }
+}
--- a/crates/daemon/tests/member_builds.rs
+++ b/crates/daemon/tests/member_builds.rs
@@ -53,9 +53,7 @@
     cluster.vms[2].kill();
     let others = &names[..2];
     assert!(wait_until(WAIT_TIMEOUT, || shows(&cluster.vms[0], others)), "{:#?}", dumps(&cluster));
-    let vm = &mut cluster.vms[2];
-    let addresses = [vm.caller_address, vm.operator_address, vm.peer_address];
-    *vm = Vm::start_at(vm.settings.clone(), addresses).expect("the daemon starts");
+    cluster.vms[2].restart(program).expect("the daemon starts");
     assert!(wait_until(WAIT_TIMEOUT, || all_show(&cluster)), "{:#?}", dumps(&cluster));
 }
 
--- a/crates/lab/src/campaign/faults.rs
+++ b/crates/lab/src/campaign/faults.rs
@@ -66,23 +66,16 @@
         }
     }
 
-    /// Removes the fault. A killed VM is replaced by a new process with the same settings and
-    /// addresses.
+    /// Removes the fault. A killed VM is started again.
     pub(super) fn stop(self, cluster: &mut Cluster, [vm, engine]: [usize; 2]) {
         match self {
             Self::StoreDown | Self::StoreSlow | Self::StoreRepliesLost => {
                 cluster.platform.set_faults(|it| *it = Default::default());
             }
             Self::VmKilled => {
-                let settings = cluster.vms[vm].settings.clone();
-                let killed = &cluster.vms[vm];
-                let addresses =
-                    [killed.caller_address, killed.operator_address, killed.peer_address];
-                if let Ok(replacement) =
-                    cranberryvalve_standins::vm::Vm::start_at(settings, addresses)
-                {
-                    cluster.vms[vm] = replacement;
-                }
+                let program = cluster.vms[vm].settings.program.clone();
+                // A VM that does not start is found at the end of the round.
+                let _ = cluster.vms[vm].restart(&program);
             }
             Self::VmPaused => cluster.vms[vm].resume(),
             Self::ServiceCuts | Self::ServiceRefuses => {
--- a/crates/standins/src/vm.rs
+++ b/crates/standins/src/vm.rs
@@ -76,25 +76,24 @@
     pub fn start_at(settings: VmSettings, addresses: [SocketAddr; 3]) -> io::Result<Self> {
         let [caller_address, operator_address, peer_address] = addresses;
         let log = log_path(&settings.name, caller_address);
-        let child = Command::new(&settings.program)
-            .args(["--vm", &settings.name])
-            .args(["--failure-domain", &settings.failure_domain])
-            .args(["--caller-address", &caller_address.to_string()])
-            .args(["--operator-address", &operator_address.to_string()])
-            .args(["--peer-address", &peer_address.to_string()])
-            .args(["--platform-address", &settings.platform.to_string()])
-            .args(["--drain-ms", &settings.drain_ms.to_string()])
-            .args(["--seed", "1"])
-            .args(&settings.flags)
-            .env("CRANBERRYVALVE_OPERATOR_TOKEN", OPERATOR_TOKEN)
-            .env("CRANBERRYVALVE_SHARED_SECRET", SHARED_SECRET)
-            .stdin(Stdio::null())
-            .stdout(File::create(&log)?)
-            .stderr(Stdio::null())
-            .spawn()?;
+        let child = spawn(&settings, addresses, File::create(&log)?)?;
         Ok(Self { settings, caller_address, operator_address, peer_address, log, child })
     }
 
+    /// Starts a program in place of the daemon, which is killed if it still runs. The log goes on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program cannot be started.
+    pub fn restart(&mut self, program: &Path) -> io::Result<()> {
+        self.kill();
+        program.clone_into(&mut self.settings.program);
+        let addresses = [self.caller_address, self.operator_address, self.peer_address];
+        let log = File::options().append(true).open(&self.log)?;
+        self.child = spawn(&self.settings, addresses, log)?;
+        Ok(())
+    }
+
     /// Returns the entry of this VM for the list of the platform.
     pub fn list_entry(&self) -> PeerAddress {
         PeerAddress {
@@ -198,6 +197,29 @@
     condition()
 }
 
+fn spawn(
+    settings: &VmSettings,
+    [caller_address, operator_address, peer_address]: [SocketAddr; 3],
+    log: File,
+) -> io::Result<Child> {
+    Command::new(&settings.program)
+        .args(["--vm", &settings.name])
+        .args(["--failure-domain", &settings.failure_domain])
+        .args(["--caller-address", &caller_address.to_string()])
+        .args(["--operator-address", &operator_address.to_string()])
+        .args(["--peer-address", &peer_address.to_string()])
+        .args(["--platform-address", &settings.platform.to_string()])
+        .args(["--drain-ms", &settings.drain_ms.to_string()])
+        .args(["--seed", "1"])
+        .args(&settings.flags)
+        .env("CRANBERRYVALVE_OPERATOR_TOKEN", OPERATOR_TOKEN)
+        .env("CRANBERRYVALVE_SHARED_SECRET", SHARED_SECRET)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 fn log_path(name: &str, caller_address: SocketAddr) -> PathBuf {
     let file =
         format!("cranberryvalved-{}-{name}-{}.log", std::process::id(), caller_address.port());
