fix: acquitted keys of crashes in series do not circulate among VMs

Cause: a VM with the maximum number of keys takes in another VM's key if it is stronger than the weakest one. It compared the crashes in the message, acquitted ones too, with crashes that no response acquits. An acquitted key thus replaced another acquitted one, was new, and was forwarded; the replaced one came back from another VM. With more than 1,024 keys that are acquitted while they are told, this does not end. A message whose crashes are all too old replaced a key too, and left one without evidence.

Ruled out as sole cause: the volume of the waves themselves.

Change: a message is merged first, and the strength of what it leaves is compared.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -172,20 +172,41 @@
     /// Merges what another VM knows.
     pub fn merge(&mut self, now: Instant, updates: &[SuspectUpdate]) -> Vec<QuarantineChange> {
         for update in updates {
-            if !self.has_room_for(update) {
-                continue;
-            }
-            let responded_at = self.responses.latest(&update.key);
-            let evidence = self.suspects.entry(update.key.clone()).or_default();
-            let mut is_new = evidence.merge(now, update);
-            is_new |= responded_at.is_some_and(|it| evidence.add_response(it));
-            if is_new {
+            if self.merge_key(now, update) {
                 self.record_news(&update.key);
             }
         }
         self.judge()
     }
 
+    /// Merges what another VM knows of a key; returns `true` if any of it is new.
+    fn merge_key(&mut self, now: Instant, update: &SuspectUpdate) -> bool {
+        let mut is_new = match self.suspects.get_mut(&update.key) {
+            Some(evidence) => evidence.merge(now, update),
+            None => self.add_key(now, update),
+        };
+        if let Some(responded_at) = self.responses.latest(&update.key)
+            && let Some(evidence) = self.suspects.get_mut(&update.key)
+        {
+            is_new |= evidence.add_response(responded_at);
+        }
+        is_new
+    }
+
+    /// Adds a key that only the other VM knows; returns `true` if it is kept. If there are too many keys,
+    /// it takes the place of a weaker one, so that no two keys replace each other without end.
+    fn add_key(&mut self, now: Instant, update: &SuspectUpdate) -> bool {
+        let mut evidence = Evidence::default();
+        evidence.merge(now, update);
+        let strength = evidence.strength();
+        let is_kept = evidence.starts().next().is_some()
+            && (self.suspects.len() < MAX_SUSPECTS || self.remove_weakest(|it| it < strength));
+        if is_kept {
+            self.suspects.insert(update.key.clone(), evidence);
+        }
+        is_kept
+    }
+
     /// Returns the refusal of a call with these keys if one of them is condemned and no trial is
     /// due.
     ///
@@ -348,19 +369,6 @@
         sufficient.max().map(|(.., key)| key.clone())
     }
 
-    /// Returns `true` if another VM's evidence is taken in. If there are too many keys, it takes the
-    /// place of a key with fewer crashes, so that no two keys replace each other without end.
-    fn has_room_for(&mut self, update: &SuspectUpdate) -> bool {
-        if update.crashes.is_empty() || self.suspects.contains_key(&update.key) {
-            return self.suspects.contains_key(&update.key);
-        }
-        if self.suspects.len() < MAX_SUSPECTS {
-            return true;
-        }
-        let strength = Strength { is_condemned: false, crashes: update.crashes.len() };
-        self.remove_weakest(|it| it < strength)
-    }
-
     fn enforce_capacity(&mut self) {
         while self.suspects.len() > MAX_SUSPECTS && self.remove_weakest(|_| true) {}
     }
