--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -245,9 +245,7 @@
 
     fn send_to_neighbours(&self, message: &PeerMessage) {
         let neighbours = self.membership().neighbours();
-        neighbours.iter().for_each(|it| {
-            self.links.send(it, message);
-        });
+        self.links.broadcast(&neighbours, message);
     }
 
     fn send_reports(&self, by_coordinator: HashMap<VmId, (PeerAddress, Vec<UpstreamLoad>)>) {
