fix: calls of callers that left are not sent over kept connections

Cause: before a call is written to a kept connection, the VM looks whether its caller has left. It waited for that until 'now', and a wait whose time is over returns before it polls: the look never saw anything. Over new connections the wait for the connection watches the caller.

Change: socket::check polls without waiting; the look uses it.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -32,6 +32,7 @@
 use crate::response::ResponseHead;
 use crate::socket::Connection;
 use crate::socket::Interest;
+use crate::socket::check;
 use crate::socket::wait;
 use crate::state::Relay;
 
@@ -314,7 +315,7 @@
     /// suspended.
     fn has_caller_left(&self, caller: &CallerConnection) -> bool {
         let interest = Interest { caller: Some(&caller.connection), ..Interest::default() };
-        wait(interest, Instant::now()).is_ok_and(|it| it.caller_disconnected)
+        check(interest).is_ok_and(|it| it.caller_disconnected)
     }
 
     /// Returns `true` if the upstream still takes requests and the permit for this one holds.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -204,6 +204,15 @@
     if remaining.is_zero() {
         return Ok(Readiness { timed_out: true, ..Readiness::default() });
     }
+    poll_for(interest, remaining)
+}
+
+/// Returns which of the events have occurred already.
+pub(crate) fn check(interest: Interest<'_>) -> io::Result<Readiness> {
+    poll_for(interest, Duration::ZERO)
+}
+
+fn poll_for(interest: Interest<'_>, time: Duration) -> io::Result<Readiness> {
     let mut caller_events = PollFlags::RDHUP;
     caller_events.set(PollFlags::IN, interest.caller_input);
     caller_events.set(PollFlags::OUT, interest.caller_output);
@@ -220,8 +229,8 @@
         poll_fds.push(PollFd::from_borrowed_fd(waker.0.as_fd(), PollFlags::IN));
     }
     let timeout = Timespec {
-        tv_sec: i64::try_from(remaining.as_secs()).unwrap_or(i64::MAX),
-        tv_nsec: i64::from(remaining.subsec_nanos()),
+        tv_sec: i64::try_from(time.as_secs()).unwrap_or(i64::MAX),
+        tv_nsec: i64::from(time.subsec_nanos()),
     };
     match poll(&mut poll_fds, Some(&timeout)) {
         Ok(0) => return Ok(Readiness { timed_out: true, ..Readiness::default() }),
