fix(coordination): the slots of a plan do not overflow

The loss of a pool's slots in percent was worked out in 32 bits, which a loss of 43 million slots and more exceeds, and the sum of a pool's slots did the same for two upstreams of the largest number. A plan with such numbers, which an operator's document may state, panicked in builds with checks and showed a wrong hazard or none in others.

--- a/crates/coordination/src/plan/diff.rs
+++ b/crates/coordination/src/plan/diff.rs
@@ -156,7 +156,8 @@
 }
 
 fn slots_in_service(config: &Config, pool: &str) -> u32 {
-    in_service(config).filter(|it| it.pools.iter().any(|p| &**p == pool)).map(|it| it.slots).sum()
+    let upstreams = in_service(config).filter(|it| it.pools.iter().any(|p| &**p == pool));
+    upstreams.map(|it| it.slots).fold(0, u32::saturating_add)
 }
 
 /// Returns the upstreams that are not drained.
--- a/crates/coordination/src/plan/hazard.rs
+++ b/crates/coordination/src/plan/hazard.rs
@@ -126,7 +126,7 @@
     let mut results = Vec::new();
     for effect in effects {
         let lost = effect.slots_before.saturating_sub(effect.slots_after);
-        let loss_percent = lost * 100 / effect.slots_before.max(1);
+        let loss_percent = percent_of(lost, effect.slots_before);
         if loss_percent >= HAZARDOUS_LOSS_PERCENT && reported_pools.insert(effect.pool.clone()) {
             results.push(Hazard::CapacityLoss { pool: effect.pool.clone(), loss_percent });
         }
@@ -134,6 +134,11 @@
     results
 }
 
+fn percent_of(part: u32, whole: u32) -> u32 {
+    let percent = u64::from(part) * 100 / u64::from(whole.max(1));
+    u32::try_from(percent).unwrap_or(u32::MAX)
+}
+
 fn removed_classes(base: &Config, config: &Config) -> Vec<Hazard> {
     let removed = base.classes.iter().filter(|it| config.class(&it.id).is_none());
     removed.map(|it| Hazard::ClassRemoved { class: it.id.clone() }).collect()
