fix(policy): pools that are gone from the configuration leave nothing behind

Queues, retry budgets, arrivals and prefill ratios of the scheduler, and queues and retry budgets of the router, kept an entry for each pool or class that was ever used; `retries_left` in /state listed them. They are forgotten with a routing table (a configuration) that no longer declares them, once no upstream and no call is left. A declared pool keeps its retries while it has no upstream. Left: the software versions of removed pools, whose rows in the store decide where streams continue.

--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -128,6 +128,11 @@
         self.tiers.iter().map(|(tier, queue)| (*tier, queue.len())).collect()
     }
 
+    /// Returns whether no request is queued.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tiers.values().all(|it| it.len() == 0)
+    }
+
     fn dequeue(&mut self, queued: &QueuedRequest) {
         if let Some(queue) = self.tiers.get_mut(&queued.tier) {
             queue.dequeue(queued.id);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -33,6 +33,11 @@
         *tokens = (*tokens + RETRIES_PER_REQUEST).min(MAX_BUDGET);
     }
 
+    /// Forgets the classes that are not kept.
+    pub(crate) fn retain_classes(&mut self, is_kept: impl Fn(&ClassId) -> bool) {
+        self.tokens.retain(|class, _| is_kept(class));
+    }
+
     /// Takes one retry from the budget of `class`. Returns `false` if the budget is exhausted.
     pub(crate) fn try_take(&mut self, class: &ClassId) -> bool {
         let tokens = self.tokens.entry(class.clone()).or_insert(MAX_BUDGET);
--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -190,6 +190,8 @@
         for pool in self.upstreams.pools() {
             self.dispatch(now, &pool, actions);
         }
+        self.queues.retain(|pool, queue| !queue.is_empty() || self.upstreams.has_pool(pool));
+        self.retry_budgets.retain_classes(|it| self.config.class(it).is_some());
     }
 
     pub(super) fn customer_weight(&self, request: &Request) -> u32 {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -182,6 +182,7 @@
         for upstream in self.upstreams.values_mut() {
             upstream.set_engine(self.table.engine(&upstream.record.pool));
         }
+        self.forget_removed_pools();
     }
 
     /// Processes an event and returns the actions that the caller must carry out.
--- a/crates/policy/src/scheduler/budget.rs
+++ b/crates/policy/src/scheduler/budget.rs
@@ -66,6 +66,11 @@
         true
     }
 
+    /// Forgets the pools that are not kept.
+    pub(super) fn retain_pools(&mut self, is_kept: impl Fn(&PoolId) -> bool) {
+        self.tokens.retain(|pool, _| is_kept(pool));
+    }
+
     /// Returns the number of retries that each pool has left.
     pub(super) fn remaining(&self) -> Vec<PoolRetries> {
         let pools = self.tokens.iter();
--- a/crates/policy/src/scheduler/directory.rs
+++ b/crates/policy/src/scheduler/directory.rs
@@ -1,8 +1,10 @@
 //! Applies changes of the upstream directory.
 
+use std::collections::HashSet;
 use std::time::Instant;
 
 use cranberryvalve_core::Departure;
+use cranberryvalve_core::PoolId;
 use cranberryvalve_core::UpstreamId;
 
 use super::Scheduler;
@@ -25,6 +27,18 @@
         self.upstreams.get(id).map(|it| &it.record)
     }
 
+    /// Forgets pools that the routing table does not declare, unless they have upstreams or calls.
+    pub(super) fn forget_removed_pools(&mut self) {
+        let of_upstreams = self.upstreams.values().map(|it| &it.record.pool);
+        let of_calls = self.calls.values().map(|it| &it.call.pool);
+        let in_use: HashSet<PoolId> = of_upstreams.chain(of_calls).cloned().collect();
+        let is_kept = |it: &PoolId| in_use.contains(it) || self.table.pool(it).is_some();
+        self.queues.retain(|pool, _| is_kept(pool));
+        self.budget.retain_pools(is_kept);
+        self.recent_arrivals.retain_pools(is_kept);
+        self.prefill_ratios.retain(|(pool, _), _| is_kept(pool));
+    }
+
     pub(super) fn on_directory_changed(&mut self, now: Instant, records: Vec<UpstreamRecord>) {
         let mut previous = std::mem::take(&mut self.upstreams);
         for record in records {
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -56,6 +56,11 @@
         *last_at = Some(now);
     }
 
+    /// Forgets the pools that are not kept.
+    pub(super) fn retain_pools(&mut self, is_kept: impl Fn(&PoolId) -> bool) {
+        self.0.retain(|pool, _| is_kept(pool));
+    }
+
     /// Returns the fraction of the capacity of a pool's engines that long prompts get.
     pub(super) fn long_share(&self, now: Instant, pool: &PoolId) -> f64 {
         let Some(arrivals) = self.0.get(pool) else { return LONG_LANE_SHARE };
--- a/crates/policy/src/upstream/table.rs
+++ b/crates/policy/src/upstream/table.rs
@@ -126,6 +126,11 @@
         self.pools.keys().cloned().collect()
     }
 
+    /// Returns whether an upstream of the configuration serves `pool`.
+    pub(crate) fn has_pool(&self, pool: &str) -> bool {
+        self.pools.contains_key(pool)
+    }
+
     /// Returns the pools that upstream `id` serves.
     pub(crate) fn pools_of(&self, id: &str) -> Vec<PoolId> {
         self.upstreams.get(id).map_or_else(Vec::new, |it| it.spec.pools.clone())
