fix(coordination): older shares of a customer's rate count as long as they are valid

A coordinator divided the rate by the latest demands alone: shares that it had assigned before stayed valid beside the new ones. Two VMs of which one asks for little held 40 and 39 of a limit of 40 a second, and a VM whose demand grew got its part at once while the others still had the rest. Both shares of rate and of requests in flight also stopped counting too early when many VMs went away: a share given among 100 VMs is valid for 15 s, and counted for 3 s once the reports of two were left (2,000 beside 20 of 2,000).

A share is now capped by what is not assigned to others, and counts until it expires; a VM counts its validity from its report, which is before the coordinator's. A VM without a share still gets up to the even one, which is the excess that limits.rs states. A refused caller of a VM whose share is below the even one is asked back as if it were even, since the share grows with the next report. No message changed.

shares_that_are_valid_at_the_same_time_stay_within_the_rate and share_given_among_many_vms_counts_as_long_as_it_is_valid fail before and pass after; the tests of limit_disagreement (340 VMs) pass as they were.

--- a/crates/coordination/src/limits.rs
+++ b/crates/coordination/src/limits.rs
@@ -2,7 +2,8 @@
 //!
 //! Each customer has a limit coordinator among the living VMs, chosen by rendezvous hashing. Each
 //! VM reports the demand of the customer to the coordinator, which divides the limit by max-min
-//! fairness. The shares that a coordinator assigns never add up to more than the limit. All of this
+//! fairness. The shares that a coordinator assigns never add up to more than the limit, except that a VM
+//! without a share gets up to the even one while the others still have theirs. All of this
 //! is soft state: a VM without a valid share uses an even share, which is the limit divided by the
 //! number of VMs that live or were seen recently.
 //!
--- a/crates/coordination/src/limits/client.rs
+++ b/crates/coordination/src/limits/client.rs
@@ -130,7 +130,8 @@
         usage.share = Some(ActiveShare {
             requests_per_s: share.requests_per_s,
             in_flight: share.in_flight,
-            valid_until: now + usage.report_every * SHARE_VALIDITY_INTERVALS,
+            // The coordinator counts from when it received the report, which is later.
+            valid_until: usage.reported_at.min(now) + usage.report_every * SHARE_VALIDITY_INTERVALS,
         });
     }
 }
@@ -183,10 +184,18 @@
         if in_flight_limit.is_some_and(|limit| self.in_flight >= limit) {
             return Err(LimitReached { retry_after: MIN_REPORT_INTERVAL });
         }
-        rate.map_or(Ok(()), |rate| self.take_token(now, rate))
+        let even_rate = customer.requests_per_s.map_or(0.0, |it| it * even_fraction);
+        rate.map_or(Ok(()), |rate| self.take_token(now, rate, even_rate))
     }
 
-    fn take_token(&mut self, now: Instant, requests_per_s: f64) -> Result<(), LimitReached> {
+    /// Takes a token at the rate of the share. A share below the even one is likely to grow with the next
+    /// report.
+    fn take_token(
+        &mut self,
+        now: Instant,
+        requests_per_s: f64,
+        even_rate: f64,
+    ) -> Result<(), LimitReached> {
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         let capacity = (requests_per_s * BURST_CAPACITY_S).max(1.0);
@@ -195,7 +204,8 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        let wait_s = (1.0 - self.tokens) / requests_per_s.max(f64::MIN_POSITIVE);
+        let expected_rate = requests_per_s.max(even_rate).max(f64::MIN_POSITIVE);
+        let wait_s = (1.0 - self.tokens) / expected_rate;
         let max_delay_s = MAX_RETRY_DELAY.as_secs_f64();
         let retry_after = Duration::from_secs_f64(wait_s.min(max_delay_s)).max(MIN_RETRY_DELAY);
         Err(LimitReached { retry_after })
--- a/crates/coordination/src/limits/coordinator.rs
+++ b/crates/coordination/src/limits/coordinator.rs
@@ -40,6 +40,9 @@
 /// let mut coordinator = LimitCoordinator::default();
 /// coordinator.on_report(now, &"vm-1".into(), &demand(2.0), &customer, 1.0);
 /// let share = coordinator.on_report(now, &"vm-2".into(), &demand(50.0), &customer, 1.0);
+/// assert_eq!(share.requests_per_s, Some(5.0), "vm-1 has the rest until it reports again");
+/// coordinator.on_report(now, &"vm-1".into(), &demand(2.0), &customer, 1.0);
+/// let share = coordinator.on_report(now, &"vm-2".into(), &demand(50.0), &customer, 1.0);
 /// assert_eq!(share.requests_per_s, Some(8.0));
 /// ```
 #[derive(Debug, Default)]
@@ -50,7 +53,10 @@
 #[derive(Debug, Clone)]
 struct Report {
     demand: LimitDemand,
-    received_at: Instant,
+    /// When the share that was assigned to the VM expires.
+    valid_until: Instant,
+    /// Rate of requests per second that was assigned to the VM.
+    assigned_requests_per_s: f64,
     /// Limit of requests in flight that was assigned to the VM.
     assigned_in_flight: u32,
 }
@@ -79,29 +85,46 @@
     ) -> LimitShare {
         let fraction = fraction.clamp(0.0, 1.0);
         let reports = self.reports.entry(customer.id.clone()).or_default();
-        let lifetime = report_interval(reports.len()) * SHARE_VALIDITY_INTERVALS;
-        reports.retain(|_, it| now.saturating_duration_since(it.received_at) < lifetime);
-        let report = Report { demand: demand.clone(), received_at: now, assigned_in_flight: 0 };
+        reports.retain(|_, it| now < it.valid_until);
+        let is_new = !reports.contains_key(from);
+        let report = Report {
+            demand: demand.clone(),
+            valid_until: now,
+            assigned_requests_per_s: 0.0,
+            assigned_in_flight: 0,
+        };
         reports.insert(from.clone(), report);
-        let rates = reports.values().map(|it| it.demand.requests_per_s).collect();
+        let requests_per_s =
+            customer.requests_per_s.map(|limit| fair_rate(limit * fraction, reports, from, is_new));
         let in_flight = customer
             .max_in_flight
             .map(|limit| fair_in_flight((f64::from(limit) * fraction) as u32, reports, from));
+        let interval = report_interval(reports.len());
         if let Some(report) = reports.get_mut(from) {
+            report.valid_until = now + interval * SHARE_VALIDITY_INTERVALS;
+            report.assigned_requests_per_s = requests_per_s.unwrap_or(0.0);
             report.assigned_in_flight = in_flight.unwrap_or(0);
         }
-        let interval = report_interval(reports.len());
         LimitShare {
             customer: customer.id.clone(),
-            requests_per_s: customer
-                .requests_per_s
-                .map(|limit| fair_share(limit * fraction, rates, demand.requests_per_s)),
+            requests_per_s,
             in_flight,
             report_every_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
 
+/// Returns the share of `from` in a rate of `limit`, capped by the part that is not assigned to the
+/// other VMs. A VM without a share gets up to the even one beside them, as it would without a coordinator.
+fn fair_rate(limit: f64, reports: &BTreeMap<VmId, Report>, from: &VmId, is_new: bool) -> f64 {
+    let demands = reports.values().map(|it| it.demand.requests_per_s).collect();
+    let own = reports.get(from).map_or(0.0, |it| it.demand.requests_per_s);
+    let others = reports.iter().filter(|(vm, _)| *vm != from);
+    let assigned: f64 = others.map(|(_, it)| it.assigned_requests_per_s).sum();
+    let even_share = if is_new { limit / reports.len().max(1) as f64 } else { 0.0 };
+    fair_share(limit, demands, own).min((limit - assigned).max(even_share))
+}
+
 /// Returns the share of `from` in `limit` requests in flight, capped by the part that the other
 /// VMs have not reserved.
 fn fair_in_flight(limit: u32, reports: &BTreeMap<VmId, Report>, from: &VmId) -> u32 {
--- a/crates/coordination/tests/shared_limits.rs
+++ b/crates/coordination/tests/shared_limits.rs
@@ -5,6 +5,7 @@
 
 use cranberryvalve_coordination::limits::LimitClient;
 use cranberryvalve_coordination::limits::LimitCoordinator;
+use cranberryvalve_coordination::limits::LimitDemand;
 use cranberryvalve_core::CustomerSpec;
 use cranberryvalve_core::Digest;
 use cranberryvalve_core::VmId;
@@ -166,3 +167,77 @@
     }
     assert!(reports <= 60 * 25, "{reports} reports from 340 VMs in one minute");
 }
+
+/// Returns the demand of a VM that has as many requests as it may send.
+fn high_demand() -> LimitDemand {
+    LimitDemand { customer: "tasman".into(), requests_per_s: 500.0, in_flight: 0, refused: 0 }
+}
+
+#[test]
+fn shares_that_are_valid_at_the_same_time_stay_within_the_rate() {
+    const LIMIT: f64 = 40.0;
+    let mut deployment = Deployment::new(3, Some(LIMIT), None);
+    let mut coordinator = LimitCoordinator::default();
+    let mut rates = [0.0; 3];
+    let mut report = |vm: usize, demand_per_s: f64| {
+        deployment.now += Duration::from_millis(330);
+        let (name, customer) = (&deployment.vms[vm].0, &deployment.customer);
+        let demand = LimitDemand { requests_per_s: demand_per_s, ..high_demand() };
+        let share = coordinator.on_report(deployment.now, name, &demand, customer, 1.0);
+        rates[vm] = share.requests_per_s.expect("a limited rate");
+        rates
+    };
+    // A VM without a share gets up to the even one beside those of the others.
+    let even_shares = [0.0, LIMIT / 2.0, LIMIT / 2.0 + LIMIT / 3.0];
+    for (vm, (demand, excess)) in [1.0, 500.0, 500.0].into_iter().zip(even_shares).enumerate() {
+        let rates = report(vm, demand);
+        assert!(rates.iter().sum::<f64>() <= LIMIT + excess + 1e-6, "{rates:?}");
+    }
+    report(0, 1.0);
+    report(1, 500.0);
+    // The demand of the first VM grows while the others have the rest.
+    for vm in [2, 0, 1, 2, 0, 1, 2] {
+        let rates = report(vm, 500.0);
+        assert!(rates.iter().sum::<f64>() <= LIMIT + 1e-6, "VM {vm}: {rates:?}");
+    }
+    assert!(rates.iter().all(|it| (it - LIMIT / 3.0).abs() < 1e-6), "{rates:?}");
+}
+
+#[test]
+fn share_given_among_many_vms_counts_as_long_as_it_is_valid() {
+    const LIMIT: u32 = 2_000;
+    let mut deployment = Deployment::new(100, None, Some(LIMIT));
+    let mut coordinator = LimitCoordinator::default();
+    let mut report = |deployment: &Deployment, vm: usize| {
+        let (name, customer) = (&deployment.vms[vm].0, &deployment.customer);
+        let demand = LimitDemand { refused: 50, ..high_demand() };
+        coordinator.on_report(deployment.now, name, &demand, customer, 1.0)
+    };
+    for _ in 0..3 {
+        deployment.now += Duration::from_secs(5);
+        (0..100).for_each(|vm| drop(report(&deployment, vm)));
+    }
+    deployment.now += Duration::from_secs(10);
+    let last = report(&deployment, 99);
+    let assigned = last.in_flight.expect("a limit");
+    let validity = Duration::from_millis(last.report_every_ms.into()) * 3;
+    assert!(assigned > 0 && validity == Duration::from_secs(15), "{last:?}");
+    // All but two VMs have gone, so that reports are due more often.
+    deployment.now += Duration::from_millis(5_100);
+    report(&deployment, 0);
+    deployment.now += Duration::from_millis(100);
+    let share = report(&deployment, 0).in_flight.expect("a limit");
+    assert!(share + assigned <= LIMIT, "{share} beside {assigned} that are still valid");
+}
+
+#[test]
+fn caller_refused_for_want_of_a_share_is_asked_back_after_the_next_report() {
+    let mut deployment = Deployment::new(2, Some(40.0), None);
+    deployment.send_requests(0..1, 100.0, Duration::from_secs(5));
+    while deployment.admit(1) {}
+    deployment.send_requests(0..1, 100.0, Duration::from_millis(400));
+    while deployment.admit(1) {}
+    let refused = deployment.vms[1].1.admit(deployment.now, &deployment.customer, 2);
+    let retry_after = refused.expect_err("above the share").retry_after;
+    assert!(retry_after <= Duration::from_secs(1), "{retry_after:?}");
+}
