--- a/crates/lab/src/campaign.rs
+++ b/crates/lab/src/campaign.rs
@@ -1,9 +1,12 @@
 //! Fault-injection campaign: pairs of faults with real processes, and a check of the invariants.
 
+mod callers;
 mod checker;
 mod faults;
+mod upgrade;
 mod workload;
 
+use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
@@ -12,15 +15,18 @@
 use cranberryvalve_standins::vm::Vm;
 use cranberryvalve_standins::vm::wait_until;
 use eyre::Result;
+use eyre::bail;
 use eyre::eyre;
 use gumdrop::Options;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use self::callers::Callers;
 use self::checker::Breach;
 use self::checker::Observations;
 use self::faults::Fault;
+use self::upgrade::Programs;
 use crate::CheckResult;
 use crate::programs;
 use crate::report;
@@ -31,6 +37,9 @@
 /// Number of engines in each round.
 const ENGINES: usize = 6;
 
+/// Time over which the workload of a pair of faults is spread.
+const WORKLOAD_DURATION: Duration = Duration::from_millis(3_500);
+
 /// Duration of the faults.
 const FAULT_DURATION: Duration = Duration::from_secs(3);
 
@@ -46,15 +55,21 @@
     seed: u64,
     #[options(no_short, help = "number of rounds (default 6)", default = "6")]
     rounds: u64,
+    #[options(no_short, help = "replace the daemons one after the other instead of faults")]
+    upgrade: bool,
+    #[options(no_short, help = "program that an upgrade starts with (default: the present one)")]
+    old: Option<String>,
 }
 
 /// Runs the rounds, each with a pair of faults and a workload drawn from its seed.
 pub(crate) fn run(options: &CampaignOptions) -> Result<CheckResult> {
+    let programs = programs(options)?;
     let mut result = CheckResult::Passed;
     for seed in options.seed..options.seed + options.rounds {
-        let pair = Fault::pair(&mut Pcg64Mcg::seed_from_u64(seed));
-        let breaches = run_round(seed, pair)?;
-        report::line(&format!("seed {seed}: {pair:?}: {} breaches", breaches.len()));
+        let breaches = match &programs {
+            Some(programs) => upgrade::run_round(seed, programs)?,
+            None => run_round(seed)?,
+        };
         for breach in &breaches {
             report::line(&format!("  BREACH: {breach}"));
             result = CheckResult::Failed;
@@ -63,16 +78,31 @@
     Ok(result)
 }
 
-/// Runs one round and returns the invariants that were breached.
-fn run_round(seed: u64, pair: [Fault; 2]) -> Result<Vec<Breach>> {
+/// Returns the programs of an upgrade, or `None` if none was asked for.
+fn programs(options: &CampaignOptions) -> Result<Option<Programs>> {
+    if !options.upgrade {
+        return Ok(None);
+    }
+    let new = programs::daemon()?;
+    let old = options.old.as_ref().map_or_else(|| new.clone(), PathBuf::from);
+    if !old.exists() {
+        bail!("--old: `{}` does not exist", old.display());
+    }
+    Ok(Some(Programs { old, new }))
+}
+
+/// Runs a pair of faults, prints a line and returns the invariants that were breached.
+fn run_round(seed: u64) -> Result<Vec<Breach>> {
+    let pair = Fault::pair(&mut Pcg64Mcg::seed_from_u64(seed));
     let settings =
         ClusterSettings { vms: VMS, engines: ENGINES, services: 2, ..ClusterSettings::default() };
     let mut cluster = Cluster::start(&programs::daemon()?, settings)?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let targets = [rng.random_range(1..VMS), rng.random_range(0..ENGINES)];
-    let callers: Vec<_> = cluster.vms.iter().map(|it| it.caller_address).collect();
+    let callers = Callers::of(&cluster);
     let operators: Vec<_> = cluster.vms.iter().map(|it| it.operator_address).collect();
-    let workload = thread::spawn(move || workload::run(seed, &callers, &operators));
+    let workload =
+        thread::spawn(move || workload::run(seed, WORKLOAD_DURATION, &callers, &operators));
     thread::sleep(Duration::from_millis(300));
     for fault in pair {
         fault.start(&mut cluster, targets);
@@ -84,7 +114,9 @@
     let mut observations = workload.join().map_err(|_| eyre!("the workload panicked"))?;
     observe_effects(&cluster, &mut observations);
     observe_versions(&cluster, &mut observations);
-    Ok(checker::check(&observations))
+    let breaches = checker::check(&observations);
+    report::line(&format!("seed {seed}: {pair:?}: {} breaches", breaches.len()));
+    Ok(breaches)
 }
 
 /// Records the idempotency keys of the calls that the services ran.
--- a/crates/lab/src/campaign/checker.rs
+++ b/crates/lab/src/campaign/checker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Instant;
 
 /// Observations of one round.
 #[derive(Debug, Clone, Default)]
@@ -16,6 +17,34 @@
     pub(crate) vm_count: usize,
     /// Active configuration version of each VM that runs at the end.
     pub(crate) final_versions: Vec<u64>,
+    /// Versions in force at the VMs, in the order in which they were observed.
+    pub(crate) versions: Vec<VersionObservation>,
+    /// Requests of a customer with a limit.
+    pub(crate) limited: Vec<LimitedObservation>,
+    /// Number of such requests that the limit admits in flight; `None` if there is no limit.
+    pub(crate) limit: Option<usize>,
+    /// When the VMs agreed on the members again; `None` if they always did.
+    pub(crate) agreed_from: Option<Instant>,
+    /// Number of VMs that did not stop, or failed, after SIGTERM.
+    pub(crate) failed_stops: usize,
+    /// Number of VMs whose build each VM shows at the end; empty if it was not observed.
+    pub(crate) final_members: Vec<usize>,
+}
+
+/// The version in force at a VM.
+#[derive(Debug, Clone)]
+pub(crate) struct VersionObservation {
+    pub(crate) vm: usize,
+    /// When the process started, which tells it from others of the VM.
+    pub(crate) process: u64,
+    pub(crate) version: u64,
+}
+
+/// The time in which a request was surely in flight, from its first token to its end.
+#[derive(Debug, Clone)]
+pub(crate) struct LimitedObservation {
+    pub(crate) from: Instant,
+    pub(crate) to: Instant,
 }
 
 /// A model request and its response, as the caller observed them.
@@ -68,6 +97,14 @@
     VersionLost { versions: Vec<u64>, applied: u64 },
     /// At the end, some VMs do not run.
     VmsLost { running: usize, vms: usize },
+    /// The version in force at a VM went back while its process ran.
+    VersionWentBack { vm: usize, from: u64, to: u64 },
+    /// A customer had more requests in flight than its limit admits.
+    LimitExceeded { in_flight: usize, limit: usize },
+    /// VMs did not stop, or failed, after SIGTERM.
+    StopsFailed { vms: usize },
+    /// At the end, a VM does not show what all VMs run.
+    MembersUnknown { known: Vec<usize>, vms: usize },
 }
 
 impl fmt::Display for Breach {
@@ -82,6 +119,15 @@
         let applied = self.plans.iter().filter(|it| it.result == "applied");
         applied.map(|it| it.version).max().unwrap_or(1)
     }
+
+    /// Returns the maximum number of limited requests that were in flight at once, from a time on.
+    pub(crate) fn peak_in_flight(&self, from: Option<Instant>) -> usize {
+        let starts = self.limited.iter().map(|it| it.from).chain(from);
+        let starts = starts.filter(|it| from.is_none_or(|from| *it >= from));
+        let in_flight =
+            starts.map(|at| self.limited.iter().filter(|it| it.from <= at && at < it.to).count());
+        in_flight.max().unwrap_or(0)
+    }
 }
 
 /// Returns every breach of an invariant.
@@ -91,6 +137,9 @@
     check_bookings(observations, &mut breaches);
     check_plans(observations, &mut breaches);
     check_versions(observations, &mut breaches);
+    check_order(observations, &mut breaches);
+    check_limit(observations, &mut breaches);
+    check_members(observations, &mut breaches);
     breaches
 }
 
@@ -158,5 +207,40 @@
     }
 }
 
+fn check_order(observations: &Observations, breaches: &mut Vec<Breach>) {
+    let mut newest = BTreeMap::<(usize, u64), u64>::new();
+    for &VersionObservation { vm, process, version } in &observations.versions {
+        let known = newest.entry((vm, process)).or_default();
+        if version < *known {
+            breaches.push(Breach::VersionWentBack { vm, from: *known, to: version });
+        }
+        *known = version;
+    }
+}
+
+/// Checks the bounds of `coordination::limits`: the limit and one request for each VM, and the limit
+/// twice while VMs disagree about the members.
+fn check_limit(observations: &Observations, breaches: &mut Vec<Breach>) {
+    let Some(limit) = observations.limit else { return };
+    let agreed = (observations.agreed_from, limit + observations.vm_count);
+    let always = (None, 2 * limit + observations.vm_count);
+    for (from, admitted) in [agreed, always] {
+        let in_flight = observations.peak_in_flight(from);
+        if in_flight > admitted {
+            breaches.push(Breach::LimitExceeded { in_flight, limit: admitted });
+        }
+    }
+}
+
+fn check_members(observations: &Observations, breaches: &mut Vec<Breach>) {
+    if observations.failed_stops > 0 {
+        breaches.push(Breach::StopsFailed { vms: observations.failed_stops });
+    }
+    let (known, vms) = (observations.final_members.clone(), observations.vm_count);
+    if known.iter().any(|it| *it < vms) {
+        breaches.push(Breach::MembersUnknown { known, vms });
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/lab/src/campaign/checker/tests.rs
+++ b/crates/lab/src/campaign/checker/tests.rs
@@ -1,5 +1,9 @@
 //! The checker finds an injected breach of each kind, and none in valid observations.
 
+use std::ops::Range;
+use std::sync::LazyLock;
+use std::time::Duration;
+
 use super::*;
 
 fn chat(class: &str) -> ChatObservation {
@@ -14,6 +18,20 @@
     }
 }
 
+fn version(vm: usize, process: u64, version: u64) -> VersionObservation {
+    VersionObservation { vm, process, version }
+}
+
+/// Returns a request in flight in these milliseconds.
+fn limited(ms: Range<u64>) -> LimitedObservation {
+    LimitedObservation { from: at(ms.start), to: at(ms.end) }
+}
+
+fn at(ms: u64) -> Instant {
+    static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+    *START + Duration::from_millis(ms)
+}
+
 fn valid_observations() -> Observations {
     let booking =
         |outcome: &str| BookingObservation { key: "k".to_owned(), outcome: outcome.to_owned() };
@@ -29,6 +47,12 @@
         effects: vec!["k".to_owned()],
         vm_count: 2,
         final_versions: vec![2, 2],
+        versions: vec![version(1, 7, 2), version(1, 8, 1), version(1, 8, 2)],
+        limited: vec![limited(0..40), limited(0..34), limited(0..33), limited(30..40)],
+        limit: Some(1),
+        agreed_from: Some(at(35)),
+        failed_stops: 0,
+        final_members: vec![2, 2],
     }
 }
 
@@ -86,3 +110,17 @@
     let stopped = breaches_after(|it| it.final_versions.truncate(1));
     assert_eq!(stopped, [Breach::VmsLost { running: 1, vms: 2 }]);
 }
+
+#[test]
+fn injected_upgrade_breaches_are_found() {
+    let back = breaches_after(|it| it.versions.push(version(1, 8, 1)));
+    assert_eq!(back, [Breach::VersionWentBack { vm: 1, from: 2, to: 1 }]);
+    let exceeded = breaches_after(|it| it.limited.push(limited(31..32)));
+    assert_eq!(exceeded, [Breach::LimitExceeded { in_flight: 5, limit: 4 }]);
+    let exceeded = breaches_after(|it| it.limited.extend([limited(34..40), limited(34..40)]));
+    assert_eq!(exceeded, [Breach::LimitExceeded { in_flight: 4, limit: 3 }]);
+    let failed = breaches_after(|it| it.failed_stops = 1);
+    assert_eq!(failed, [Breach::StopsFailed { vms: 1 }]);
+    let unknown = breaches_after(|it| it.final_members[0] = 1);
+    assert_eq!(unknown, [Breach::MembersUnknown { known: vec![1, 2], vms: 2 }]);
+}
--- a/xtask/src/checks.rs
+++ b/xtask/src/checks.rs
@@ -70,7 +70,7 @@
 }
 
 /// Builds the daemon and the command-line client, which tests and experiments start as processes.
-fn build_programs(profile: &str) -> Result<()> {
+pub(crate) fn build_programs(profile: &str) -> Result<()> {
     let packages = ["--package", "cranberryvalved", "--package", "cranberryvalve-cli"];
     let mut arguments = vec!["build", "--quiet", "--profile", profile];
     arguments.extend(packages);
--- a/xtask/src/upgrade.rs
+++ b/xtask/src/upgrade.rs
@@ -1,6 +1,7 @@
 //! Plays rolling upgrades from the program of an earlier commit to the present one.
 
 mod bytes;
+mod daemon;
 
 use std::fs;
 use std::path::Path;
@@ -24,8 +25,16 @@
 /// Folder of the older commits, each in a git worktree that is kept.
 const WORKTREES_FOLDER: &str = "target/upgrade";
 
-/// Path of the program in a worktree.
-const PROGRAM: &str = "target/debug/cranberryvalve-node";
+/// A program of an earlier commit.
+struct OlderProgram {
+    package: &'static str,
+    /// Path in the commit's worktree.
+    path: &'static str,
+}
+
+/// The platform's program of an earlier commit.
+const NODE: OlderProgram =
+    OlderProgram { package: "cranberryvalve-platform", path: "target/debug/cranberryvalve-node" };
 
 /// Folder of built files in a worktree, and those of its folders that Cargo uses again.
 const BUILD_FOLDER: &str = "target/debug";
@@ -65,6 +74,8 @@
     keep: bool,
     #[options(no_short, help = "only check that the commit reads what the present build writes")]
     bytes: bool,
+    #[options(no_short, help = "replace daemons instead of the platform's program")]
+    daemon: bool,
 }
 
 /// Runs upgrades with the arguments of `cargo xtask upgrade`.
@@ -83,7 +94,10 @@
     if flags.bytes {
         return Ok(());
     }
-    let program = build_program(&worktree, &hash)?;
+    if flags.daemon {
+        return daemon::play(&flags, &build_program(&worktree, &hash, &daemon::DAEMON)?);
+    }
+    let program = build_program(&worktree, &hash, &NODE)?;
     variables.push(("CRANBERRYVALVE_UPGRADE_OLD", program.display().to_string()));
     variables.push(("CRANBERRYVALVE_UPGRADE_FROM", hash[..SHORT_HASH_DIGITS].to_owned()));
     let variables: Vec<(&str, &str)> =
@@ -118,6 +132,9 @@
     if flags.seeds == Some(0) {
         bail!("--seeds: at least 1");
     }
+    if flags.daemon {
+        daemon::check_flags(flags)?;
+    }
     let numbers = [
         ("CRANBERRYVALVE_UPGRADE_SEED", flags.seed),
         ("CRANBERRYVALVE_UPGRADE_SEEDS", flags.seeds),
@@ -183,17 +200,16 @@
     Ok(folder)
 }
 
-/// Builds the platform's program of a commit in its worktree, and returns its path.
-fn build_program(folder: &Path, hash: &str) -> Result<PathBuf> {
+/// Builds a program of a commit in its worktree, and returns its path.
+fn build_program(folder: &Path, hash: &str, program: &OlderProgram) -> Result<PathBuf> {
     let text = folder.display().to_string();
-    print_line(&format!("building the program of {hash} in {text}"));
+    print_line(&format!("building {} of {hash} in {text}", program.package));
     let manifest = format!("{text}/Cargo.toml");
     let target = format!("{text}/target");
-    let package = ["--package", "cranberryvalve-platform"];
     let mut build = vec!["build", "--quiet", "--manifest-path", &manifest, "--target-dir", &target];
-    build.extend(package);
+    build.extend(["--package", program.package]);
     run_with("cargo", &build, &[])?;
-    let program = folder.join(PROGRAM);
+    let program = folder.join(program.path);
     program.canonicalize().wrap_err_with(|| format!("{} was not built", program.display()))
 }
 
--- a/xtask/src/upgrade/tests.rs
+++ b/xtask/src/upgrade/tests.rs
@@ -59,6 +59,7 @@
     assert_eq!(parse(&["--vms", "65"]), Err("--vms: from 2 to 64".to_owned()));
     assert_eq!(parse(&["--seeds", "0"]), Err("--seeds: at least 1".to_owned()));
     assert!(parse(&["--seed", "x"]).is_err());
+    assert_eq!(parse(&["--daemon", "--vms", "3"]), Err("--vms: not for --daemon".to_owned()));
     let missing = parse(&["--plan", "no-such-plan.json"]);
     assert_eq!(missing, Err("--plan: `no-such-plan.json` does not exist".to_owned()));
 }
