fix(daemon): SIGHUP does not end the process

The daemon had no handler for SIGHUP, whose default action ends a process and with it the calls in flight. Its settings are flags and environment variables, so that there is nothing to read again: the signal is logged, and that settings change with a restart only. keeps_running_after_sighup passes (graceful_stop, 3 tests); it was not run without the handler.

--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -6,9 +6,11 @@
 
 use cranberryvalve_adapters::caller::CallerServer;
 use eyre::Result;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
+use slog::Logger;
 use slog::info;
 
 use crate::node::Node;
@@ -19,10 +21,13 @@
 /// Time without requests in flight after which the process stops.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
 
-/// Waits for a stop signal (SIGTERM or SIGINT).
-pub(crate) fn wait_for_signal() -> Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    signals.forever().next();
+/// Waits for a stop signal (SIGTERM or SIGINT). SIGHUP stops nothing: settings are flags and
+/// environment variables, which only a restart changes.
+pub(crate) fn wait_for_signal(log: &Logger) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    while signals.forever().next() == Some(SIGHUP) {
+        info!(log, "settings change with a restart only");
+    }
     Ok(())
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,7 +46,7 @@
         "caller_address" => callers.address().to_string(),
         "operator_address" => node.settings.operator_address.to_string(),
         "peer_address" => node.settings.peer_address.to_string());
-    lifecycle::wait_for_signal()?;
+    lifecycle::wait_for_signal(&node.log)?;
     lifecycle::stop_gracefully(&node, &callers);
     info!(node.log, "stopped");
     Ok(())
--- a/crates/daemon/tests/graceful_stop.rs
+++ b/crates/daemon/tests/graceful_stop.rs
@@ -66,3 +66,16 @@
     assert!(response.complete, "{response:?}");
     assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
 }
+
+#[test]
+fn keeps_running_after_sighup() {
+    let mut cluster = start();
+    for number in 0..2 {
+        cluster.vms[0].hang_up();
+        let lines = || cluster.vms[0].log().matches("settings change with a restart only").count();
+        assert!(wait_until(WAIT_TIMEOUT, || lines() > number), "{}", cluster.vms[0].log());
+    }
+    assert!(client::chat(cluster.vms[0].caller_address, &chat(1, 10)).complete);
+    cluster.vms[0].terminate();
+    assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
+}
--- a/crates/standins/src/vm.rs
+++ b/crates/standins/src/vm.rs
@@ -145,6 +145,11 @@
         self.signal("-TERM");
     }
 
+    /// Sends SIGHUP, which stops nothing.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     /// Suspends the process with SIGSTOP until [`Vm::resume`].
     pub fn pause(&self) {
         self.signal("-STOP");
