--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -6,9 +6,11 @@
 
 use cranberryvalve_adapters::caller::CallerServer;
 use eyre::Result;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
+use slog::Logger;
 use slog::info;
 
 use crate::node::Node;
@@ -19,19 +21,22 @@
 /// Time without requests in flight after which the process stops.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
 
-/// Stop signals (SIGTERM and SIGINT), which do not end the process from now on.
-pub(crate) struct StopSignals(Signals);
+/// Signals of the process, which do not end it from now on.
+pub(crate) struct ProcessSignals(Signals);
 
-impl StopSignals {
+impl ProcessSignals {
     /// Installs the handlers. Call it before the first request is accepted, which a signal would
     /// interrupt.
     pub(crate) fn install() -> Result<Self> {
-        Ok(Self(Signals::new([SIGTERM, SIGINT])?))
+        Ok(Self(Signals::new([SIGTERM, SIGINT, SIGHUP])?))
     }
 
-    /// Waits for a signal, which may have come already.
-    pub(crate) fn wait(mut self) {
-        self.0.forever().next();
+    /// Waits for a stop signal (SIGTERM or SIGINT), which may have come already. SIGHUP stops nothing:
+    /// settings are flags and environment variables, which only a restart changes.
+    pub(crate) fn wait_for_stop(mut self, log: &Logger) {
+        while self.0.forever().next() == Some(SIGHUP) {
+            info!(log, "settings change with a restart only");
+        }
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -19,7 +19,7 @@
 use slog::error;
 use slog::info;
 
-use crate::lifecycle::StopSignals;
+use crate::lifecycle::ProcessSignals;
 use crate::node::BUILD;
 use crate::node::Node;
 use crate::settings::Settings;
@@ -41,7 +41,7 @@
 }
 
 fn run(settings: Settings, log: slog::Logger) -> eyre::Result<()> {
-    let stop_signals = StopSignals::install()?;
+    let signals = ProcessSignals::install()?;
     let node = Arc::new(Node::new(settings, log)?);
     let callers = service::start(&node)?;
     let _operator_address = operator::start(&node)?;
@@ -50,7 +50,7 @@
         "caller_address" => callers.address().to_string(),
         "operator_address" => node.settings.operator_address.to_string(),
         "peer_address" => node.settings.peer_address.to_string());
-    stop_signals.wait();
+    signals.wait_for_stop(&node.log);
     lifecycle::stop_gracefully(&node, &callers);
     info!(node.log, "stopped");
     Ok(())
