fix: trials of condemned calls are forwarded at once

News of other VMs is collected for 20 ms at each of up to 9 hops before it is forwarded, to save messages in series of crashes. That of a trial was, too, so that VMs further away could start one of their own for up to 0.2 s, when all the callers that were told the same moment come back.

--- a/crates/coordination/src/quarantine.rs
+++ b/crates/coordination/src/quarantine.rs
@@ -107,6 +107,8 @@
     responses: RecentResponses,
     /// Keys whose evidence still has to be sent to the neighbours.
     untold: BTreeSet<SuspectKey>,
+    /// Whether another VM has told of a trial that still has to be sent to the neighbours.
+    has_untold_trial: bool,
     /// Keys whose evidence has changed since the last judgement.
     unjudged: BTreeSet<SuspectKey>,
     /// Whether a verdict that explained crashes has ended since then, so that all keys are judged.
@@ -181,10 +183,13 @@
 
     /// Merges what another VM knows of a key; returns `true` if any of it is new.
     fn merge_key(&mut self, now: Instant, update: &SuspectUpdate) -> bool {
+        let trials = |it: &Self| it.suspects.get(&update.key).map_or(0, Evidence::trials);
+        let trials_before = trials(self);
         let mut is_new = match self.suspects.get_mut(&update.key) {
             Some(evidence) => evidence.merge(now, update),
             None => self.add_key(now, update),
         };
+        self.has_untold_trial |= trials(self) > trials_before;
         if let Some(responded_at) = self.responses.latest(&update.key)
             && let Some(evidence) = self.suspects.get_mut(&update.key)
         {
@@ -276,12 +281,18 @@
         !self.untold.is_empty()
     }
 
+    /// Returns `true` if it has to be sent at once: until a trial is known, other VMs may start one.
+    pub const fn has_urgent_updates(&self) -> bool {
+        self.has_untold_trial
+    }
+
     /// Takes what still has to be sent to all neighbouring VMs.
     ///
     /// A VM forwards whatever is new to it, so an update reaches all VMs in as many rounds as the
     /// diameter of the neighbour graph (flooding).
     pub fn take_updates(&mut self, now: Instant) -> Vec<SuspectUpdate> {
         let untold = std::mem::take(&mut self.untold);
+        self.has_untold_trial = false;
         let known = untold.iter().filter_map(|key| Some((key, self.suspects.get(key)?)));
         known.map(|(key, evidence)| evidence.update(now, key)).collect()
     }
--- a/crates/coordination/src/quarantine/evidence.rs
+++ b/crates/coordination/src/quarantine/evidence.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns the number of trials since the key was condemned.
+    pub(super) const fn trials(&self) -> u32 {
+        self.trials
+    }
+
     /// Returns the time of the last crash or trial; `None` if there is none.
     pub(super) fn last_changed_at(&self) -> Option<Instant> {
         self.crashes.last().map(|it| it.at).max(self.last_trial_at)
--- a/crates/coordination/tests/quarantine.rs
+++ b/crates/coordination/tests/quarantine.rs
@@ -159,6 +159,23 @@
     assert!(!vm.is_refused(&part(7)));
 }
 
+#[test]
+fn trial_of_another_vm_is_forwarded_at_once() {
+    let (mut vm, mut other) = (Vm::new(), Vm::new());
+    vm.crash_times(3, &[part(7)]);
+    other.now = vm.now;
+    other.quarantine.merge(vm.now, &vm.quarantine.take_updates(vm.now));
+    assert!(other.quarantine.has_updates() && !other.quarantine.has_urgent_updates());
+    vm.wait(16.0);
+    vm.quarantine.claim(vm.now, &[part(7)]).expect("a trial is due");
+    let trial = vm.quarantine.take_updates(vm.now);
+    other.quarantine.merge(vm.now, &trial);
+    assert!(other.quarantine.has_urgent_updates());
+    assert_eq!(other.quarantine.take_updates(vm.now), trial);
+    other.quarantine.merge(vm.now, &trial);
+    assert!(!other.quarantine.has_urgent_updates(), "it is known");
+}
+
 #[test]
 fn evidence_is_bounded_and_keeps_verdicts() {
     let mut vm = Vm::new();
--- a/crates/relay/src/crashes.rs
+++ b/crates/relay/src/crashes.rs
@@ -191,15 +191,17 @@
     }
 
     /// Merges what another VM knows of calls that crash upstreams. What is new is forwarded after
-    /// [`FORWARDING_DELAY`].
+    /// [`FORWARDING_DELAY`], or at once if a trial has been started.
     pub(crate) fn merge_suspects(&self, updates: &[SuspectUpdate]) {
-        let (changes, has_news) = {
+        let (changes, has_news, is_urgent) = {
             let mut quarantine = self.crash_guard.lock();
             let changes = quarantine.merge(Instant::now(), updates);
-            (changes, quarantine.has_updates())
+            (changes, quarantine.has_updates(), quarantine.has_urgent_updates())
         };
         self.crash_guard.report(&changes);
-        if has_news {
+        if is_urgent {
+            self.forward_suspects();
+        } else if has_news {
             self.crash_guard.has_news.notify_one();
         }
     }
