--- a/crates/coordination/tests/member_discovery.rs
+++ b/crates/coordination/tests/member_discovery.rs
@@ -17,6 +17,9 @@
 /// Rounds after which four VMs know each other although a few messages in a row were lost.
 const MAX_LOSSY_ROUNDS: usize = 5;
 
+/// Numbers of the VMs of a deployment of four.
+const ALL: [usize; 4] = [0, 1, 2, 3];
+
 fn address(number: usize) -> PeerAddress {
     PeerAddress {
         vm: format!("vm-{number}").into(),
@@ -106,23 +109,33 @@
     }
 }
 
+/// Returns four VMs that know each other.
+fn four_vms(now: &mut Instant) -> Vec<Membership> {
+    let mut vms: Vec<_> = ALL.map(|it| Membership::new(address(it), 1)).into();
+    for vm in 1..4 {
+        send(&mut vms, *now, vm, 0);
+    }
+    run(&mut vms, now, MAX_ROUNDS, &ALL);
+    vms
+}
+
+/// Puts a new process, which knows no other VM, in the place of a VM.
+fn restart(vms: &mut [Membership], vm: usize) {
+    let incarnation = vms[vm].incarnation() + 1;
+    vms[vm] = Membership::new(address(vm), incarnation);
+}
+
 #[test]
 fn restarted_vm_is_told_of_all_members() {
     let mut now = Instant::now();
-    let mut vms: Vec<_> = (0..4).map(|it| Membership::new(address(it), 1)).collect();
-    for vm in 1..4 {
-        send(&mut vms, now, vm, 0);
-    }
-    let all = [0, 1, 2, 3];
-    run(&mut vms, &mut now, MAX_ROUNDS, &all);
-    for (restarted, seed) in all.iter().flat_map(|vm| all.map(|seed| (*vm, seed))) {
+    let mut vms = four_vms(&mut now);
+    for (restarted, seed) in ALL.iter().flat_map(|vm| ALL.map(|seed| (*vm, seed))) {
         // It is back before its silence is noticed, and knows one of the others.
-        let incarnation = vms[restarted].incarnation() + 1;
-        vms[restarted] = Membership::new(address(restarted), incarnation);
+        restart(&mut vms, restarted);
         if seed != restarted {
             send(&mut vms, now, restarted, seed);
         }
-        run(&mut vms, &mut now, MAX_ROUNDS, &all);
+        run(&mut vms, &mut now, MAX_ROUNDS, &ALL);
         let counts: Vec<usize> = vms.iter().map(Membership::alive_count).collect();
         assert_eq!(counts, [4; 4], "after a restart of VM {restarted} with seed {seed}");
     }
@@ -131,17 +144,11 @@
 #[test]
 fn restarted_vm_is_told_despite_loss() {
     let mut now = Instant::now();
-    let mut vms: Vec<_> = (0..4).map(|it| Membership::new(address(it), 1)).collect();
-    for vm in 1..4 {
-        send(&mut vms, now, vm, 0);
-    }
-    let all = [0, 1, 2, 3];
-    run(&mut vms, &mut now, MAX_ROUNDS, &all);
+    let mut vms = four_vms(&mut now);
     let mut failed = Vec::new();
-    for (restarted, seed) in all.iter().flat_map(|vm| all.map(|seed| (*vm, seed))) {
+    for (restarted, seed) in ALL.iter().flat_map(|vm| ALL.map(|seed| (*vm, seed))) {
         for first_lost in 1..7 {
-            let incarnation = vms[restarted].incarnation() + 1;
-            vms[restarted] = Membership::new(address(restarted), incarnation);
+            restart(&mut vms, restarted);
             let mut arrivals = 0;
             // Three messages in a row to the new process are lost.
             let is_lost = &mut |to: usize| {
@@ -151,12 +158,12 @@
             if seed != restarted {
                 send_over(is_lost, &mut vms, now, restarted, seed);
             }
-            run_over(is_lost, &mut vms, &mut now, MAX_LOSSY_ROUNDS, &all);
+            run_over(is_lost, &mut vms, &mut now, MAX_LOSSY_ROUNDS, &ALL);
             let counts: Vec<usize> = vms.iter().map(Membership::alive_count).collect();
             if counts != [4; 4] {
                 failed.push((restarted, seed, first_lost, counts));
             }
-            run(&mut vms, &mut now, 70, &all);
+            run(&mut vms, &mut now, 70, &ALL);
         }
     }
     assert_eq!(failed, []);
