feat(relay): the end of a shutdown is logged with what was in flight

'stopped' could not tell a process that had waited for its calls from one that had not. 'shutdown is over' has the time since SIGTERM, the requests in progress and the open connections.

--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use slog::info;
+
+use crate::call_log::millis;
 use crate::state::Relay;
 
 /// Interval at which the requests in progress are checked.
@@ -41,5 +44,7 @@
             }
             thread::sleep(POLL_INTERVAL);
         }
+        info!(self.log, "shutdown is over"; "elapsed_ms" => millis(started_at.elapsed()),
+            "requests" => self.active_requests(), "connections" => self.caller_connections());
     }
 }
