fix(relay): a late wake-up no longer ends a shutdown with calls in flight

Cause: the shutdown waited for 100 ms without requests by noting the time of the last request that it saw, sleeping 20 ms, and comparing that time with the clock before it looked again. A sleep of 100 ms or more (a share of 0.12 of a core, hundreds of threads of idle connections woken at the same moment, a paused process) passed for 100 ms without requests.

Evidence: late_wakeups_do_not_cut_calls_in_flight pauses the process for 300 ms while it waits.

The time is not asked any more: threads that accept or serve connections are counted from before they start to their end, and the shutdown waits until there are none, or for its time limit. That also covers a connection that was accepted and whose thread has not run yet.

--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -1,5 +1,10 @@
 //! Graceful shutdown.
 
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,11 +14,46 @@
 use crate::call_log::millis;
 use crate::state::Relay;
 
-/// Interval at which the requests in progress are checked.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Counts the threads that accept or serve connections, which keep the process running.
+#[derive(Debug, Default)]
+pub(crate) struct WorkInProgress {
+    threads: Mutex<usize>,
+    ended: Condvar,
+}
+
+/// Counts a thread until it is dropped.
+pub(crate) struct WorkGuard(Arc<WorkInProgress>);
+
+impl WorkInProgress {
+    pub(crate) fn begin(self: &Arc<Self>) -> WorkGuard {
+        *self.lock() += 1;
+        WorkGuard(self.clone())
+    }
 
-/// Time without requests in progress before the relay stops.
-const QUIET_PERIOD: Duration = Duration::from_millis(100);
+    /// Waits until no such thread is left, but not longer than until `deadline`.
+    fn wait_for_end(&self, deadline: Instant) {
+        let mut threads = self.lock();
+        loop {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if *threads == 0 || remaining.is_zero() {
+                return;
+            }
+            let waited = self.ended.wait_timeout(threads, remaining);
+            threads = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, usize> {
+        self.threads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        *self.0.lock() -= 1;
+        self.0.ended.notify_all();
+    }
+}
 
 /// Time limits of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,13 +77,7 @@
         self.start_draining();
         thread::sleep(settings.drain_delay);
         self.close();
-        let mut quiet_since = Instant::now();
-        while quiet_since.elapsed() < QUIET_PERIOD && started_at.elapsed() < settings.timeout {
-            if self.active_requests() > 0 {
-                quiet_since = Instant::now();
-            }
-            thread::sleep(POLL_INTERVAL);
-        }
+        self.work_in_progress.wait_for_end(started_at + settings.timeout);
         info!(self.log, "shutdown is over"; "elapsed_ms" => millis(started_at.elapsed()),
             "requests" => self.active_requests(), "connections" => self.caller_connections());
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -42,6 +42,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::forwarding::Forwarding;
+use crate::lifecycle::WorkInProgress;
 use crate::memory::ResponseMemory;
 use crate::peers::Peers;
 use crate::peers::PermitCoordinator;
@@ -103,6 +104,7 @@
     pub(crate) streams: Streams,
     pub(crate) forwarding: Forwarding,
     is_draining: AtomicBool,
+    pub(crate) work_in_progress: Arc<WorkInProgress>,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
 }
@@ -142,6 +144,7 @@
             forwarding: Forwarding::new(failure_domain, Instant::now()),
             log,
             is_draining: AtomicBool::new(false),
+            work_in_progress: Arc::default(),
             caller_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
         }))
@@ -190,10 +193,11 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         self.lock_listeners().push(listener.try_clone()?);
-        let relay = self.clone();
-        thread::Builder::new()
-            .name("accept".to_owned())
-            .spawn(move || relay.accept_loop(&listener, sender))?;
+        let (relay, work) = (self.clone(), self.work_in_progress.begin());
+        thread::Builder::new().name("accept".to_owned()).spawn(move || {
+            relay.accept_loop(&listener, sender);
+            drop(work);
+        })?;
         Ok(address)
     }
 
@@ -427,13 +431,15 @@
     }
 
     fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
-        let relay = self.clone();
+        let (relay, work) = (self.clone(), self.work_in_progress.begin());
         let builder =
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
         let _ = builder.spawn(move || {
-            let _count = CountGuard::new(&relay.caller_connections);
+            let count = CountGuard::new(&relay.caller_connections);
             serve_connection(&relay, stream, sender);
+            drop(count);
+            drop(work);
         });
     }
 }
