fix(relay): calls that outlast a planned stop end with a response

Cause: the stop had an end for the process, but none for the calls. Nobody concluded what was still open when the time was over, and a request that was being read when the VM closed was taken whatever its deadline.

The life cycle (serving, draining, closed, calls ended) is a type of its own. Streams that have begun go on until the process exits.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -11,12 +11,14 @@
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_adapters::caller::parse_head;
 use cranberryvalve_core::table::CallerLimits;
+use cranberryvalve_policy::execution::NotRun;
 
 use crate::body::BodyDecoder;
 use crate::exchange::BufferedResponse;
 use crate::exchange::end_to_end_headers;
 use crate::exchange::push_header;
 use crate::refusal::InvalidRequest;
+use crate::refusal::LEAVING_RETRY_AFTER;
 use crate::refusal::NOT_RUN_HEADER;
 use crate::refusal::Refusal;
 use crate::response::Framing;
@@ -62,6 +64,12 @@
         Self::Rejected(UnsentResponse::new(), Refusal::invalid(reason, message))
     }
 
+    fn shutting_down() -> Self {
+        let proof = NotRun::before_sending();
+        let refusal = Refusal::not_run(proof, LEAVING_RETRY_AFTER, "the VM is shutting down");
+        Self::Rejected(UnsentResponse::new(), refusal)
+    }
+
     fn too_slow(message: &str) -> Self {
         Self::Rejected(UnsentResponse::new(), Refusal::not_read(message))
     }
@@ -113,18 +121,18 @@
         UnsentResponse::new().reject(&mut self, refusal);
     }
 
-    /// Waits for the first byte of the next request. `closing_waker` ends the wait.
+    /// Waits for the first byte of the next request. `closed` ends the wait.
     pub(crate) fn wait_for_request(
         &mut self,
         idle_timeout: Duration,
-        closing_waker: &Waker,
+        closed: &Waker,
     ) -> Result<(), ReadError> {
         let deadline = Instant::now() + idle_timeout;
         while self.connection.input.is_empty() {
             let interest = Interest {
                 caller: Some(&self.connection),
                 caller_input: true,
-                broadcast: Some(closing_waker),
+                broadcast: Some(closed),
                 ..Interest::default()
             };
             let ready = wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
@@ -138,13 +146,15 @@
         Ok(())
     }
 
-    /// Reads a request with its complete body. Returns it with the response that is due.
+    /// Reads a request with its complete body. Returns it with the response that is due. `calls_ended`
+    /// ends the wait.
     pub(crate) fn read_request(
         &mut self,
         limits: &CallerLimits,
+        calls_ended: &Waker,
     ) -> Result<(CallerRequest, UnsentResponse), ReadError> {
         let arrived_at = Instant::now();
-        let head = self.read_head(limits, arrived_at + limits.head_timeout)?;
+        let head = self.read_head(limits, arrived_at + limits.head_timeout, calls_ended)?;
         self.keeps_alive = head.keep_alive;
         let framing = match head.body_kind()? {
             BodyKind::Length(length) if length > limits.max_body_bytes => {
@@ -158,7 +168,7 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
                 .map_err(|_| ReadError::Disconnected)?;
         }
-        let body = self.read_body(framing, limits)?;
+        let body = self.read_body(framing, limits, calls_ended)?;
         Ok((CallerRequest { head, body, arrived_at }, UnsentResponse::new()))
     }
 
@@ -166,6 +176,7 @@
         &mut self,
         limits: &CallerLimits,
         deadline: Instant,
+        calls_ended: &Waker,
     ) -> Result<RequestHead, ReadError> {
         loop {
             if let Some((head, len)) = parse_head(&self.connection.input)? {
@@ -185,13 +196,20 @@
             if self.connection.input.len() > limits.max_head_bytes {
                 return Err(head_too_large(limits));
             }
-            if self.fill(deadline)? == ReadOutcome::WouldBlock && Instant::now() >= deadline {
+            if self.fill(deadline, Some(calls_ended))? == ReadOutcome::WouldBlock
+                && Instant::now() >= deadline
+            {
                 return Err(ReadError::too_slow("the request head took too long"));
             }
         }
     }
 
-    fn read_body(&mut self, framing: Framing, limits: &CallerLimits) -> Result<Vec<u8>, ReadError> {
+    fn read_body(
+        &mut self,
+        framing: Framing,
+        limits: &CallerLimits,
+        calls_ended: &Waker,
+    ) -> Result<Vec<u8>, ReadError> {
         let deadline = Instant::now() + BODY_TIMEOUT;
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
@@ -205,18 +223,29 @@
             if decoder.is_complete() {
                 return Ok(body);
             }
-            if self.fill(deadline)? == ReadOutcome::WouldBlock && Instant::now() >= deadline {
+            if self.fill(deadline, Some(calls_ended))? == ReadOutcome::WouldBlock
+                && Instant::now() >= deadline
+            {
                 return Err(ReadError::too_slow("the request body took too long"));
             }
         }
     }
 
-    fn fill(&mut self, deadline: Instant) -> Result<ReadOutcome, ReadError> {
-        let interest =
-            Interest { caller: Some(&self.connection), caller_input: true, ..Interest::default() };
-        wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
+    fn fill(
+        &mut self,
+        deadline: Instant,
+        calls_ended: Option<&Waker>,
+    ) -> Result<ReadOutcome, ReadError> {
+        let interest = Interest {
+            caller: Some(&self.connection),
+            caller_input: true,
+            broadcast: calls_ended,
+            ..Interest::default()
+        };
+        let ready = wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
         match self.connection.fill() {
             Ok(ReadOutcome::Closed) | Err(_) => Err(ReadError::Disconnected),
+            Ok(ReadOutcome::WouldBlock) if ready.broadcast => Err(ReadError::shutting_down()),
             Ok(outcome) => Ok(outcome),
         }
     }
@@ -285,7 +314,7 @@
     fn drain_input(&mut self) {
         self.connection.shutdown_write();
         let deadline = Instant::now() + LINGER_TIMEOUT;
-        while Instant::now() < deadline && self.fill(deadline).is_ok() {
+        while Instant::now() < deadline && self.fill(deadline, None).is_ok() {
             self.connection.input.clear();
         }
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -143,6 +143,11 @@
         /// Whether the call may have been sent by then.
         is_sent: bool,
     },
+    /// This VM shuts down before the attempt is over.
+    ShutDown {
+        /// Whether the call may have been sent by then.
+        is_sent: bool,
+    },
 }
 
 impl AttemptOutcome {
@@ -159,6 +164,7 @@
             Self::CallerDisconnected
             | Self::Unread
             | Self::DeadlineExceeded { .. }
+            | Self::ShutDown { .. }
             | Self::Quarantined(_) => AttemptEnd::Abandoned,
         }
     }
@@ -166,7 +172,9 @@
     /// Returns what the attempt has shown about whether the call was run.
     pub(crate) const fn execution(&self) -> Execution {
         match self {
-            Self::Quarantined(_) | Self::DeadlineExceeded { is_sent: false } => Execution::NotSent,
+            Self::Quarantined(_)
+            | Self::DeadlineExceeded { is_sent: false }
+            | Self::ShutDown { is_sent: false } => Execution::NotSent,
             _ => self.end().execution(),
         }
     }
@@ -180,6 +188,7 @@
     pub(crate) const fn failure(&self) -> Option<&'static str> {
         match (self, self.end()) {
             (Self::DeadlineExceeded { .. }, _) => Some("time_over"),
+            (Self::ShutDown { .. }, _) => Some("shut_down"),
             (Self::Unread, _) => Some("unread"),
             (_, AttemptEnd::Complete | AttemptEnd::Abandoned) => None,
             (_, end) => Some(end.name()),
@@ -209,6 +218,7 @@
     CallerDisconnected,
     Unread,
     DeadlineExceeded { is_sent: bool },
+    ShutDown { is_sent: bool },
 }
 
 impl From<AttemptError> for AttemptOutcome {
@@ -218,6 +228,7 @@
             AttemptError::CallerDisconnected => Self::CallerDisconnected,
             AttemptError::Unread => Self::Unread,
             AttemptError::DeadlineExceeded { is_sent } => Self::DeadlineExceeded { is_sent },
+            AttemptError::ShutDown { is_sent } => Self::ShutDown { is_sent },
         }
     }
 }
@@ -361,12 +372,16 @@
                 caller: Some(&caller.connection),
                 upstream: Some(&connection),
                 upstream_output: true,
+                broadcast: Some(self.relay.lifecycle.calls_ended()),
                 ..Interest::default()
             };
             let Ok(ready) = wait(interest, connect_deadline) else { return Ok(None) };
             if ready.caller_disconnected {
                 return Err(AttemptError::CallerDisconnected);
             }
+            if ready.broadcast {
+                return Err(AttemptError::ShutDown { is_sent: false });
+            }
             if ready.timed_out {
                 return if connect_deadline == self.deadline {
                     Err(AttemptError::DeadlineExceeded { is_sent: false })
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -281,10 +281,13 @@
     /// Waits until the upstream's connection is readable, or writable if `upstream_output` is set,
     /// then reads what is available.
     fn wait_and_read(&mut self, upstream_output: bool) -> Result<ReadOutcome, AttemptError> {
+        // A stream that has begun goes on as long as the process runs: its caller can get nothing else.
+        let is_unsent = !self.delivery.has_begun();
         let interest = Interest {
             caller: Some(&self.caller.connection),
             upstream: Some(&self.connection),
             upstream_output,
+            broadcast: is_unsent.then(|| self.exchange.relay.lifecycle.calls_ended()),
             ..Interest::default()
         };
         let ready = wait(interest, self.exchange.deadline).map_err(|_| AttemptError::Incomplete)?;
@@ -295,7 +298,11 @@
             return Err(AttemptError::DeadlineExceeded { is_sent: true });
         }
         if !ready.upstream {
-            return Ok(ReadOutcome::WouldBlock);
+            return if ready.broadcast {
+                Err(AttemptError::ShutDown { is_sent: true })
+            } else {
+                Ok(ReadOutcome::WouldBlock)
+            };
         }
         let outcome = self.connection.fill().map_err(|_| AttemptError::Incomplete)?;
         if outcome == ReadOutcome::Data {
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -1,10 +1,14 @@
-//! Graceful shutdown.
+//! Life cycle of a relay: serving, draining, closed, calls ended.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,11 +16,12 @@
 use slog::info;
 
 use crate::call_log::millis;
+use crate::socket::Waker;
 use crate::state::Relay;
 
 /// Counts the threads that accept or serve connections, which keep the process running.
 #[derive(Debug, Default)]
-pub(crate) struct WorkInProgress {
+struct WorkInProgress {
     threads: Mutex<usize>,
     ended: Condvar,
 }
@@ -25,7 +30,7 @@
 pub(crate) struct WorkGuard(Arc<WorkInProgress>);
 
 impl WorkInProgress {
-    pub(crate) fn begin(self: &Arc<Self>) -> WorkGuard {
+    fn begin(self: &Arc<Self>) -> WorkGuard {
         *self.lock() += 1;
         WorkGuard(self.clone())
     }
@@ -61,24 +66,92 @@
     /// Time for which new requests are still served, since the load balancer notices the shutdown
     /// with a delay.
     pub drain_delay: Duration,
-    /// Maximum duration of the shutdown, after which the process exits even with calls in flight.
+    /// Time after which the calls in flight are ended with a response.
+    pub call_timeout: Duration,
+    /// Maximum duration of the shutdown, after which the process exits even if such responses are
+    /// not written yet.
     pub timeout: Duration,
 }
 
+/// How far the shutdown of a relay has got. Each state is entered once and never left.
+#[derive(Debug)]
+pub(crate) struct Lifecycle {
+    is_draining: AtomicBool,
+    /// When the calls in flight are ended; unset while all requests are accepted.
+    calls_end_at: OnceLock<Instant>,
+    /// Woken when requests are no longer accepted.
+    closed: Waker,
+    /// Woken when the calls in flight are ended.
+    calls_ended: Waker,
+    work: Arc<WorkInProgress>,
+}
+
+impl Lifecycle {
+    /// # Errors
+    ///
+    /// Returns an error if no file descriptor is available.
+    pub(crate) fn new() -> io::Result<Self> {
+        Ok(Self {
+            is_draining: AtomicBool::new(false),
+            calls_end_at: OnceLock::new(),
+            closed: Waker::new()?,
+            calls_ended: Waker::new()?,
+            work: Arc::default(),
+        })
+    }
+
+    /// Returns `true` if the relay is shutting down.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::SeqCst)
+    }
+
+    /// Returns `true` if a call with this deadline may start.
+    pub(crate) fn accepts(&self, deadline: Instant) -> bool {
+        self.calls_end_at.get().is_none_or(|it| deadline <= *it)
+    }
+
+    /// Returns the waker that ends the waits of idle connections.
+    pub(crate) const fn closed(&self) -> &Waker {
+        &self.closed
+    }
+
+    /// Returns the waker that ends the waits of calls.
+    pub(crate) const fn calls_ended(&self) -> &Waker {
+        &self.calls_ended
+    }
+
+    /// Counts a thread that accepts or serves connections.
+    pub(crate) fn begin_work(&self) -> WorkGuard {
+        self.work.begin()
+    }
+}
+
 impl Relay {
-    /// Shuts down without interrupting calls, as far as [`ShutdownSettings::timeout`] allows.
+    /// Shuts down without interrupting calls, as far as [`ShutdownSettings::call_timeout`] allows.
     ///
     /// The relay reports not ready at once, so that the load balancer sends callers elsewhere.
     /// Requests that still arrive within [`ShutdownSettings::drain_delay`] are served, and each
-    /// connection is closed after its response. After that, new requests are no longer accepted and
-    /// those in progress are completed.
+    /// connection is closed after its response. After that, connections are no longer accepted,
+    /// requests that are still being read are refused unless their deadline is near, and calls in
+    /// flight are completed. Those that last longer end with a response that tells whether they may
+    /// have run, except for streams that have begun, which end with the process.
     pub fn shut_down(&self, settings: ShutdownSettings) {
         let started_at = Instant::now();
-        self.start_draining();
-        thread::sleep(settings.drain_delay);
-        self.close();
-        self.work_in_progress.wait_for_end(started_at + settings.timeout);
+        let lifecycle = &self.lifecycle;
+        lifecycle.is_draining.store(true, Ordering::SeqCst);
+        self.leave_peers();
+        thread::sleep(settings.drain_delay.min(settings.call_timeout));
+        let calls_end_at = started_at + settings.call_timeout;
+        // Unset before, as a relay shuts down only once.
+        let _ = lifecycle.calls_end_at.set(calls_end_at);
+        self.close_listeners();
+        lifecycle.closed.wake();
+        lifecycle.work.wait_for_end(calls_end_at);
+        let ended_requests = self.active_requests();
+        lifecycle.calls_ended.wake();
+        lifecycle.work.wait_for_end(started_at + settings.timeout);
         info!(self.log, "shutdown is over"; "elapsed_ms" => millis(started_at.elapsed()),
-            "requests" => self.active_requests(), "connections" => self.caller_connections());
+            "ended_requests" => ended_requests, "requests" => self.active_requests(),
+            "connections" => self.caller_connections());
     }
 }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -102,18 +102,20 @@
     /// Serves one request. Returns `false` if the connection must be closed.
     fn serve_request(&mut self) -> bool {
         let limits = self.limits();
-        if self.caller.wait_for_request(limits.idle_timeout, &self.relay.closing_waker).is_err() {
+        if self.caller.wait_for_request(limits.idle_timeout, self.relay.lifecycle.closed()).is_err()
+        {
             return false;
         }
         let _active_request = self.relay.track_request();
-        let (request, response) = match self.caller.read_request(&limits) {
-            Ok(request) => request,
-            Err(ReadError::Disconnected) => return false,
-            Err(ReadError::Rejected(response, refusal)) => {
-                response.reject(&mut self.caller, &refusal);
-                return false;
-            }
-        };
+        let (request, response) =
+            match self.caller.read_request(&limits, self.relay.lifecycle.calls_ended()) {
+                Ok(request) => request,
+                Err(ReadError::Disconnected) => return false,
+                Err(ReadError::Rejected(response, refusal)) => {
+                    response.reject(&mut self.caller, &refusal);
+                    return false;
+                }
+            };
         if self.relay.is_draining() {
             self.caller.keeps_alive = false;
         }
@@ -180,6 +182,9 @@
         }
         let suspect_keys = suspect_keys(request, &call);
         let call_outcome = match self.relay.crash_guard.check(&suspect_keys) {
+            Ok(()) if !self.relay.lifecycle.accepts(call.deadline) => {
+                progress.outcome_at_shutdown()
+            }
             Ok(()) => match self.constrain_continuation(&mut call, &progress) {
                 Ok(()) => {
                     self.schedule_and_forward(request, context, call, &suspect_keys, &mut progress)
@@ -290,6 +295,7 @@
                 }
                 Err(WaitError::CallerDisconnected) => Some(CallOutcome::CallerDisconnected),
                 Err(WaitError::DeadlineExceeded) => Some(progress.outcome_at_deadline()),
+                Err(WaitError::ShuttingDown) => Some(progress.outcome_at_shutdown()),
             };
             if let Some(call_outcome) = call_outcome {
                 return call_outcome;
@@ -325,12 +331,16 @@
             let interest = Interest {
                 caller: Some(&self.caller.connection),
                 waker: Some(self.mailbox.waker()),
+                broadcast: Some(self.relay.lifecycle.calls_ended()),
                 ..Interest::default()
             };
             let ready = wait(interest, deadline).map_err(|_| WaitError::CallerDisconnected)?;
             if ready.caller_disconnected {
                 return Err(WaitError::CallerDisconnected);
             }
+            if ready.broadcast {
+                return Err(WaitError::ShuttingDown);
+            }
             if ready.timed_out {
                 return Err(WaitError::DeadlineExceeded);
             }
@@ -394,6 +404,7 @@
             AttemptOutcome::Unread | AttemptOutcome::DeadlineExceeded { .. } => {
                 Some(progress.outcome_at_deadline())
             }
+            AttemptOutcome::ShutDown { .. } => Some(progress.outcome_at_shutdown()),
         };
         call_guard.attempt_ended(attempt, end);
         if matches!(end, AttemptEnd::Refused { .. }) {
@@ -407,6 +418,7 @@
 enum WaitError {
     CallerDisconnected,
     DeadlineExceeded,
+    ShuttingDown,
 }
 
 /// Returns what a call has in common with others that may crash upstreams, the most general first.
--- a/crates/relay/src/service/progress.rs
+++ b/crates/relay/src/service/progress.rs
@@ -17,6 +17,7 @@
 use crate::exchange::AttemptOutcome;
 use crate::exchange::BufferedResponse;
 use crate::exchange::Delivery;
+use crate::refusal::LEAVING_RETRY_AFTER;
 use crate::refusal::LostResponse;
 use crate::refusal::Refusal;
 
@@ -172,6 +173,7 @@
             AttemptOutcome::Unread | AttemptOutcome::DeadlineExceeded { .. } => {
                 Some(self.outcome_at_deadline())
             }
+            AttemptOutcome::ShutDown { .. } => Some(self.outcome_at_shutdown()),
             AttemptOutcome::NotSent
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::NotRun { .. }
@@ -207,6 +209,11 @@
         self.failure(LostResponse::TimedOut, DEFAULT_RETRY_AFTER, "no room in time")
     }
 
+    /// Returns the outcome when this VM shuts down before the call is over.
+    pub(super) fn outcome_at_shutdown(&mut self) -> CallOutcome {
+        self.failure(LostResponse::TimedOut, LEAVING_RETRY_AFTER, "the VM is shutting down")
+    }
+
     /// Returns the outcome of a call that got no response to relay. Only here, a promise that the call
     /// was not run is made from what its attempts have shown.
     fn failure(&mut self, lost: LostResponse, retry_after: Duration, reason: &str) -> CallOutcome {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -13,7 +13,6 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -42,14 +41,13 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::forwarding::Forwarding;
-use crate::lifecycle::WorkInProgress;
+use crate::lifecycle::Lifecycle;
 use crate::memory::ResponseMemory;
 use crate::peers::Peers;
 use crate::peers::PermitCoordinator;
 use crate::peers::TableExchange;
 use crate::service::Sender;
 use crate::service::serve_connection;
-use crate::socket::Waker;
 use crate::sources::PollInterrupts;
 use crate::sources::RoutingTableFeed;
 use crate::sources::Row;
@@ -85,8 +83,7 @@
     pub(crate) response_memory: ResponseMemory,
     /// Limits the log lines of routine calls.
     pub(crate) call_log_limiter: LogRateLimiter,
-    /// Wakes the threads of idle connections when the relay closes.
-    pub(crate) closing_waker: Waker,
+    pub(crate) lifecycle: Lifecycle,
     /// Listeners for callers and for other VMs, until the relay closes.
     listeners: Mutex<Vec<TcpListener>>,
     active_table: RwLock<Option<Arc<RoutingTable>>>,
@@ -103,8 +100,6 @@
     pub(crate) crash_guard: CrashGuard,
     pub(crate) streams: Streams,
     pub(crate) forwarding: Forwarding,
-    is_draining: AtomicBool,
-    pub(crate) work_in_progress: Arc<WorkInProgress>,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
 }
@@ -129,7 +124,7 @@
             dispatcher,
             idle_connections: IdleConnections::default(),
             call_log_limiter: LogRateLimiter::new(Instant::now()),
-            closing_waker: Waker::new()?,
+            lifecycle: Lifecycle::new()?,
             listeners: Mutex::default(),
             active_table: RwLock::default(),
             tables: TableExchange::default(),
@@ -143,8 +138,6 @@
             streams: Streams::new(Instant::now()),
             forwarding: Forwarding::new(failure_domain, Instant::now()),
             log,
-            is_draining: AtomicBool::new(false),
-            work_in_progress: Arc::default(),
             caller_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
         }))
@@ -193,7 +186,7 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         self.lock_listeners().push(listener.try_clone()?);
-        let (relay, work) = (self.clone(), self.work_in_progress.begin());
+        let (relay, work) = (self.clone(), self.lifecycle.begin_work());
         thread::Builder::new().name("accept".to_owned()).spawn(move || {
             relay.accept_loop(&listener, sender);
             drop(work);
@@ -377,7 +370,7 @@
 
     /// Returns `true` if the relay is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::SeqCst)
+        self.lifecycle.is_draining()
     }
 
     /// Returns the number of requests that are being read or responded to.
@@ -395,20 +388,19 @@
         self.caller_connections.load(Ordering::SeqCst)
     }
 
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.store(true, Ordering::SeqCst);
+    /// Tells the other VMs that this one leaves.
+    pub(crate) fn leave_peers(&self) {
         if let Some(peers) = self.peers.get() {
             peers.leave();
         }
     }
 
-    /// Stops accepting connections and requests; those in progress continue.
-    pub(crate) fn close(&self) {
+    /// Stops accepting connections; those that are open continue.
+    pub(crate) fn close_listeners(&self) {
         for listener in self.lock_listeners().drain(..) {
             // Wakes the accepting thread. An error means that the listener is closed already.
             let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
         }
-        self.closing_waker.wake();
     }
 
     fn lock_listeners(&self) -> MutexGuard<'_, Vec<TcpListener>> {
@@ -431,7 +423,7 @@
     }
 
     fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
-        let (relay, work) = (self.clone(), self.work_in_progress.begin());
+        let (relay, work) = (self.clone(), self.lifecycle.begin_work());
         let builder =
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
