--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -135,13 +135,15 @@
     /// requests that are still being read are refused unless their deadline is near, and calls in
     /// flight are completed. Those that last longer end with a response that tells whether they may
     /// have run, except for streams that have begun, which end with the process.
-    pub fn shut_down(&self, settings: ShutdownSettings) {
-        let started_at = Instant::now();
+    ///
+    /// All times count from `requested_at`, when the process was told to stop.
+    pub fn shut_down(&self, requested_at: Instant, settings: ShutdownSettings) {
         let lifecycle = &self.lifecycle;
         lifecycle.is_draining.store(true, Ordering::SeqCst);
         self.leave_peers();
-        thread::sleep(settings.drain_delay.min(settings.call_timeout));
-        let calls_end_at = started_at + settings.call_timeout;
+        let drain_delay = settings.drain_delay.min(settings.call_timeout);
+        thread::sleep(drain_delay.saturating_sub(requested_at.elapsed()));
+        let calls_end_at = requested_at + settings.call_timeout;
         // Unset before, as a relay shuts down only once.
         let _ = lifecycle.calls_end_at.set(calls_end_at);
         self.close_listeners();
@@ -149,8 +151,8 @@
         lifecycle.work.wait_for_end(calls_end_at);
         let ended_requests = self.active_requests();
         lifecycle.calls_ended.wake();
-        lifecycle.work.wait_for_end(started_at + settings.timeout);
-        info!(self.log, "shutdown is over"; "elapsed_ms" => millis(started_at.elapsed()),
+        lifecycle.work.wait_for_end(requested_at + settings.timeout);
+        info!(self.log, "shutdown is over"; "elapsed_ms" => millis(requested_at.elapsed()),
             "ended_requests" => ended_requests, "requests" => self.active_requests(),
             "connections" => self.caller_connections());
     }
