fix(relay): a stop that is late itself still lets callers get their responses

After it has woken the threads of the calls in flight, the shutdown waited until a moment that had passed when it was woken late itself, and the process exited before these threads had run.

The time to respond counts from when the threads were woken. A call that is placed at the very moment of the end is not sent any more, and only the last thread wakes the one that waits for all.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -263,6 +263,9 @@
         if !self.may_send(command) {
             return AttemptOutcome::Withdrawn;
         }
+        if self.relay.lifecycle.has_ended_calls() {
+            return AttemptOutcome::ShutDown { is_sent: false };
+        }
         if let Err(refusal) = self.relay.claim_send(self.suspect_keys) {
             return AttemptOutcome::Quarantined(refusal);
         }
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -55,8 +55,11 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        *self.0.lock() -= 1;
-        self.0.ended.notify_all();
+        let mut threads = self.0.lock();
+        *threads -= 1;
+        if *threads == 0 {
+            self.0.ended.notify_all();
+        }
     }
 }
 
@@ -68,8 +71,7 @@
     pub drain_delay: Duration,
     /// Time after which the calls in flight are ended with a response.
     pub call_timeout: Duration,
-    /// Maximum duration of the shutdown, after which the process exits even if such responses are
-    /// not written yet.
+    /// Time after which the process exits even if such responses are not written yet.
     pub timeout: Duration,
 }
 
@@ -105,6 +107,11 @@
         self.is_draining.load(Ordering::SeqCst)
     }
 
+    /// Returns `true` if calls in flight have been ended, or are about to be.
+    pub(crate) fn has_ended_calls(&self) -> bool {
+        !self.accepts(Instant::now())
+    }
+
     /// Returns `true` if a call with this deadline may start.
     pub(crate) fn accepts(&self, deadline: Instant) -> bool {
         self.calls_end_at.get().is_none_or(|it| deadline <= *it)
@@ -151,7 +158,9 @@
         lifecycle.work.wait_for_end(calls_end_at);
         let ended_requests = self.active_requests();
         lifecycle.calls_ended.wake();
-        lifecycle.work.wait_for_end(requested_at + settings.timeout);
+        // Counts from now, as this thread may have been woken late, and the callers' threads with it.
+        let response_time = settings.timeout.saturating_sub(settings.call_timeout);
+        lifecycle.work.wait_for_end(Instant::now() + response_time);
         info!(self.log, "shutdown is over"; "elapsed_ms" => millis(requested_at.elapsed()),
             "ended_requests" => ended_requests, "requests" => self.active_requests(),
             "connections" => self.caller_connections());
