fix(coordination): a VM that stood still does not declare its neighbours dead

Cause: a tick compared the time of a neighbour's last message with the clock before what had arrived meanwhile was read.

Evidence: late_tick_does_not_declare_members_dead left 2 alive of 4 before, 4 now. The time between two ticks beyond one and a half intervals counts for nobody's silence; members that remain silent are dead some rounds later (silent_members_are_dead_some_rounds_after_a_late_tick, which passed before with 5 rounds and takes 7 now: the limit runs from the end of the pause, once for the neighbours and once for the VM that becomes a neighbour then).

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -26,6 +26,10 @@
 /// Time without a heartbeat after which a neighbour is declared dead.
 pub const DEAD_AFTER: Duration = Duration::from_secs(3);
 
+/// Time between two ticks that is not taken for a pause of this VM: the interval of heartbeats and a
+/// half.
+const MAX_TICK_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Time after which members that died or left are removed from the list.
 const REMOVE_AFTER: Duration = Duration::from_secs(60);
 
@@ -99,6 +103,7 @@
     incarnation: u64,
     stopping: bool,
     members: BTreeMap<VmId, Member>,
+    ticked_at: Option<Instant>,
     /// Updates that each receiver of heartbeats still has to be told.
     outboxes: BTreeMap<VmId, Outbox>,
 }
@@ -176,6 +181,7 @@
             incarnation,
             stopping: false,
             members: BTreeMap::new(),
+            ticked_at: None,
             outboxes: BTreeMap::new(),
         }
     }
@@ -311,8 +317,13 @@
 
     /// Declares silent neighbours dead, and removes members that died or left long ago.
     ///
-    /// Members that are not neighbours send no heartbeats to this VM, so their silence is ignored.
+    /// Members that are not neighbours send no heartbeats to this VM, so their silence is ignored, as is
+    /// the time for which this VM itself stood still.
     pub fn on_tick(&mut self, now: Instant) {
+        let pause = self.record_tick(now);
+        for member in self.members.values_mut() {
+            member.last_heard_at = (member.last_heard_at + pause).min(now);
+        }
         let neighbours = self.neighbours();
         let mut died = Vec::new();
         for (vm, member) in &mut self.members {
@@ -333,6 +344,12 @@
         self.outboxes.retain(|receiver, _| self.members.contains_key(receiver));
     }
 
+    /// Records a tick. Returns for how long this VM stood still before it.
+    fn record_tick(&mut self, now: Instant) -> Duration {
+        let ticked_at = self.ticked_at.replace(now).unwrap_or(now);
+        now.saturating_duration_since(ticked_at).saturating_sub(MAX_TICK_INTERVAL)
+    }
+
     /// Returns a member that died or left to send a heartbeat to, in case it has recovered or
     /// started again. Such a VM may know no other one, since its seeds may be gone.
     ///
--- a/crates/coordination/tests/member_discovery.rs
+++ b/crates/coordination/tests/member_discovery.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::membership::DEAD_AFTER;
+use cranberryvalve_coordination::membership::MemberState;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
@@ -209,3 +211,26 @@
         vms.iter().all(|it| it.alive_count() == count)
     }
 }
+
+#[test]
+fn late_tick_does_not_declare_members_dead() {
+    let mut now = Instant::now();
+    let mut vms = four_vms(&mut now);
+    // The process stood still for less than DEAD_AFTER. What arrived meanwhile is not read yet.
+    now += ROUND + Duration::from_millis(2_500);
+    vms[0].on_tick(now);
+    assert_eq!(vms[0].alive_count(), 4, "dead: {:?}", vms[0].dead_names());
+    let told = vms[0].updates_for(&address(1).vm);
+    assert!(told.iter().all(|it| it.state == MemberState::Alive), "{told:?}");
+}
+
+#[test]
+fn silent_members_are_dead_some_rounds_after_a_late_tick() {
+    let mut now = Instant::now();
+    let mut vms = four_vms(&mut now);
+    now += Duration::from_secs(10);
+    // One time limit for the neighbours, one more for the VM that becomes a neighbour then.
+    let rounds = 1 + 2 * DEAD_AFTER.as_secs() as usize;
+    run(&mut vms, &mut now, rounds, &[0]);
+    assert_eq!(vms[0].alive_count(), 1);
+}
