fix(adapters): links of a process that stood still are not closed for silence

After a pause of 2 s a VM closed all its links right after it had queued its heartbeats on them, and was out of touch with the others for about a second more.

The time since the last acknowledgement was compared with the clock before those that had arrived were received.

Evidence: pause_of_the_process_does_not_close_links. Before, its second check closes the link to vm-1; after, none. A peer that remains silent is noticed within the limit and one and a half intervals.

--- a/crates/adapters/src/links.rs
+++ b/crates/adapters/src/links.rs
@@ -45,6 +45,10 @@
 /// Time without a new acknowledgement after which a link is closed and redialled.
 pub const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between two checks of the links that is not taken for a pause of this process: the interval of
+/// heartbeats and a half.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Maximum size of a received message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -55,6 +59,8 @@
     dialer: Box<dyn Dialer>,
     closer: Closer,
     peers: Mutex<HashMap<VmId, Link>>,
+    /// When the links were last checked for silence; `None` before that.
+    checked_at: Mutex<Option<Instant>>,
     drops: Mutex<DropLog>,
 }
 
@@ -122,6 +128,7 @@
             dialer,
             closer,
             peers: Mutex::default(),
+            checked_at: Mutex::default(),
             drops: Mutex::default(),
         })
     }
@@ -218,8 +225,16 @@
     ///
     /// Returns the peers among `wanted` whose link was closed for its silence. A closed link is
     /// redialled when it is next used.
+    ///
+    /// Call it every second. A later call finds that this process stood still, and that time is not
+    /// taken for a silence of the peers, whose acknowledgements may wait to be received.
     pub fn close_timed_out(&self, wanted: &[PeerAddress]) -> Vec<VmId> {
+        let now = Instant::now();
+        let pause = self.record_check(now);
         let mut peers = self.lock();
+        for link in peers.values_mut() {
+            link.acknowledged_at = (link.acknowledged_at + pause).min(now);
+        }
         let ended = peers.iter().filter(|(_, it)| it.is_timed_out() || it.socket.is_lost());
         let vms: Vec<VmId> = ended.map(|(vm, _)| vm.clone()).take(self.closer.capacity()).collect();
         let links: Vec<(VmId, Link)> =
@@ -232,6 +247,13 @@
         reported
     }
 
+    /// Records a check of the links. Returns for how long this process stood still before it.
+    fn record_check(&self, now: Instant) -> Duration {
+        let mut checked_at = self.checked_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = checked_at.replace(now).unwrap_or(now);
+        now.saturating_duration_since(last).saturating_sub(MAX_CHECK_INTERVAL)
+    }
+
     /// Stops listening, so that [`receive`](Self::receive) fails.
     pub fn close(&self) {
         self.listener.close();
--- a/crates/adapters/tests/peer_links.rs
+++ b/crates/adapters/tests/peer_links.rs
@@ -186,3 +186,21 @@
         thread::sleep(Duration::from_millis(5));
     }
 }
+
+#[test]
+fn pause_of_the_process_does_not_close_links() {
+    let (links, shared) = links();
+    shared.release();
+    assert_eq!(send(&links, peer(1)), Some(true));
+    assert_eq!(links.close_timed_out(&[peer(1)]), []);
+    // The acknowledgements that have arrived meanwhile are not received yet.
+    thread::sleep(ACKNOWLEDGEMENT_TIMEOUT + Duration::from_millis(500));
+    assert_eq!(links.close_timed_out(&[peer(1)]), []);
+    // A peer that remains silent is noticed.
+    let silent = || !links.close_timed_out(&[peer(1)]).is_empty();
+    let is_closed = (0..10).any(|_| {
+        thread::sleep(Duration::from_millis(500));
+        silent()
+    });
+    assert!(is_closed);
+}
