--- a/crates/adapters/tests/landed_bytes.rs
+++ b/crates/adapters/tests/landed_bytes.rs
@@ -10,9 +10,10 @@
 use cranberryvalve_core::Digest;
 
 /// Bytes written by each landing.
-const LANDED: [&str; 2] = [
+const LANDED: [&str; 3] = [
     include_str!("data/landed/4be04b687788008f6b425cb4a2b5989f1cb51a68.txt"),
     include_str!("data/landed/97079c5a73887963ceaa95edad37f162e2c525de.txt"),
+    include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt"),
 ];
 
 fn key() -> SharedKey {
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -29,6 +29,9 @@
 /// Bytes written by 97079c5a73887963ceaa95edad37f162e2c525de.
 const ORIGINS: &str = include_str!("data/landed/97079c5a73887963ceaa95edad37f162e2c525de.txt");
 
+/// Bytes written by e8a1500247f570c552469fe481de393159042019.
+const BUILDS: &str = include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt");
+
 /// Returns the content of a file with the bytes of samples.
 fn to_file(samples: &[Sample]) -> String {
     let mut file = String::new();
@@ -49,9 +52,13 @@
     first_samples().into_iter().chain(origins::messages()).chain(origins::rows()).collect()
 }
 
+fn builds_samples() -> Vec<Sample> {
+    origins_samples().into_iter().chain(builds::messages()).collect()
+}
+
 /// Returns what this build writes. Its file is added by the landing after it.
 fn samples() -> Vec<Sample> {
-    origins_samples().into_iter().chain(builds::messages()).collect()
+    builds_samples()
 }
 
 /// Checks that a file has the bytes of exactly these samples, and that this build reads them.
@@ -75,6 +82,11 @@
     check(ORIGINS, &origins_samples());
 }
 
+#[test]
+fn reads_and_writes_bytes_of_e8a1500() {
+    check(BUILDS, &builds_samples());
+}
+
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
--- a/crates/coordination/tests/support/landed/builds.rs
+++ b/crates/coordination/tests/support/landed/builds.rs
@@ -1,4 +1,4 @@
-//! Messages since the first landing that announces builds, whose bytes the landing after it keeps.
+//! Messages since e8a1500247f570c552469fe481de393159042019.
 
 use cranberryvalve_coordination::builds::VmBuild;
 use cranberryvalve_coordination::peer::PeerMessage;
