feat: earlier builds read today's rows and resume tokens, and today's theirs

Callers saw nothing. That earlier builds read the relay's rows and the resume tokens of today was concluded from equal bytes and not run, and nothing ran the other direction but the files of the landings.

Each reads what the present build writes, and writes what ignored tests of the present build then read.

The tests of `landed_bytes` (adapters) and `landed_rows` use the same modules: `written` became `to_file` over `tokens::lines`, and the two tests on rows are now one on all bytes written and one on all values read, for each landing, so nothing that they checked is left out. New ones check that a changed value is named.

--- a/crates/adapters/tests/landed_bytes.rs
+++ b/crates/adapters/tests/landed_bytes.rs
@@ -2,12 +2,19 @@
 //!
 //! The files are written by the code of the landing that they are named after, and never edited.
 
-use cranberryvalve_adapters::links;
-use cranberryvalve_adapters::resume::ResumeClaims;
-use cranberryvalve_adapters::shared_key::SharedKey;
-use cranberryvalve_coordination::peer::PeerAddress;
-use cranberryvalve_coordination::peer::PeerMessage;
-use cranberryvalve_core::Digest;
+#[path = "support/landed_line.rs"]
+mod landed_line;
+
+#[path = "support/landed/tokens.rs"]
+mod tokens;
+
+use std::env;
+use std::fs;
+
+use landed_line::misread;
+use landed_line::text;
+use landed_line::to_file;
+use landed_line::unread;
 
 /// Bytes written by each landing.
 const LANDED: [&str; 3] = [
@@ -16,50 +23,52 @@
     include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt"),
 ];
 
-fn key() -> SharedKey {
-    SharedKey::new(b"a secret that all VMs share")
-}
-
-fn message() -> PeerMessage {
-    let from = PeerAddress {
-        vm: "front-chc-a-1".into(),
-        address: ([10, 1, 0, 40], 7_340).into(),
-        failure_domain: "chc-a".into(),
-    };
-    PeerMessage::DocumentRequest { from, version: 77 }
-}
-
-fn claims() -> ResumeClaims {
-    ResumeClaims { customer: "tasman".into(), request: Digest::of(b"berth 4"), stream: 1_007 }
+#[test]
+fn writes_the_same_bytes() {
+    for file in LANDED {
+        assert_eq!(to_file(&tokens::lines()), file);
+    }
 }
 
-/// Returns the lines of a file of landed bytes: an authenticated message and a resume token.
-fn written() -> String {
-    let message = links::encode(&message(), &key()).expect("a message can be encoded");
-    let message: String = message.iter().map(|it| format!("{it:02x}")).collect();
-    format!("message: {message}\nresume-token: {}\n", claims().sign(&key()))
+#[test]
+fn reads_the_same_values() {
+    for file in LANDED {
+        assert_eq!(misread(file, &tokens::lines()), [""; 0]);
+        assert_eq!(unread(file, &tokens::lines()), [""; 0]);
+    }
 }
 
-fn landed<'a>(file: &'a str, name: &str) -> &'a str {
-    let mut lines = file.lines().filter_map(|it| it.split_once(": "));
-    lines.find(|it| it.0 == name).expect("a line of this name").1
+#[test]
+fn misread_lines_are_named() {
+    let token = text(LANDED[0], "resume-token").expect("a token");
+    let changed = format!("message: 00\nresume-token: {token}\nlater-token: {token}\n");
+    assert_eq!(misread(&changed, &tokens::lines()), ["message"]);
+    assert_eq!(misread("", &tokens::lines()), ["message", "resume-token"]);
+    let later = format!("later-token: {token}");
+    assert_eq!(unread(&changed, &tokens::lines()), ["message: 00", &*later]);
+    assert_eq!(unread("no line", &tokens::lines()), ["no line"]);
 }
 
+/// Prints the file of this build, for the landing that it becomes: `cargo test --package
+/// cranberryvalve-adapters --test landed_bytes -- --ignored --nocapture`. Writes it to the file that
+/// `CRANBERRYVALVE_LANDED_FILE` names, if that is set.
 #[test]
-fn writes_the_same_bytes() {
-    for file in LANDED {
-        assert_eq!(written(), file);
+#[ignore = "prints a data file"]
+#[expect(clippy::print_stdout, reason = "the output is the data file")]
+fn print_landed_lines() {
+    let text = to_file(&tokens::lines());
+    match env::var("CRANBERRYVALVE_LANDED_FILE") {
+        Ok(file) => fs::write(file, text).expect("a writable folder"),
+        Err(_) => print!("{text}"),
     }
 }
 
+/// Reads the file that `CRANBERRYVALVE_LANDED_FILE` names, which an earlier build wrote.
 #[test]
-fn reads_the_same_values() {
-    for file in LANDED {
-        let hex = landed(file, "message");
-        let pairs = (0..hex.len()).step_by(2).map(|start| &hex[start..start + 2]);
-        let bytes: Vec<u8> =
-            pairs.map(|it| u8::from_str_radix(it, 16).expect("a hexadecimal number")).collect();
-        assert_eq!(links::decode(&bytes, &key()), Ok(message()));
-        assert_eq!(ResumeClaims::verify(landed(file, "resume-token"), &key()), Some(claims()));
-    }
+#[ignore = "run by `cargo xtask upgrade`, which has the earlier build write the file"]
+fn reads_lines_of_an_earlier_build() {
+    let file = env::var("CRANBERRYVALVE_LANDED_FILE").expect("the name of a file");
+    let text = fs::read_to_string(file).expect("a readable file");
+    assert!(!text.is_empty());
+    assert_eq!(unread(&text, &tokens::lines()), [""; 0]);
 }
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -10,7 +10,6 @@
 
 use std::collections::BTreeSet;
 use std::env;
-use std::fmt::Write;
 use std::fs;
 
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -22,6 +21,8 @@
 use landed::text;
 use landed_file::from_file;
 use landed_file::misread;
+use landed_file::to_file;
+use landed_file::unread;
 
 /// Bytes written by 4be04b687788008f6b425cb4a2b5989f1cb51a68.
 const FIRST: &str = include_str!("data/landed/4be04b687788008f6b425cb4a2b5989f1cb51a68.txt");
@@ -32,17 +33,6 @@
 /// Bytes written by e8a1500247f570c552469fe481de393159042019.
 const BUILDS: &str = include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt");
 
-/// Returns the content of a file with the bytes of samples.
-fn to_file(samples: &[Sample]) -> String {
-    let mut file = String::new();
-    for sample in samples {
-        let hex: String = sample.bytes.iter().map(|it| format!("{it:02x}")).collect();
-        write!(file, "name: {}\nvalue: {}\nbytes: {hex}\n\n", sample.name, sample.text)
-            .expect("writing to a string cannot fail");
-    }
-    file
-}
-
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
@@ -106,6 +96,7 @@
 fn misread_bytes_are_named() {
     let known = samples();
     assert_eq!(misread(&to_file(&samples()), &known), [""; 0]);
+    assert_eq!(unread(&to_file(&first_samples()), &known), [""; 0]);
     // Two messages are changed, and the last one is missing. Of two unknown values, one is taken for a
     // message.
     let mut changed = samples();
@@ -117,6 +108,8 @@
     changed.push(later("later-message", known[1].bytes.clone()));
     let names = [known[0].name, known[1].name, "later-message", "builds"];
     assert_eq!(misread(&to_file(&changed), &known), names);
+    let unread_names = [known[0].name, known[1].name, "later-row", "later-message"];
+    assert_eq!(unread(&to_file(&changed), &known), unread_names);
 }
 
 /// Prints the file of this build, for the landing that it becomes: `cargo test --package
@@ -132,3 +125,13 @@
         Err(_) => print!("{text}"),
     }
 }
+
+/// Reads the file that `CRANBERRYVALVE_LANDED_FILE` names, which an earlier build wrote.
+#[test]
+#[ignore = "run by `cargo xtask upgrade`, which has the earlier build write the file"]
+fn reads_bytes_of_an_earlier_build() {
+    let file = env::var("CRANBERRYVALVE_LANDED_FILE").expect("the name of a file");
+    let text = fs::read_to_string(file).expect("a readable file");
+    assert!(!from_file(&text).is_empty());
+    assert_eq!(unread(&text, &samples()), [""; 0]);
+}
--- a/xtask/src/upgrade/bytes/tests.rs
+++ b/xtask/src/upgrade/bytes/tests.rs
@@ -1,7 +1,9 @@
 //! Tests of what an earlier commit knows are put together from the samples.
 
+use super::PRESENT_TESTS;
 use super::SampleModule;
 use super::landing;
+use super::lines;
 use super::sample_functions;
 use super::test_text;
 use super::without_other_modules;
@@ -34,3 +36,29 @@
         assert!(test.contains(part), "{test}");
     }
 }
+
+#[test]
+fn modules_of_a_program_are_declared_beside_lines() {
+    let module = SampleModule { name: "origins".to_owned(), text: String::new() };
+    let test = lines::test_text(&[module], HASH, &["store"]);
+    for part in ["mod origins;", "mod store;", "origins::lines(),", "4be04b6"] {
+        assert!(test.contains(part), "{test}");
+    }
+    assert!(!test.contains("store::lines()"), "{test}");
+}
+
+#[test]
+fn tests_of_the_present_build_exist() {
+    let files = [
+        include_str!("../../../../crates/coordination/tests/landed_bytes.rs"),
+        include_str!("../../../../crates/adapters/tests/landed_bytes.rs"),
+        include_str!("../../../../platform/src/store/tests/landed_rows.rs"),
+    ];
+    let present = [&PRESENT_TESTS, &lines::ALL[0].present, &lines::ALL[1].present];
+    for (file, tests) in files.iter().zip(present) {
+        for test in [tests.writing, tests.reading] {
+            let name = test.rsplit("::").next().unwrap_or(test);
+            assert!(file.contains(&format!("fn {name}()")), "{test}");
+        }
+    }
+}
