fix: a success that ends with its head is not taken for whole

Callers saw: a worker closed its connection behind a head that had lost the headers which frame its body. Plain calls got a 200 with `Content-Length: 0`, streams a 200 with the final chunk and no event, also through another VM.

Cause: without a length or chunks, a body ends with its connection. The close was taken for its end even if nothing of the body had arrived, and the response was framed anew as a whole one.

Now a 2xx without framing needs at least one byte of its body, and a stream at least one event that is not a comment; otherwise the attempt is incomplete: 502, or another attempt if the call may be repeated. A body that has begun stays whole at its close, as such responses are allowed: a cut in it, or a `Content-Length` that is cut to a smaller number, cannot be told. A service that answers 2xx with an empty body and without framing now fails; 204, HEAD and `Content-Length: 0` go on as before.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -21,6 +21,8 @@
     NotContinued,
     /// The body ends in the middle of an event.
     Truncated,
+    /// The body has no event, and nothing else shows that it is whole.
+    Empty,
 }
 
 /// How far a caller has a stream.
@@ -153,6 +155,16 @@
         is_end.then_some(()).ok_or(InvalidStream::NotContinued)
     }
 
+    /// Checks that a body whose end nothing marks has an event at least.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it has none, other than comments.
+    pub(crate) fn check_not_empty(&self) -> Result<(), InvalidStream> {
+        let has_events = self.last_seen_id.is_some() || self.position.has_unnumbered;
+        has_events.then_some(()).ok_or(InvalidStream::Empty)
+    }
+
     /// Returns whether an event of the buffer is new to the caller.
     fn accept(&mut self, id: Option<EventId>, event: Range<usize>) -> Result<bool, InvalidStream> {
         if !self.is_joined && !self.position.is_resumable() {
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -103,6 +103,10 @@
                 }
                 Verdict::Match => {
                     let body = self.receive_body(&mut decoder)?;
+                    // The head may have been cut off before the headers that frame the body.
+                    if head.is_success() && decoder.is_delimited_by_close() && body.len() == 0 {
+                        return Err(AttemptError::Incomplete);
+                    }
                     let reusable_head = head.clone();
                     let response =
                         BufferedResponse::new(head, body).ok_or(AttemptError::Incomplete)?;
@@ -273,6 +277,9 @@
             }
         }
         reader.check_end().map_err(|_| AttemptError::Incomplete)?;
+        if decoder.is_delimited_by_close() {
+            reader.check_not_empty().map_err(|_| AttemptError::Incomplete)?;
+        }
         self.delivery.end(self.caller, head, self.exchange.deadline)?;
         self.remote.on_stream_end(self.delivery);
         Ok(decoder.is_delimited_by_close())
