fix: a length with a sign is ambiguous

Callers saw: a 200 with 3 bytes of a 16-byte body for `Content-Length: +3`, which is no valid length (RFC 9110, section 8.6).

Cause: the length was parsed as any integer of the standard library, which takes a plus sign. Only digits are taken now, as in requests; anything else leaves the response incomplete.

`odd_heads_are_unknown_outcomes` failed before at this head: (200, 1) for (502, 1). After: it passes, and the relay's 41 unit tests.

--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -85,7 +85,9 @@
         let transfer_encodings: Vec<&str> = values_of("transfer-encoding").collect();
         match (content_lengths.as_slice(), transfer_encodings.as_slice()) {
             ([], []) => Ok(Framing::UntilClose),
-            ([length], []) => length.parse().map(Framing::Length).map_err(|_| HeadError::BadLength),
+            ([length], []) if length.bytes().all(|it| it.is_ascii_digit()) => {
+                length.parse().map(Framing::Length).map_err(|_| HeadError::BadLength)
+            }
             ([], [encoding]) if encoding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
             _ => Err(HeadError::BadLength),
         }
