fix: no chunks behind responses without a body on streaming routes

Callers saw: for a 204, or a 2xx to a HEAD call, on a streaming route `Transfer-Encoding: chunked` and the bytes `0 CR LF CR LF` behind a head that ends its response (RFC 9112, section 6.3). On a connection that goes on, these bytes stand where the next response is expected.

Cause: every 2xx on a streaming route was relayed as a stream. A response that has no body by its status or method is relayed as a whole one now.

`response_without_a_body_on_a_streaming_route_has_no_chunks` failed before: the 204 had `transfer-encoding: chunked`. After: it passes.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -93,11 +93,13 @@
             let framing =
                 head.framing(&self.exchange.head.method).map_err(|_| AttemptError::Incomplete)?;
             let mut decoder = BodyDecoder::new(framing);
+            // A stream is relayed in chunks, which must not follow a head that ends its response.
+            let is_stream = self.exchange.is_stream && !head.lacks_body(&self.exchange.head.method);
             self.trace.response_status = Some(head.status);
             self.trace.response_request_id =
                 self.exchange.relay.dialect.response_facts(&head).request_id.map(Into::into);
             match self.remote.on_response_head(&head, self.position()) {
-                Verdict::Match if self.exchange.is_stream && head.is_success() => {
+                Verdict::Match if is_stream && head.is_success() => {
                     let is_delimited_by_close = self.relay_stream(&head, decoder)?;
                     return Ok((AttemptOutcome::Streamed { is_delimited_by_close }, Some(head)));
                 }
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -73,9 +73,15 @@
         self.is_http_1_1 && !options.any(|it| it.trim().eq_ignore_ascii_case("close"))
     }
 
+    /// Returns `true` if no body follows the head, whatever its headers state. `method` is the method
+    /// of the request.
+    pub(crate) fn lacks_body(&self, method: &str) -> bool {
+        method == "HEAD" || self.status == 204 || self.status == 304
+    }
+
     /// Returns how the body is delimited. `method` is the method of the request.
     pub(crate) fn framing(&self, method: &str) -> Result<Framing, HeadError> {
-        if method == "HEAD" || self.status == 204 || self.status == 304 {
+        if self.lacks_body(method) {
             return Ok(Framing::Length(0));
         }
         let values_of = |name: &'static str| {
