fix: an unframed answer that is reset is not whole in the daemon

Callers saw: a 200 with a part of the body, framed as whole, if a plain service's connection was reset in a body with neither a length nor chunks.

Cause: `ureq` takes a reset for the end of a body that ends with its connection. The transport below it passes such errors on in a form that it doesn't interpret.

`unframed_answer_that_is_reset_is_an_unknown_outcome` failed before, at the first cut behind the head: `Ok` with status 200 and an empty body for `Broken`. After: it passes at every cut. The other 5 tests of the file (every cut of a plain answer, an engine's stream, an answer to an order and a row of the store, by a close and by a reset) passed before as well.

--- a/crates/adapters/src/upstream/connection.rs
+++ b/crates/adapters/src/upstream/connection.rs
@@ -179,7 +179,7 @@
         let amount = loop {
             match self.stream.read(input) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                other => break other?,
+                other => break other.map_err(hide_disconnection)?,
             }
         };
         self.buffers.input_appended(amount);
@@ -193,3 +193,13 @@
         false
     }
 }
+
+/// Wraps an error that `ureq` would take for the end of a body that ends with its connection.
+fn hide_disconnection(error: io::Error) -> io::Error {
+    match error.kind() {
+        io::ErrorKind::ConnectionReset
+        | io::ErrorKind::ConnectionAborted
+        | io::ErrorKind::UnexpectedEof => io::Error::other(error),
+        _ => error,
+    }
+}
