--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -93,16 +93,22 @@
             let framing =
                 head.framing(&self.exchange.head.method).map_err(|_| AttemptError::Incomplete)?;
             let mut decoder = BodyDecoder::new(framing);
+            // A stream is relayed in chunks, which must not follow a head that ends its response.
+            let is_stream = self.exchange.is_stream && !head.lacks_body(&self.exchange.head.method);
             self.trace.response_status = Some(head.status);
             self.trace.response_request_id =
                 self.exchange.relay.dialect.response_facts(&head).request_id.map(Into::into);
             match self.remote.on_response_head(&head, self.position()) {
-                Verdict::Match if self.exchange.is_stream && head.is_success() => {
+                Verdict::Match if is_stream && head.is_success() => {
                     let is_delimited_by_close = self.relay_stream(&head, decoder)?;
                     return Ok((AttemptOutcome::Streamed { is_delimited_by_close }, Some(head)));
                 }
                 Verdict::Match => {
                     let body = self.receive_body(&mut decoder)?;
+                    // The head may have been cut off before the headers that frame the body.
+                    if head.is_success() && decoder.is_delimited_by_close() && body.len() == 0 {
+                        return Err(AttemptError::Incomplete);
+                    }
                     let reusable_head = head.clone();
                     let response =
                         BufferedResponse::new(head, body).ok_or(AttemptError::Incomplete)?;
@@ -273,6 +279,9 @@
             }
         }
         reader.check_end().map_err(|_| AttemptError::Incomplete)?;
+        if decoder.is_delimited_by_close() {
+            reader.check_not_empty().map_err(|_| AttemptError::Incomplete)?;
+        }
         self.delivery.end(self.caller, head, self.exchange.deadline)?;
         self.remote.on_stream_end(self.delivery);
         Ok(decoder.is_delimited_by_close())
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -73,9 +73,15 @@
         self.is_http_1_1 && !options.any(|it| it.trim().eq_ignore_ascii_case("close"))
     }
 
+    /// Returns `true` if no body follows the head, whatever its headers state. `method` is the method
+    /// of the request.
+    pub(crate) fn lacks_body(&self, method: &str) -> bool {
+        method == "HEAD" || self.status == 204 || self.status == 304
+    }
+
     /// Returns how the body is delimited. `method` is the method of the request.
     pub(crate) fn framing(&self, method: &str) -> Result<Framing, HeadError> {
-        if method == "HEAD" || self.status == 204 || self.status == 304 {
+        if self.lacks_body(method) {
             return Ok(Framing::Length(0));
         }
         let values_of = |name: &'static str| {
@@ -85,7 +91,9 @@
         let transfer_encodings: Vec<&str> = values_of("transfer-encoding").collect();
         match (content_lengths.as_slice(), transfer_encodings.as_slice()) {
             ([], []) => Ok(Framing::UntilClose),
-            ([length], []) => length.parse().map(Framing::Length).map_err(|_| HeadError::BadLength),
+            ([length], []) if length.bytes().all(|it| it.is_ascii_digit()) => {
+                length.parse().map(Framing::Length).map_err(|_| HeadError::BadLength)
+            }
             ([], [encoding]) if encoding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
             _ => Err(HeadError::BadLength),
         }
