fix(daemon): a late wake-up no longer ends a stop with requests in flight

Callers saw streams that were cut in the middle after SIGTERM, with no end and no error event (LOST).

Cause: the stop waited for 200 ms without requests by noting the time of the last request that it saw, sleeping 20 ms, and comparing that time with the clock before it looked again. A sleep of 200 ms or more (a paused process, a small share of a core) passed for 200 ms without requests.

Evidence: late_wakeups_do_not_cut_requests_in_flight pauses the process for 300 ms, five times, after the drain time.

The time is not asked any more: threads that accept or serve connections are counted from before they start to their end. After the drain time no connection is accepted; connections on which no byte of a request has arrived are closed 500 ms later, and the process ends when no thread is left. A request of which only a part had arrived then is refused as not run.

--- a/crates/adapters/src/caller.rs
+++ b/crates/adapters/src/caller.rs
@@ -10,6 +10,7 @@
 mod request;
 mod response;
 mod server;
+mod work;
 
 pub use disconnect::DisconnectMonitor;
 pub use disconnect::WatchGuard;
--- a/crates/adapters/src/caller/server.rs
+++ b/crates/adapters/src/caller/server.rs
@@ -19,6 +19,7 @@
 use super::request::ReadError;
 use super::request::RequestReader;
 use super::response::Responder;
+use super::work::WorkInProgress;
 
 /// Stack size of a connection's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
@@ -29,6 +30,9 @@
 /// Maximum time for which input of a refused caller is read, so that it receives its response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Message to a caller whose request was not read before the server stopped.
+const STOPPING: &str = "this VM stops";
+
 /// Limits of a [`CallerServer`] and of each of its connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerLimits {
@@ -85,6 +89,7 @@
     closed: AtomicBool,
     open_connections: AtomicUsize,
     active_requests: AtomicUsize,
+    work: Arc<WorkInProgress>,
 }
 
 impl CallerServer {
@@ -108,10 +113,14 @@
             closed: AtomicBool::new(false),
             open_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
+            work: Arc::default(),
         });
-        let accepting = shared.clone();
+        let (accepting, thread_guard) = (shared.clone(), shared.work.begin_thread());
         let accepted = listener.try_clone()?;
-        thread::Builder::new().name("accept".to_owned()).spawn(move || accepting.run(&accepted))?;
+        thread::Builder::new().name("accept".to_owned()).spawn(move || {
+            accepting.run(&accepted);
+            drop(thread_guard);
+        })?;
         Ok(Self { shared, address, listener })
     }
 
@@ -141,6 +150,18 @@
         // Wakes the accepting thread; an error means that the listener is already closed.
         let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
     }
+
+    /// Closes the connections on which no byte of a request has arrived.
+    pub fn end_waits(&self) {
+        self.shared.work.end_waits();
+    }
+
+    /// Waits until no thread accepts or serves a connection, but not longer than until `deadline`.
+    ///
+    /// Returns whether there is none. Call [`CallerServer::close`] first.
+    pub fn wait_for_end(&self, deadline: Instant) -> bool {
+        self.shared.work.wait_for_end(deadline)
+    }
 }
 
 impl Shared {
@@ -157,17 +178,18 @@
     /// Starts a thread that serves the connection.
     fn spawn_connection(self: &Arc<Self>, stream: TcpStream) {
         let guard = ConnectionGuard::new(self.clone());
-        let shared = self.clone();
+        let (shared, thread_guard) = (self.clone(), self.work.begin_thread());
         let thread = thread::Builder::new().name("caller".to_owned()).stack_size(STACK_BYTES);
         // If the thread cannot be started, dropping the closure closes the connection.
         let _ = thread.spawn(move || {
-            let _guard = guard;
-            shared.serve(&stream);
+            shared.serve(&Arc::new(stream));
+            drop(guard);
+            drop(thread_guard);
         });
     }
 
     /// Serves requests until the connection must be closed.
-    fn serve(&self, stream: &TcpStream) {
+    fn serve(&self, stream: &Arc<TcpStream>) {
         let options_set = stream
             .set_nodelay(true)
             .and_then(|()| stream.set_write_timeout(Some(self.limits.write_timeout)));
@@ -184,13 +206,19 @@
     }
 
     /// Serves one request; returns false if the connection must be closed.
-    fn serve_one(&self, stream: &TcpStream, reader: &mut RequestReader<'_>) -> bool {
+    fn serve_one(&self, stream: &Arc<TcpStream>, reader: &mut RequestReader<'_>) -> bool {
+        let wait_guard = self.work.begin_wait(stream);
         if reader.wait(self.limits.idle_timeout).is_err() {
             return false;
         }
+        drop(wait_guard);
         let _guard = ActiveRequestGuard::new(&self.active_requests);
         let request = match reader.read() {
             Ok(request) => request,
+            Err(ReadError::Closed) if self.work.are_waits_ended() => {
+                self.refuse(stream, 503, STOPPING);
+                return false;
+            }
             Err(ReadError::Closed) => return false,
             Err(ReadError::Refused(status, message)) => {
                 self.refuse(stream, status, &message);
--- /dev/null
+++ b/crates/adapters/src/caller/work.rs
@@ -0,0 +1,104 @@
+//! What keeps a server running: its threads, and the input that they wait for.
+
+use std::collections::HashMap;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+type InputId = u64;
+
+/// Counts the threads that accept or serve connections, and ends their waits for requests.
+#[derive(Debug, Default)]
+pub(super) struct WorkInProgress {
+    state: Mutex<State>,
+    ended: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    threads: usize,
+    /// Connections on which no byte of the next request has arrived.
+    waiting: HashMap<InputId, Arc<TcpStream>>,
+    last_id: InputId,
+    waits_ended: bool,
+}
+
+/// Counts a thread until it is dropped.
+pub(super) struct ThreadGuard(Arc<WorkInProgress>);
+
+/// Keeps a connection registered as waiting for a request until it is dropped.
+pub(super) struct WaitGuard<'a> {
+    work: &'a WorkInProgress,
+    id: InputId,
+}
+
+impl WorkInProgress {
+    pub(super) fn begin_thread(self: &Arc<Self>) -> ThreadGuard {
+        self.lock().threads += 1;
+        ThreadGuard(self.clone())
+    }
+
+    /// Registers a wait for a request. If such waits have ended, only bytes that have arrived are read.
+    pub(super) fn begin_wait(&self, stream: &Arc<TcpStream>) -> WaitGuard<'_> {
+        let mut state = self.lock();
+        state.last_id += 1;
+        let id = state.last_id;
+        state.waiting.insert(id, stream.clone());
+        if state.waits_ended {
+            end_input(stream);
+        }
+        WaitGuard { work: self, id }
+    }
+
+    /// Ends the waits for requests, now and from now on.
+    pub(super) fn end_waits(&self) {
+        let mut state = self.lock();
+        state.waits_ended = true;
+        state.waiting.values().for_each(|it| end_input(it));
+    }
+
+    pub(super) fn are_waits_ended(&self) -> bool {
+        self.lock().waits_ended
+    }
+
+    /// Waits until no thread is left, but not longer than until `deadline`. Returns whether none is.
+    pub(super) fn wait_for_end(&self, deadline: Instant) -> bool {
+        let mut state = self.lock();
+        loop {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if state.threads == 0 || remaining.is_zero() {
+                return state.threads == 0;
+            }
+            let waited = self.ended.wait_timeout(state, remaining);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for ThreadGuard {
+    fn drop(&mut self) {
+        self.0.lock().threads -= 1;
+        self.0.ended.notify_all();
+    }
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        self.work.lock().waiting.remove(&self.id);
+    }
+}
+
+/// Ends the input of a connection after the bytes that have arrived.
+fn end_input(stream: &TcpStream) {
+    // An error means that the connection is closed already.
+    let _ = stream.shutdown(Shutdown::Read);
+}
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -15,11 +15,12 @@
 
 use crate::node::Node;
 
-/// Interval between checks for requests in flight.
-const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for the first byte of a request on a connection that was accepted before the end of the drain
+/// time.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
-/// Time without requests in flight after which the process stops.
-const QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// Interval at which requests that the process waits for are logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Signals of the process, which do not end it from now on.
 pub(crate) struct ProcessSignals(Signals);
@@ -43,20 +44,18 @@
 /// Stops without interrupting any request.
 ///
 /// The VM immediately reports that it is not ready, so that the load balancer sends callers to
-/// other VMs; requests that still arrive are served. The process stops once the drain time has
-/// passed and no request is in flight, however long that takes.
+/// other VMs; requests that still arrive are served. Once the drain time has passed, no connection is
+/// accepted; the process stops once no thread serves one, however long that takes.
 pub(crate) fn stop_gracefully(node: &Node, caller_server: &CallerServer) {
     info!(node.log, "draining"; "live_requests" => node.dispatcher.live_requests());
     node.start_draining();
     caller_server.disable_keep_alive();
     thread::sleep(node.settings.drain);
-    let mut idle_since = Instant::now();
-    while idle_since.elapsed() < QUIET_PERIOD {
-        if caller_server.active_requests() > 0 || node.dispatcher.live_requests() > 0 {
-            idle_since = Instant::now();
-        }
-        thread::sleep(CHECK_INTERVAL);
-    }
     caller_server.close();
+    caller_server.wait_for_end(Instant::now() + LAST_REQUEST_TIME);
+    caller_server.end_waits();
+    while !caller_server.wait_for_end(Instant::now() + LOG_INTERVAL) {
+        info!(node.log, "waiting for requests"; "requests" => caller_server.active_requests());
+    }
     node.links.close();
 }
--- a/crates/daemon/tests/graceful_stop.rs
+++ b/crates/daemon/tests/graceful_stop.rs
@@ -1,5 +1,9 @@
 //! A planned stop interrupts no request.
 
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::TcpStream;
 use std::path::Path;
 use std::thread;
@@ -16,6 +20,17 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time from SIGTERM after which the VM has only its requests to wait for.
+const DRAIN: Duration = Duration::from_millis(600);
+
+/// Number of times that a process is paused while it waits for its requests.
+const PAUSES: usize = 5;
+
+/// Length of such a pause.
+const PAUSE: Duration = Duration::from_millis(300);
+
+const TIME_BETWEEN_PAUSES: Duration = Duration::from_millis(50);
+
 /// Number of starts, each of which is stopped as soon as the VM accepts callers.
 const STARTS: usize = 12;
 
@@ -72,6 +87,66 @@
     assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
 }
 
+#[test]
+fn late_wakeups_do_not_cut_requests_in_flight() {
+    let mut cluster = start();
+    let callers = cluster.vms[0].caller_address;
+    cluster.engines[0].set_faults(|it| it.slowdown = 20);
+    let long = chat(1, 60);
+    let response = thread::scope(|scope| {
+        let response = scope.spawn(|| client::chat(callers, &long));
+        assert!(wait_until(WAIT_TIMEOUT, || cluster.engines[0].running() == 1));
+        cluster.vms[0].terminate();
+        thread::sleep(2 * DRAIN);
+        for _ in 0..PAUSES {
+            cluster.vms[0].pause();
+            thread::sleep(PAUSE);
+            cluster.vms[0].resume();
+            thread::sleep(TIME_BETWEEN_PAUSES);
+        }
+        response.join().expect("a caller does not panic")
+    });
+    let log = cluster.vms[0].log();
+    assert!(response.complete, "{} tokens; log:\n{log}", response.tokens.len());
+    assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
+}
+
+/// Sends a repeatable call, whose response is not read yet.
+fn send_call(mut stream: &TcpStream) {
+    let key = config::api_key(0);
+    let head = format!("GET /tides/4 HTTP/1.1\r\nhost: vm\r\nauthorization: Bearer {key}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("the VM reads");
+}
+
+/// Reads a response with a length and returns its head; empty if the connection is closed instead.
+fn read_head(reader: &mut BufReader<&TcpStream>) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).unwrap_or(0) == 0 {
+            return String::new();
+        }
+    }
+    let length = head.lines().find_map(|it| it.strip_prefix("content-length: "));
+    let mut body = vec![0; length.and_then(|it| it.parse().ok()).expect("the body has a length")];
+    reader.read_exact(&mut body).expect("the response is complete");
+    head
+}
+
+#[test]
+fn idle_connections_do_not_delay_the_stop() {
+    let mut cluster = start();
+    let callers = cluster.vms[0].caller_address;
+    let [unused, used] = [(); 2].map(|()| TcpStream::connect(callers).expect("the VM listens"));
+    send_call(&used);
+    assert!(read_head(&mut BufReader::new(&used)).contains("connection: keep-alive"));
+    cluster.vms[0].terminate();
+    let limit = DRAIN + Duration::from_secs(10);
+    assert_eq!(cluster.vms[0].wait_exit(limit), Some(0), "{}", cluster.vms[0].log());
+    for mut stream in [&unused, &used] {
+        assert_eq!(stream.read(&mut [0]).expect("the VM closes the connection"), 0);
+    }
+}
+
 #[test]
 fn stop_at_the_start() {
     let mut cluster = start();
