fix(daemon): a connection announced as kept is not closed by the start of a stop

A caller on a kept connection got a response with `connection: keep-alive` after SIGTERM, sent its next request on it, and the connection was closed without a response. The request was not passed on.

Cause: whether the connection is kept is announced when the request is read, and was decided again after the response, when the stop may have started.

Evidence: announced_keep_alive_holds_in_a_stop. Before: no byte of a response to the second call. After: status 200 with `connection: close`.

The connection now waits for the request that the response allowed; that one's response announces the close. Connections that send nothing are closed after the drain time as before.

--- a/crates/adapters/src/caller/request.rs
+++ b/crates/adapters/src/caller/request.rs
@@ -63,11 +63,6 @@
         Ok(())
     }
 
-    /// Returns whether bytes of the next request are already buffered.
-    pub(super) const fn has_input(&self) -> bool {
-        !self.buffered.is_empty()
-    }
-
     /// Reads a complete request.
     pub(super) fn read(&mut self) -> Result<CallerRequest, ReadError> {
         let head = self.read_head()?;
--- a/crates/adapters/src/caller/server.rs
+++ b/crates/adapters/src/caller/server.rs
@@ -228,7 +228,8 @@
         let keep_alive = request.head.keep_alive && !self.closing.load(Ordering::SeqCst);
         let mut responder = Responder::new(stream, keep_alive);
         self.handler.handle(request, stream, &mut responder);
-        responder.keeps_alive() && (reader.has_input() || !self.closing.load(Ordering::SeqCst))
+        // What the response announced holds, even if the server is closing by now.
+        responder.keeps_alive()
     }
 
     /// Sends a refusal and reads the remaining input.
--- a/crates/daemon/tests/graceful_stop.rs
+++ b/crates/daemon/tests/graceful_stop.rs
@@ -147,6 +147,22 @@
     }
 }
 
+#[test]
+fn announced_keep_alive_holds_in_a_stop() {
+    let mut cluster = start();
+    cluster.services[0].set_faults(|it| it.delay = DRAIN / 2);
+    let stream = TcpStream::connect(cluster.vms[0].caller_address).expect("the VM listens");
+    let mut reader = BufReader::new(&stream);
+    send_call(&stream);
+    assert!(wait_until(WAIT_TIMEOUT, || cluster.services[0].effects().len() == 1));
+    cluster.vms[0].terminate();
+    assert!(read_head(&mut reader).contains("connection: keep-alive"));
+    send_call(&stream);
+    let head = read_head(&mut reader);
+    assert!(head.starts_with("HTTP/1.1 200") && head.contains("connection: close"), "{head:?}");
+    assert_eq!(cluster.vms[0].wait_exit(WAIT_TIMEOUT), Some(0));
+}
+
 #[test]
 fn stop_at_the_start() {
     let mut cluster = start();
