fix(daemon): a planned stop has an end, at which each request is answered

Callers whose requests outlasted the supervisor's patience got no response: the connection was closed by SIGKILL. The stop itself waited "however long that takes".

Cause: the stop had no time limit, so nothing concluded what was in flight before the process was killed; and calls that were read after the drain time were taken although they could not end in time.

`--stop-ms` (default: drain time + 20 s) limits a stop. 2 s before, the router gets Event::Stopping: it concludes what is queued and makes no further attempt, and running attempts are cancelled. So the status comes from the place that derives it for every other end. The last 2 s are counted in steps of 100 ms: a pause of the process is one step, not the end.

--- a/crates/adapters/src/caller/server.rs
+++ b/crates/adapters/src/caller/server.rs
@@ -156,6 +156,11 @@
         self.shared.work.end_waits();
     }
 
+    /// Closes these connections, and refuses the requests of which only a part has arrived.
+    pub fn end_input(&self) {
+        self.shared.work.end_input();
+    }
+
     /// Waits until no thread accepts or serves a connection, but not longer than until `deadline`.
     ///
     /// Returns whether there is none. Call [`CallerServer::close`] first.
@@ -207,13 +212,15 @@
 
     /// Serves one request; returns false if the connection must be closed.
     fn serve_one(&self, stream: &Arc<TcpStream>, reader: &mut RequestReader<'_>) -> bool {
-        let wait_guard = self.work.begin_wait(stream);
+        let input_guard = self.work.begin_wait(stream);
         if reader.wait(self.limits.idle_timeout).is_err() {
             return false;
         }
-        drop(wait_guard);
+        input_guard.start_reading();
         let _guard = ActiveRequestGuard::new(&self.active_requests);
-        let request = match reader.read() {
+        let read = reader.read();
+        drop(input_guard);
+        let request = match read {
             Ok(request) => request,
             Err(ReadError::Closed) if self.work.are_waits_ended() => {
                 self.refuse(stream, 503, STOPPING);
--- a/crates/adapters/src/caller/work.rs
+++ b/crates/adapters/src/caller/work.rs
@@ -22,17 +22,24 @@
 #[derive(Debug, Default)]
 struct State {
     threads: usize,
-    /// Connections on which no byte of the next request has arrived.
-    waiting: HashMap<InputId, Arc<TcpStream>>,
+    inputs: HashMap<InputId, Input>,
     last_id: InputId,
     waits_ended: bool,
 }
 
+/// A connection whose next request is awaited or read.
+#[derive(Debug)]
+struct Input {
+    stream: Arc<TcpStream>,
+    /// Whether no byte of the request has arrived.
+    is_waiting: bool,
+}
+
 /// Counts a thread until it is dropped.
 pub(super) struct ThreadGuard(Arc<WorkInProgress>);
 
-/// Keeps a connection registered as waiting for a request until it is dropped.
-pub(super) struct WaitGuard<'a> {
+/// Keeps the input of a connection registered until it is dropped.
+pub(super) struct InputGuard<'a> {
     work: &'a WorkInProgress,
     id: InputId,
 }
@@ -44,22 +51,29 @@
     }
 
     /// Registers a wait for a request. If such waits have ended, only bytes that have arrived are read.
-    pub(super) fn begin_wait(&self, stream: &Arc<TcpStream>) -> WaitGuard<'_> {
+    pub(super) fn begin_wait(&self, stream: &Arc<TcpStream>) -> InputGuard<'_> {
         let mut state = self.lock();
         state.last_id += 1;
         let id = state.last_id;
-        state.waiting.insert(id, stream.clone());
+        state.inputs.insert(id, Input { stream: stream.clone(), is_waiting: true });
         if state.waits_ended {
             end_input(stream);
         }
-        WaitGuard { work: self, id }
+        InputGuard { work: self, id }
     }
 
     /// Ends the waits for requests, now and from now on.
     pub(super) fn end_waits(&self) {
         let mut state = self.lock();
         state.waits_ended = true;
-        state.waiting.values().for_each(|it| end_input(it));
+        state.inputs.values().filter(|it| it.is_waiting).for_each(|it| end_input(&it.stream));
+    }
+
+    /// Ends the waits for requests, and the reading of those of which a part has arrived.
+    pub(super) fn end_input(&self) {
+        let mut state = self.lock();
+        state.waits_ended = true;
+        state.inputs.values().for_each(|it| end_input(&it.stream));
     }
 
     pub(super) fn are_waits_ended(&self) -> bool {
@@ -84,6 +98,15 @@
     }
 }
 
+impl InputGuard<'_> {
+    /// Records that a byte of the request has arrived.
+    pub(super) fn start_reading(&self) {
+        if let Some(input) = self.work.lock().inputs.get_mut(&self.id) {
+            input.is_waiting = false;
+        }
+    }
+}
+
 impl Drop for ThreadGuard {
     fn drop(&mut self) {
         self.0.lock().threads -= 1;
@@ -91,9 +114,9 @@
     }
 }
 
-impl Drop for WaitGuard<'_> {
+impl Drop for InputGuard<'_> {
     fn drop(&mut self) {
-        self.work.lock().waiting.remove(&self.id);
+        self.work.lock().inputs.remove(&self.id);
     }
 }
 
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -66,6 +66,8 @@
     /// The caller disconnected before the request was sent.
     #[serde(rename = "caller_gone")]
     CallerDisconnected,
+    /// The VM is stopping and has no time left for the request.
+    VmStopping,
 }
 
 impl NotRunReason {
@@ -80,6 +82,7 @@
             Self::StoreUnavailable => "store_unavailable",
             Self::ConfigStale => "config_stale",
             Self::CallerDisconnected => "caller_gone",
+            Self::VmStopping => "vm_stopping",
         }
     }
 }
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -31,6 +31,8 @@
 use cranberryvalve_policy::RouterSnapshot;
 use cranberryvalve_policy::SendCommand;
 
+use crate::attempt_control::AttemptControl;
+
 /// Instruction of the router to the thread that serves a request.
 #[derive(Debug)]
 pub(crate) enum Directive {
@@ -50,10 +52,16 @@
 struct State {
     router: Router,
     config: Arc<Config>,
-    waiters: HashMap<RequestId, Sender<Directive>>,
+    waiters: HashMap<RequestId, Waiter>,
     last_id: RequestId,
 }
 
+/// Where the thread that serves a request is reached.
+struct Waiter {
+    directive_sender: Sender<Directive>,
+    attempt: Arc<AttemptControl>,
+}
+
 /// A request to be admitted to the router.
 #[derive(Debug, Clone)]
 pub(crate) struct NewRequest {
@@ -78,22 +86,31 @@
         let mut state = self.lock();
         state.last_id += 1;
         let id = state.last_id;
-        state.waiters.insert(id, directive_sender.clone());
+        let attempt = Arc::<AttemptControl>::default();
+        let waiter =
+            Waiter { directive_sender: directive_sender.clone(), attempt: attempt.clone() };
+        state.waiters.insert(id, waiter);
         let request = Request::new(id, new_request.class, new_request.customer, new_request.pool)
             .retryable(new_request.repeatable)
             .prefix_hash(new_request.prefix_hash);
         state.handle(Event::Arrived(request));
         drop(state);
-        let attempt_cancel = Arc::new(Mutex::new(CancelHandle::new()));
         RequestHandle {
             id,
             directive_receiver,
             directive_sender,
-            attempt_cancel,
+            attempt,
             dispatcher: self.clone(),
         }
     }
 
+    /// Ends all requests: attempts are cancelled, and the router concludes by what they have shown.
+    pub(crate) fn end_requests(&self) {
+        let mut state = self.lock();
+        state.handle(Event::Stopping);
+        state.waiters.values().for_each(|it| it.attempt.end());
+    }
+
     /// Passes an event to the router and delivers the resulting decisions.
     pub(crate) fn handle(&self, event: Event) {
         self.lock().handle(event);
@@ -157,7 +174,7 @@
         };
         if let Some(waiter) = self.waiters.get(&id) {
             // Sending fails if the waiter has stopped; it has notified the router or is about to.
-            let _ = waiter.send(directive);
+            let _ = waiter.directive_sender.send(directive);
         }
     }
 
@@ -171,7 +188,7 @@
     id: RequestId,
     directive_receiver: Receiver<Directive>,
     directive_sender: Sender<Directive>,
-    attempt_cancel: Arc<Mutex<CancelHandle>>,
+    attempt: Arc<AttemptControl>,
     dispatcher: Arc<Dispatcher>,
 }
 
@@ -190,22 +207,31 @@
     /// It ends the wait for a directive and cancels the running attempt.
     pub(crate) fn disconnect_handler(&self) -> impl FnOnce() + Send + 'static {
         let directive_sender = self.directive_sender.clone();
-        let attempt_cancel = self.attempt_cancel.clone();
+        let attempt = self.attempt.clone();
         move || {
             let _ = directive_sender.send(Directive::CallerDisconnected);
-            lock_cancel(&attempt_cancel).cancel();
+            attempt.on_disconnected();
         }
     }
 
+    /// Returns whether the caller has disconnected.
+    pub(crate) fn is_disconnected(&self) -> bool {
+        self.attempt.lock().is_disconnected
+    }
+
+    /// Returns whether no further attempt is to be made.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.attempt.lock().is_ended
+    }
+
     /// Returns the cancel handle of a new attempt, which is cancelled if the caller disconnects.
     pub(crate) fn start_attempt(&self) -> CancelHandle {
-        let mut cancel = lock_cancel(&self.attempt_cancel);
-        let was_cancelled = cancel.is_cancelled();
-        *cancel = CancelHandle::new();
-        if was_cancelled {
-            cancel.cancel();
-        }
-        cancel.clone()
+        self.attempt.start(false)
+    }
+
+    /// Returns the cancel handle of a new attempt that goes on if the caller disconnects.
+    pub(crate) fn start_kept_attempt(&self) -> CancelHandle {
+        self.attempt.start(true)
     }
 
     /// Reports to the router that the first token of a response arrived.
@@ -235,7 +261,3 @@
         state.handle(Event::CallerDisconnected { id: self.id });
     }
 }
-
-fn lock_cancel(cancel: &Mutex<CancelHandle>) -> MutexGuard<'_, CancelHandle> {
-    cancel.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -12,15 +12,40 @@
 use signal_hook::iterator::Signals;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 
 use crate::node::Node;
+use crate::settings::Settings;
 
 /// Time for the first byte of a request on a connection that was accepted before the end of the drain
 /// time.
 const LAST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
-/// Interval at which requests that the process waits for are logged.
-const LOG_INTERVAL: Duration = Duration::from_secs(60);
+/// Time at the end of a stop for the responses to requests that are ended.
+pub(crate) const RESPONSE_TIME: Duration = Duration::from_secs(2);
+
+/// Number of steps in which this time is waited for. A pause of the process counts as one step.
+const RESPONSE_STEPS: u32 = 20;
+
+/// Times of a stop.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StopTimes {
+    drained_at: Instant,
+    /// Time at which the requests in flight are ended.
+    requests_end_at: Instant,
+}
+
+impl StopTimes {
+    pub(crate) fn new(now: Instant, settings: &Settings) -> Self {
+        let requests_end_at = now + settings.stop.saturating_sub(RESPONSE_TIME);
+        Self { drained_at: now + settings.drain, requests_end_at }
+    }
+
+    /// Returns whether a request is taken whose answer may need `answer_limit`.
+    pub(crate) fn has_time_for(&self, now: Instant, answer_limit: Duration) -> bool {
+        now < self.drained_at || now + answer_limit <= self.requests_end_at
+    }
+}
 
 /// Signals of the process, which do not end it from now on.
 pub(crate) struct ProcessSignals(Signals);
@@ -41,21 +66,35 @@
     }
 }
 
-/// Stops without interrupting any request.
+/// Stops without interrupting a request that ends within the time limit of the stop.
 ///
 /// The VM immediately reports that it is not ready, so that the load balancer sends callers to
 /// other VMs; requests that still arrive are served. Once the drain time has passed, no connection is
-/// accepted; the process stops once no thread serves one, however long that takes.
+/// accepted; the process stops once no thread serves one. Requests that take longer than the time
+/// limit get an answer by what their attempts have shown.
 pub(crate) fn stop_gracefully(node: &Node, caller_server: &CallerServer) {
     info!(node.log, "draining"; "live_requests" => node.dispatcher.live_requests());
-    node.start_draining();
+    let times = node.start_draining();
     caller_server.disable_keep_alive();
     thread::sleep(node.settings.drain);
     caller_server.close();
     caller_server.wait_for_end(Instant::now() + LAST_REQUEST_TIME);
     caller_server.end_waits();
-    while !caller_server.wait_for_end(Instant::now() + LOG_INTERVAL) {
-        info!(node.log, "waiting for requests"; "requests" => caller_server.active_requests());
+    if !caller_server.wait_for_end(times.requests_end_at) {
+        end_requests(node, caller_server);
     }
     node.links.close();
 }
+
+/// Ends the requests in flight and waits until they are answered, for a limited time.
+fn end_requests(node: &Node, caller_server: &CallerServer) {
+    warn!(node.log, "ending requests"; "requests" => caller_server.active_requests(),
+        "live_requests" => node.dispatcher.live_requests());
+    caller_server.end_input();
+    node.dispatcher.end_requests();
+    let step = RESPONSE_TIME / RESPONSE_STEPS;
+    let is_over = (0..RESPONSE_STEPS).any(|_| caller_server.wait_for_end(Instant::now() + step));
+    if !is_over {
+        warn!(node.log, "requests are cut"; "requests" => caller_server.active_requests());
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The cranberryvalve daemon. The same program runs on every VM.
 
+mod attempt_control;
 mod control;
 mod dispatcher;
 mod lifecycle;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use cranberryvalve_adapters::caller::DisconnectMonitor;
@@ -37,6 +36,7 @@
 use slog::info;
 
 use crate::dispatcher::Dispatcher;
+use crate::lifecycle::StopTimes;
 use crate::live_calls::LiveCalls;
 use crate::settings::Settings;
 use crate::store_breaker::StoreBreaker;
@@ -70,7 +70,7 @@
     limits: Mutex<LimitClient>,
     limit_coordinator: Mutex<LimitCoordinator>,
     releases: Mutex<Releases>,
-    draining: AtomicBool,
+    stop_times: OnceLock<StopTimes>,
 }
 
 impl Node {
@@ -109,7 +109,7 @@
             limits: Mutex::default(),
             limit_coordinator: Mutex::default(),
             releases: Mutex::default(),
-            draining: AtomicBool::new(false),
+            stop_times: OnceLock::new(),
             settings,
         })
     }
@@ -182,13 +182,20 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.stop_times().is_some()
+    }
+
+    /// Returns the times of the stop; `None` if there was no stop signal.
+    pub(crate) fn stop_times(&self) -> Option<&StopTimes> {
+        self.stop_times.get()
     }
 
     /// Marks this VM as draining and stops its membership.
-    pub(crate) fn start_draining(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+    pub(crate) fn start_draining(&self) -> StopTimes {
+        let times = StopTimes::new(Instant::now(), &self.settings);
+        let times = *self.stop_times.get_or_init(|| times);
         self.membership().stop();
+        times
     }
 
     /// Returns whether the load balancer should send callers to this VM.
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -53,7 +53,12 @@
     }
 
     fn on_refused(&self, status: u16, message: &str, responder: &mut Responder<'_>) {
-        let _ = Problem::invalid(status, message.to_owned()).send(responder);
+        let problem = if status == 503 && self.node.is_draining() {
+            Problem::stopping().for_this_request_only()
+        } else {
+            Problem::invalid(status, message.to_owned())
+        };
+        let _ = problem.send(responder);
     }
 }
 
--- a/crates/daemon/src/service/access.rs
+++ b/crates/daemon/src/service/access.rs
@@ -1,5 +1,6 @@
 //! Authentication of callers, their service classes and their limits.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use cranberryvalve_adapters::caller::RequestHead;
@@ -29,6 +30,13 @@
     Err(Problem::outcome(Outcome::NotRun { reason, retry_after_ms: RETRY_AFTER_STALE_MS }))
 }
 
+/// Rejects a request that a stopping VM may not be able to finish.
+pub(super) fn check_stop(node: &Node, class: &ServiceClass) -> Result<(), Problem> {
+    let answer_limit = Duration::from_millis(class.answer_limit_ms);
+    let has_time = node.stop_times().is_none_or(|it| it.has_time_for(Instant::now(), answer_limit));
+    if has_time { Ok(()) } else { Err(Problem::stopping()) }
+}
+
 /// Returns the customer that the API key of the request belongs to.
 pub(super) fn customer<'a>(
     config: &'a Config,
--- a/crates/daemon/src/service/chat.rs
+++ b/crates/daemon/src/service/chat.rs
@@ -14,7 +14,6 @@
 use cranberryvalve_adapters::resume::ResumeClaims;
 use cranberryvalve_adapters::upstream;
 use cranberryvalve_adapters::upstream::CallError;
-use cranberryvalve_adapters::upstream::CancelHandle;
 use cranberryvalve_adapters::upstream::EngineEvent;
 use cranberryvalve_adapters::upstream::EngineRequest;
 use cranberryvalve_adapters::upstream::EngineStream;
@@ -60,6 +59,7 @@
     let config = node.dispatcher.config();
     let customer = access::customer(&config, &request.head)?;
     let class = access::class(&config, customer, &request.head)?;
+    access::check_stop(node, class)?;
     let body = ChatBody::parse(&request.body)?;
     check_model(&config, &body)?;
     let digest = Digest::of(&request.body);
@@ -201,11 +201,11 @@
         let start = self.assembler.position();
         let opened = upstream::open_stream(upstream.address, &request, self.timeouts(), &cancel);
         let (result, end) = match opened {
-            Ok(stream) => self.relay_stream(handle, order, stream, &cancel, responder, start),
+            Ok(stream) => self.relay_stream(handle, order, stream, responder, start),
             Err(CallError::Declined(response)) => {
                 (CallResult::Declined(response), AttemptEnd::Abandoned)
             }
-            Err(_) if cancel.is_cancelled() => (CallResult::Disconnected, AttemptEnd::Abandoned),
+            Err(_) if handle.is_disconnected() => (CallResult::Disconnected, AttemptEnd::Abandoned),
             Err(CallError::NotSent) => (CallResult::Failed, AttemptEnd::NotSent),
             Err(CallError::Refused { leaving }) => {
                 if leaving {
@@ -226,7 +226,6 @@
         handle: &RequestHandle,
         order: &SendCommand,
         mut engine_stream: EngineStream,
-        cancel: &CancelHandle,
         responder: &mut Responder<'s>,
         start_position: u64,
     ) -> (CallResult, AttemptEnd) {
@@ -266,7 +265,7 @@
             }
             StreamEnd::Disconnected => (CallResult::Disconnected, AttemptEnd::Abandoned),
             StreamEnd::Unread => (CallResult::Unread, AttemptEnd::Abandoned),
-            StreamEnd::Broken if cancel.is_cancelled() => {
+            StreamEnd::Broken if handle.is_disconnected() => {
                 (CallResult::Disconnected, AttemptEnd::Abandoned)
             }
             StreamEnd::Broken => (CallResult::Failed, AttemptEnd::Interrupted { tokens }),
--- a/crates/daemon/src/service/plain.rs
+++ b/crates/daemon/src/service/plain.rs
@@ -9,7 +9,6 @@
 use cranberryvalve_adapters::upstream;
 use cranberryvalve_adapters::upstream::ATTEMPT_HEADER;
 use cranberryvalve_adapters::upstream::CallError;
-use cranberryvalve_adapters::upstream::CancelHandle;
 use cranberryvalve_adapters::upstream::Timeouts;
 use cranberryvalve_adapters::upstream::UpstreamResponse;
 use cranberryvalve_coordination::ledger::ClaimStep;
@@ -73,6 +72,7 @@
     };
     let customer = access::customer(&config, &request.head)?;
     let class = access::allowed_class(&config, customer, &route.class)?;
+    access::check_stop(node, class)?;
     let is_safe = matches!(&*request.head.method, "GET" | "HEAD");
     let repeatable = is_safe || route.idempotent;
     let key = if repeatable { None } else { Some(idempotency_key(request)?) };
@@ -155,6 +155,9 @@
                     responder.close();
                     return Ok(());
                 }
+                Directive::Send(order, _) if handle.is_ended() => {
+                    handle.report_end(order.attempt, AttemptEnd::NotSent);
+                }
                 Directive::Send(order, upstream) => {
                     self.metrics.record_sent(order.attempt);
                     if !self.claim(handle, &order, responder)? {
@@ -226,7 +229,8 @@
         let _live_call = sent.as_ref().map(|it| self.node.live_calls.register(it));
         // A non-repeatable call is finished even if its caller disconnects, so that the response
         // is available when the caller retries.
-        let cancel = if sent.is_some() { CancelHandle::new() } else { handle.start_attempt() };
+        let cancel =
+            if sent.is_some() { handle.start_kept_attempt() } else { handle.start_attempt() };
         let result = self.build_request(order).and_then(|request| {
             upstream::call(upstream.address, request, self.timeouts(), &cancel)
         });
--- a/crates/daemon/src/service/problem.rs
+++ b/crates/daemon/src/service/problem.rs
@@ -13,6 +13,9 @@
 /// Kind of the error for a request that is not valid.
 const INVALID_REQUEST: &str = "invalid_request_error";
 
+/// Retry delay for requests that a stopping VM does not take, in milliseconds.
+const RETRY_AFTER_STOP_MS: u64 = 1_000;
+
 /// An error response to a caller.
 #[derive(Debug)]
 pub(super) struct Problem {
@@ -58,6 +61,12 @@
         Self { outcome: Some(outcome), ..error }
     }
 
+    /// Creates the error for a request that a stopping VM does not take.
+    pub(super) fn stopping() -> Self {
+        let reason = NotRunReason::VmStopping;
+        Self::outcome(Outcome::NotRun { reason, retry_after_ms: RETRY_AFTER_STOP_MS })
+    }
+
     const fn new(status: u16, kind: &'static str, message: String) -> Self {
         Self {
             status,
@@ -179,6 +188,7 @@
             (503, "the store did not confirm that it is the only attempt")
         }
         NotRunReason::ConfigStale => (503, "this VM has no configuration that it may trust"),
+        NotRunReason::VmStopping => (503, "this VM is stopping"),
         NotRunReason::CallerDisconnected => (499, "the caller left"),
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,6 +14,8 @@
 use gumdrop::Options;
 use slog::Level;
 
+use crate::lifecycle::RESPONSE_TIME;
+
 /// Prefix of the environment variables; `--peer-address` corresponds to
 /// `CRANBERRYVALVE_PEER_ADDRESS`.
 const ENV_PREFIX: &str = "CRANBERRYVALVE_";
@@ -21,6 +23,11 @@
 /// Minimum length of a secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+const DEFAULT_DRAIN_MS: u64 = 5_000;
+
+/// Default time from the end of the drain time to the end of a stop.
+const DEFAULT_TIME_AFTER_DRAIN_MS: u64 = 20_000;
+
 /// Exit status for invalid settings.
 const EXIT_USAGE: u8 = 2;
 
@@ -54,12 +61,14 @@
     operator_token: Option<String>,
     #[options(no_short, help = "secret that all VMs share (better set in the environment)")]
     shared_secret: Option<String>,
+    #[options(no_short, help = "minimum time between not ready and stop, in ms (default 5000)")]
+    drain_ms: Option<String>,
     #[options(
         no_short,
-        help = "minimum time between not ready and stop, in ms; running requests are waited for \
-                without a limit (default 5000)"
+        help = "maximum time of a stop, in ms, after which requests in flight are ended (default: \
+                drain time + 20000)"
     )]
-    drain_ms: Option<String>,
+    stop_ms: Option<String>,
     #[options(
         no_short,
         help = "time within which callers may repeat a call that must run once, in ms; for so long \
@@ -95,6 +104,8 @@
     pub(crate) operator_token: Arc<str>,
     pub(crate) shared_secret: Arc<str>,
     pub(crate) drain: Duration,
+    /// Time from a stop signal to the end of the process, at the latest.
+    pub(crate) stop: Duration,
     /// Time within which callers may repeat a call that must run once.
     pub(crate) repeat_window: Duration,
     pub(crate) max_connections: usize,
@@ -118,6 +129,7 @@
 
     fn check(flags: &Flags) -> Result<Self> {
         let mut reader = SettingsReader { errors: Vec::new() };
+        let drain_ms = reader.number("drain-ms", &flags.drain_ms, DEFAULT_DRAIN_MS);
         let settings = Self {
             vm: reader.name("vm", &flags.vm),
             failure_domain: reader.name("failure-domain", &flags.failure_domain),
@@ -128,7 +140,8 @@
             platform_address: reader.address("platform-address", &flags.platform_address),
             operator_token: reader.secret("operator-token", &flags.operator_token),
             shared_secret: reader.secret("shared-secret", &flags.shared_secret),
-            drain: Duration::from_millis(reader.number("drain-ms", &flags.drain_ms, 5_000)),
+            drain: Duration::from_millis(drain_ms),
+            stop: reader.stop(&flags.stop_ms, drain_ms),
             repeat_window: Duration::from_millis(reader.number(
                 "repeat-window-ms",
                 &flags.repeat_window_ms,
@@ -226,6 +239,22 @@
         })
     }
 
+    /// Returns the time limit of a stop, which includes the drain time and that for the last responses.
+    fn stop(&mut self, flag: &Option<String>, drain_ms: u64) -> Duration {
+        let default_ms = drain_ms.saturating_add(DEFAULT_TIME_AFTER_DRAIN_MS);
+        let stop = Duration::from_millis(self.number("stop-ms", flag, default_ms));
+        let minimum = Duration::from_millis(drain_ms).saturating_add(RESPONSE_TIME);
+        if stop < minimum {
+            let message = format!(
+                "at least {} is needed: the drain time and {}",
+                minimum.as_millis(),
+                RESPONSE_TIME.as_millis()
+            );
+            self.add_error("stop-ms", &message);
+        }
+        stop
+    }
+
     fn size(&mut self, name: &str, flag: &Option<String>, default: usize) -> usize {
         let Some(text) = Self::text(name, flag) else { return default };
         text.parse().ok().filter(|it| *it > 0).unwrap_or_else(|| {
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -79,6 +79,17 @@
     assert_eq!(client::get_status(cluster.vms[0].operator_address, "/dump"), Some(401));
 }
 
+#[test]
+fn stop_without_time_for_responses_is_not_accepted() {
+    let output = Command::new(PROGRAM)
+        .args(["--drain-ms", "1000", "--stop-ms", "2999"])
+        .output()
+        .expect("the daemon starts");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("--stop-ms: at least 3000 is needed"), "{text}");
+}
+
 #[test]
 fn invalid_settings_are_reported_together() {
     let output = Command::new(PROGRAM)
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -72,6 +72,8 @@
     PeerPressure(PressureDigest),
     /// A new configuration became active.
     ConfigChanged(Arc<Config>),
+    /// The VM ends all its requests: queued ones now, those in flight when their attempt ends.
+    Stopping,
     /// Periodic timer: expires queued requests and retries dispatch.
     Tick,
 }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -61,6 +61,8 @@
     retry_budgets: RetryBudgets,
     peer_pressure: PeerPressure,
     rng: Pcg64Mcg,
+    /// Whether no further attempt is made.
+    is_stopping: bool,
 }
 
 /// State of a request between its arrival and its end.
@@ -111,6 +113,7 @@
             requests: HashMap::new(),
             retry_budgets: RetryBudgets::default(),
             peer_pressure: PeerPressure::default(),
+            is_stopping: false,
         };
         router.handle(now, Event::ConfigChanged(config));
         router
@@ -136,6 +139,7 @@
             }
             Event::PeerPressure(digest) => self.peer_pressure.merge(now, &digest),
             Event::ConfigChanged(config) => self.on_config_changed(now, config, &mut actions),
+            Event::Stopping => self.on_stopping(&mut actions),
             Event::Tick => self.on_tick(now, &mut actions),
         }
         actions
--- a/crates/policy/src/router/lifecycle.rs
+++ b/crates/policy/src/router/lifecycle.rs
@@ -27,6 +27,11 @@
 
 impl Router {
     pub(super) fn on_arrived(&mut self, now: Instant, request: Request, actions: &mut Vec<Action>) {
+        if self.is_stopping {
+            let outcome = Outcome::not_run(NotRunReason::VmStopping, RETRY_AFTER_FAILURE);
+            actions.push(Action::Conclude(Conclusion { id: request.id, outcome }));
+            return;
+        }
         let Some(class) = self.config.class(&request.class) else {
             let outcome = Outcome::not_run(NotRunReason::NoUpstream, RETRY_AFTER_FAILURE);
             actions.push(Action::Conclude(Conclusion { id: request.id, outcome }));
@@ -194,6 +199,16 @@
         self.retry_budgets.retain_classes(|it| self.config.class(it).is_some());
     }
 
+    pub(super) fn on_stopping(&mut self, actions: &mut Vec<Action>) {
+        self.is_stopping = true;
+        let queued = self.requests.iter().filter(|(_, it)| it.stage == Stage::Queued);
+        let mut queued: Vec<RequestId> = queued.map(|(id, _)| *id).collect();
+        queued.sort_unstable();
+        for id in queued {
+            self.give_up_queued(id, NotRunReason::VmStopping, RETRY_AFTER_FAILURE, actions);
+        }
+    }
+
     pub(super) fn customer_weight(&self, request: &Request) -> u32 {
         self.config.customer(&request.customer).map_or(1, |it| it.weight)
     }
@@ -242,7 +257,7 @@
             self.give_up_queued(id, reason, RETRY_AFTER_FAILURE, actions);
             return;
         }
-        self.requeue(now, id);
+        self.requeue(now, id, actions);
     }
 
     /// Requeues a request that an upstream may have run, if it is retryable and the retry budget
@@ -261,7 +276,7 @@
         let attempts_left = tokens > 0 || tracked.attempts < MAX_ATTEMPTS;
         let may_retry = tracked.request.retryable && attempts_left;
         if may_retry && self.retry_budgets.try_take(&tracked.request.class) {
-            self.requeue(now, id);
+            self.requeue(now, id, actions);
             return;
         }
         self.give_up_queued(id, NotRunReason::UpstreamsRefused, RETRY_AFTER_FAILURE, actions);
@@ -274,13 +289,17 @@
     fn requeue_timed_out(&mut self, now: Instant, id: RequestId, actions: &mut Vec<Action>) {
         let Some(tracked) = self.requests.get(&id) else { return };
         if tracked.request.retryable && now < tracked.response_deadline {
-            self.requeue(now, id);
+            self.requeue(now, id, actions);
             return;
         }
         self.give_up_queued(id, NotRunReason::QueueTimeout, RETRY_AFTER_OVERLOAD, actions);
     }
 
-    fn requeue(&mut self, now: Instant, id: RequestId) {
+    fn requeue(&mut self, now: Instant, id: RequestId, actions: &mut Vec<Action>) {
+        if self.is_stopping {
+            self.give_up_queued(id, NotRunReason::VmStopping, RETRY_AFTER_FAILURE, actions);
+            return;
+        }
         let Some(tracked) = self.requests.get(&id) else { return };
         let weight = self.customer_weight(&tracked.request);
         let customer = tracked.request.customer.clone();
