fix: a daemon's success that ends with its head is not whole

Callers saw: a 200 with an empty body, framed as whole, when a plain service closed its connection behind a head that had lost the headers which frame its body.

Cause: as in the relay, the close was taken for the end of a body of which nothing had arrived. A 2xx with neither a length nor chunks needs a body now (not for HEAD and 204); otherwise its outcome is unknown.

`unframed_answer_without_a_body_is_an_unknown_outcome` failed before: `Ok` for `Broken`. After: the file's 7 tests pass, and the daemon's `at_most_once` 15, `engine_orders`, `complete_responses` and `end_to_end`.

--- a/crates/adapters/src/upstream/call.rs
+++ b/crates/adapters/src/upstream/call.rs
@@ -6,8 +6,13 @@
 use std::sync::Arc;
 
 use ureq::Body;
+use ureq::http::HeaderMap;
+use ureq::http::Method;
 use ureq::http::Request;
 use ureq::http::Response;
+use ureq::http::StatusCode;
+use ureq::http::header::CONTENT_LENGTH;
+use ureq::http::header::TRANSFER_ENCODING;
 
 use super::ATTEMPT_HEADER;
 use super::LEAVING_HEADER;
@@ -61,7 +66,27 @@
     timeouts: Timeouts,
     cancel: &CancelHandle,
 ) -> Result<UpstreamResponse, CallError> {
-    read_response(send(address, request, timeouts, cancel)?)
+    let method = request.method().clone();
+    let response = send(address, request, timeouts, cancel)?;
+    let is_delimited_by_close = is_delimited_by_close(&response, &method);
+    let response = read_response(response)?;
+    // The head may have been cut off before the headers that frame the body.
+    let is_cut_head = is_delimited_by_close && response.body.is_empty();
+    if is_cut_head && (200..300).contains(&response.status) {
+        return Err(CallError::Broken);
+    }
+    Ok(response)
+}
+
+/// Returns whether only the end of the connection marks that of the body.
+fn is_delimited_by_close(response: &Response<Body>, method: &Method) -> bool {
+    let has_body = *method != Method::HEAD && response.status() != StatusCode::NO_CONTENT;
+    has_body && !is_framed(response.headers())
+}
+
+/// Returns whether headers delimit the body.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
 /// Reads the rest of a response.
@@ -125,6 +150,6 @@
     }
 }
 
-fn expects_body(method: &ureq::http::Method) -> bool {
+fn expects_body(method: &Method) -> bool {
     matches!(method.as_str(), "POST" | "PUT" | "PATCH")
 }
--- a/crates/adapters/tests/cut_heads.rs
+++ b/crates/adapters/tests/cut_heads.rs
@@ -116,6 +116,12 @@
     }
 }
 
+#[test]
+fn unframed_answer_without_a_body_is_an_unknown_outcome() {
+    let head = &UNFRAMED[..head_len(UNFRAMED)];
+    assert_eq!(call_service(head, End::Closed, plain_call), Err(CallError::Broken));
+}
+
 #[test]
 fn cut_stream_of_an_engine_does_not_end() {
     let request = EngineRequest {
