fix: a row of the store without framing is not read

The daemon saw: a row, its value cut off at any byte or empty, when the store's response had neither a length nor chunks and its connection was closed or reset. The row's version came from the head; by reading, a write on that condition would have replaced the row.

Cause: the end of the connection counted as that of the value. A body of the store that nothing delimits is in doubt now and is read again; so are objects and the list of VMs.

`row_that_nothing_shows_to_be_whole_is_not_read` failed before, at the cut behind the head: version 7 with an empty value for `InDoubt`. After: it passes at all cuts, and the daemon's `store_restorations` 12, `config_propagation` and `end_to_end` pass.

--- a/crates/adapters/src/platform.rs
+++ b/crates/adapters/src/platform.rs
@@ -28,6 +28,8 @@
 use ureq::Agent;
 use ureq::http::Response;
 
+use crate::upstream::is_framed;
+
 /// Timeout for connecting to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -177,7 +179,11 @@
     header.and_then(|it| it.trim_matches('"').parse().ok()).ok_or(StoreError::InDoubt)
 }
 
+/// Reads a body, which must be shown to be whole: a value that is cut off may be a valid one.
 fn read_body(response: Response<ureq::Body>) -> Result<Vec<u8>, StoreError> {
+    if !is_framed(response.headers()) {
+        return Err(StoreError::InDoubt);
+    }
     let mut body = Vec::new();
     let mut reader = response.into_body().into_reader().take(MAX_BODY_BYTES);
     reader.read_to_end(&mut body).map_err(|_| StoreError::InDoubt)?;
--- a/crates/adapters/src/upstream.rs
+++ b/crates/adapters/src/upstream.rs
@@ -13,6 +13,7 @@
 pub use call::CallError;
 pub use call::UpstreamResponse;
 pub use call::call;
+pub(crate) use call::is_framed;
 pub use connection::CancelHandle;
 pub use connection::Timeouts;
 pub use engine::EngineEvent;
--- a/crates/adapters/src/upstream/call.rs
+++ b/crates/adapters/src/upstream/call.rs
@@ -85,7 +85,7 @@
 }
 
 /// Returns whether headers delimit the body.
-fn is_framed(headers: &HeaderMap) -> bool {
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
--- a/crates/adapters/tests/cut_heads.rs
+++ b/crates/adapters/tests/cut_heads.rs
@@ -198,3 +198,13 @@
         }
     }
 }
+
+#[test]
+fn row_that_nothing_shows_to_be_whole_is_not_read() {
+    for end in [End::Closed, End::Reset] {
+        for cut in 0..=UNFRAMED.len() {
+            let read = call_service(&UNFRAMED[..cut], end, |it| PlatformClient::new(it).read("k"));
+            assert_eq!(read, Err(StoreError::InDoubt), "{end:?}: {}", &UNFRAMED[..cut]);
+        }
+    }
+}
