test: cut responses of the store are errors for a VM

A response of the store with a length or in chunks is cut after each of its bytes; the VM's client takes none for whole. A body that ends with its connection is still taken (`body_without_length_...`); its JSON is what shows that it is whole.

--- a/crates/relay/src/client/tests.rs
+++ b/crates/relay/src/client/tests.rs
@@ -10,18 +10,18 @@
 use super::HttpError;
 
 /// Returns the result of a request to a service that sends `response` and closes the connection.
-fn get(response: &'static str) -> Result<Vec<u8>, HttpError> {
+fn get(response: &str) -> Result<Vec<u8>, HttpError> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
     let address = listener.local_addr().expect("a bound socket");
-    let service = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut request = [0; 4_096];
-        let _ = stream.read(&mut request).expect("a request");
-        stream.write_all(response.as_bytes()).expect("an open connection");
-    });
-    let result = HttpClient::new(address).get("/rows", Duration::from_secs(5));
-    service.join().expect("the service does not panic");
-    result.map(|it| it.body)
+    thread::scope(|scope| {
+        scope.spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request).expect("a request");
+            stream.write_all(response.as_bytes()).expect("an open connection");
+        });
+        HttpClient::new(address).get("/rows", Duration::from_secs(5)).map(|it| it.body)
+    })
 }
 
 #[test]
@@ -36,3 +36,16 @@
         Err(HttpError::Io(_))
     ));
 }
+
+#[test]
+fn response_that_is_cut_anywhere_is_an_error() {
+    for response in [
+        "HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 4\r\n\r\nrows",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nro\r\n2\r\nws\r\n0\r\n\r\n",
+    ] {
+        assert_eq!(get(response).ok(), Some(b"rows".to_vec()));
+        for cut in 0..response.len() {
+            assert!(get(&response[..cut]).is_err(), "{}", &response[..cut]);
+        }
+    }
+}
