fix(daemon): a planned stop frees the keys of calls that were not run

A caller got `not_run` for a call that may run once, repeated it with the same key at another VM, as `not_run` allows, and got `unknown`, for good.

Cause: the key is released by a thread that looks every 200 ms, and the process ended as soon as the response was written. Releases that wait, or that are being tried, were lost with it.

Evidence: release_is_not_lost_with_the_process (three upstream refusals in the last moment of a stop, then the repeat at another VM).

The stop waits until no release is unfinished, for what is left of its last 2 s; if the store cannot be reached, the number of keys that stay claimed is logged. Releases of a round are counted until it ends (releases_that_are_being_tried_are_unfinished): the list of those that wait is empty during a round.

--- a/crates/coordination/src/releases.rs
+++ b/crates/coordination/src/releases.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct Releases {
     waiting: Vec<Release>,
+    /// Number of releases that were taken for a round that has not ended.
+    in_round: usize,
     /// Releases that were carried out in `era`, oldest first.
     done: VecDeque<DoneRelease>,
     /// Latest era in which releases were carried out.
@@ -60,6 +62,11 @@
         self.waiting.len()
     }
 
+    /// Returns the number of releases that are not carried out: waiting or being tried.
+    pub const fn unfinished(&self) -> usize {
+        self.waiting.len() + self.in_round
+    }
+
     /// Takes the releases to be carried out. `era` is the latest era of the store: if it is new,
     /// those that were carried out in earlier ones are among them.
     pub fn start_round(&mut self, now: Instant, era: Option<StoreEra>) -> Vec<Release> {
@@ -70,11 +77,13 @@
             self.waiting.extend(self.done.drain(..).map(|it| it.release.again()));
         }
         self.era = self.era.max(era);
+        self.in_round = self.waiting.len();
         std::mem::take(&mut self.waiting)
     }
 
     /// Records the releases of a round: those that are done are remembered, the others wait.
     pub fn end_round(&mut self, now: Instant, releases: Vec<Release>) {
+        self.in_round = 0;
         for release in releases {
             if release.is_done() {
                 self.done.push_back(DoneRelease { done_at: now, release });
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -25,7 +25,24 @@
 pub(crate) const RESPONSE_TIME: Duration = Duration::from_secs(2);
 
 /// Number of steps in which this time is waited for. A pause of the process counts as one step.
-const RESPONSE_STEPS: u32 = 20;
+const LAST_STEPS: u32 = 20;
+
+/// The steps that are left at the end of a stop.
+struct LastSteps(u32);
+
+impl LastSteps {
+    /// Calls `wait` with the length of a step until it returns `true` or no step is left. Returns
+    /// whether it did.
+    fn wait_until(&mut self, mut wait: impl FnMut(Duration) -> bool) -> bool {
+        while self.0 > 0 {
+            self.0 -= 1;
+            if wait(RESPONSE_TIME / LAST_STEPS) {
+                return true;
+            }
+        }
+        false
+    }
+}
 
 /// Times of a stop.
 #[derive(Debug, Clone, Copy)]
@@ -80,21 +97,33 @@
     caller_server.close();
     caller_server.wait_for_end(Instant::now() + LAST_REQUEST_TIME);
     caller_server.end_waits();
+    let mut last_steps = LastSteps(LAST_STEPS);
     if !caller_server.wait_for_end(times.requests_end_at) {
-        end_requests(node, caller_server);
+        end_requests(node, caller_server, &mut last_steps);
     }
+    finish_releases(node, &mut last_steps);
     node.links.close();
 }
 
 /// Ends the requests in flight and waits until they are answered, for a limited time.
-fn end_requests(node: &Node, caller_server: &CallerServer) {
+fn end_requests(node: &Node, caller_server: &CallerServer, last_steps: &mut LastSteps) {
     warn!(node.log, "ending requests"; "requests" => caller_server.active_requests(),
         "live_requests" => node.dispatcher.live_requests());
     caller_server.end_input();
     node.dispatcher.end_requests();
-    let step = RESPONSE_TIME / RESPONSE_STEPS;
-    let is_over = (0..RESPONSE_STEPS).any(|_| caller_server.wait_for_end(Instant::now() + step));
-    if !is_over {
+    if !last_steps.wait_until(|step| caller_server.wait_for_end(Instant::now() + step)) {
         warn!(node.log, "requests are cut"; "requests" => caller_server.active_requests());
     }
 }
+
+/// Waits until the keys of calls that were not run are free, for a limited time.
+fn finish_releases(node: &Node, last_steps: &mut LastSteps) {
+    let is_finished = || node.releases().unfinished() == 0;
+    let wait = |step| {
+        thread::sleep(step);
+        is_finished()
+    };
+    if !is_finished() && !last_steps.wait_until(wait) {
+        warn!(node.log, "keys stay claimed"; "releases" => node.releases().unfinished());
+    }
+}
