test(daemon): a pause over the end of a stop does not cut answers

The program is paused from 1.2 s to 5.2 s after SIGTERM, over the moment at which its requests are ended (2 s) and over the time limit of the stop (4 s), with 12 calls in flight. All are answered 502 `unknown`.

--- a/crates/daemon/tests/stop_limit.rs
+++ b/crates/daemon/tests/stop_limit.rs
@@ -29,6 +29,9 @@
 /// Number of model requests, more than the engine runs at the same time.
 const CHATS: usize = 12;
 
+/// Number of calls that are in flight in a pause.
+const CALLS: usize = 12;
+
 fn start() -> Cluster {
     let settings = ClusterSettings {
         vms: 1,
@@ -102,6 +105,33 @@
     assert_eq!(status, Some(0), "{}", cluster.vms[0].log());
 }
 
+#[test]
+fn pause_over_the_end_does_not_cut_answers() {
+    let mut cluster = start();
+    let callers = cluster.vms[0].caller_address;
+    cluster.services[0].set_faults(|it| it.delay = 2 * KILL_AFTER);
+    let key = config::api_key(0);
+    let call = |number: usize| {
+        client::call_service(callers, &key, "POST", "/berths/4", &format!("once-{number}"), "{}")
+    };
+    let responses = thread::scope(|scope| {
+        let call = &call;
+        let threads: Vec<_> = (0..CALLS).map(|it| scope.spawn(move || call(it))).collect();
+        assert!(wait_until(WAIT_TIMEOUT, || cluster.services[0].effects().len() == CALLS));
+        cluster.vms[0].terminate();
+        thread::sleep(2 * DRAIN);
+        cluster.vms[0].pause();
+        thread::sleep(STOP);
+        cluster.vms[0].resume();
+        let responses = threads.into_iter().map(|it| it.join().expect("a caller does not panic"));
+        responses.collect::<Vec<_>>()
+    });
+    for response in responses {
+        assert_eq!((response.status, &*response.outcome), (502, "unknown"));
+    }
+    assert_eq!(cluster.vms[0].wait_exit(KILL_AFTER), Some(0), "{}", cluster.vms[0].log());
+}
+
 /// Sends a part of a call, then SIGTERM and, after a delay, the rest. Returns the response.
 fn call_in_parts(cluster: &mut Cluster, rest: Option<&[u8]>) -> String {
     let mut stream = TcpStream::connect(cluster.vms[0].caller_address).expect("the VM listens");
