fix(relay): a VM out of step does not take a missing reply for a sole version

Callers saw: a stream that a worker of a new version began through one VM went on at a worker of the old version, at a VM that had stood still while the new version joined (ORDER).

Cause: `find_origin` made one `None` of "the coordinators do not know the stream", "nobody replied in 100 ms" and "there is no other VM"; `only_origin` then believed this VM's own view of the versions, however old.

Change: a sole version is believed only on evidence that was asked for after the call came: all coordinators replied that they do not know the stream (asked again if some are silent), and this VM is not among a minority; or a read of the versions' rows that began after the call names no other version. Calls share reads. Otherwise 503, not run. Why that works: whoever begins a stream of a further version sends it to the coordinators first, and a watcher records the version; both outlive what this VM missed. An age on a clock would not do: after a stop, old replies are read from the socket buffers as if new.

A watcher whose write came second repeated it only at the next change or after 2 s, so that the row could lack a version for as long. The model of both properties repeats it as well. The repeated write has no process test of its own.

Ruled out: merging the rows read in doubt (the property failed: a VM out of step dates a version by its own reads and removes it from the row too early).

--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -233,6 +233,13 @@
         dead.map(|it| it.address.vm.clone()).collect()
     }
 
+    /// Returns `true` if at least as many members are considered dead as are alive: they may rather be
+    /// cut off, and act on what this VM does not learn.
+    pub fn is_minority(&self) -> bool {
+        let dead = self.members.values().filter(|it| it.state == MemberState::Dead);
+        dead.count() >= self.alive_count()
+    }
+
     /// Returns the address of a member, or `None` if it is not known. This VM itself is not listed.
     pub fn address_of(&self, vm: &str) -> Option<PeerAddress> {
         self.members.get(vm).map(|it| it.address.clone())
--- a/crates/coordination/src/versions.rs
+++ b/crates/coordination/src/versions.rs
@@ -142,6 +142,22 @@
         possible.next().filter(|_| possible.next().is_none()).cloned()
     }
 
+    /// Returns the same as [`VersionHistory::sole_version`] if `records` name no other version. A VM that
+    /// may have missed a version of the directory reads them from the store first.
+    ///
+    /// They are not merged: a VM that is out of step would date the versions by its own reads, and
+    /// remove them from the store too early.
+    pub fn confirmed_sole_version(
+        &self,
+        now: Instant,
+        pool: &str,
+        records: &[VersionRecord],
+    ) -> Option<SoftwareVersion> {
+        let sole = self.sole_version(now, pool)?;
+        let record = records.iter().find(|it| &*it.pool == pool)?;
+        record.versions.iter().eq([&sole]).then_some(sole)
+    }
+
     /// Returns `true` if the store's record of some pool is not known.
     pub fn lacks_records(&self) -> bool {
         self.pools.values().any(|it| it.record.is_none())
--- a/crates/coordination/tests/stream_origins.rs
+++ b/crates/coordination/tests/stream_origins.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::home::coordinators_of;
+use cranberryvalve_coordination::membership::DEAD_AFTER;
+use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::origins::ORIGIN_COORDINATORS;
 use cranberryvalve_coordination::origins::OriginLog;
 use cranberryvalve_coordination::origins::STREAM_LIFETIME;
@@ -18,7 +20,6 @@
 use cranberryvalve_core::SoftwareVersion;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
-use quickcheck::TestResult;
 use quickcheck::quickcheck;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -131,6 +132,35 @@
     assert!(!history.is_mixed(now + STREAM_LIFETIME, POOL));
 }
 
+#[test]
+fn a_vm_that_hears_from_nobody_is_in_a_minority() {
+    let (now, vms) = (Instant::now(), vms());
+    let mut membership = Membership::new(vms[0].clone(), 1);
+    vms[1..3].iter().for_each(|it| membership.add_seed(now, it.clone()));
+    membership.on_direct_message(now + DEAD_AFTER / 2, &vms[1], 0);
+    membership.on_tick(now + DEAD_AFTER);
+    assert!(!membership.is_minority());
+    membership.on_tick(now + DEAD_AFTER * 2);
+    assert!(membership.is_minority());
+}
+
+#[test]
+fn a_version_that_came_back_unseen_is_in_the_record() {
+    let (now, mut history) = (Instant::now(), VersionHistory::new(Instant::now()));
+    let record = |revision, versions: &[&str]| {
+        let versions = versions.iter().map(|it| (*it).into()).collect();
+        VersionRecord { pool: POOL.into(), versions, revision }
+    };
+    history.observe(now, [(POOL.into(), "v1".into()), (POOL.into(), "v2".into())]);
+    history.observe(now, [(POOL.into(), "v1".into())]);
+    history.merge(now, &[record(2, &["v1"])]);
+    let later = now + STREAM_LIFETIME;
+    let confirmed = |records: &[_]| history.confirmed_sole_version(later, POOL, records);
+    assert_eq!(confirmed(&[record(2, &["v1"])]), Some("v1".into()));
+    assert_eq!(confirmed(&[record(3, &["v1", "v2"])]), None);
+    assert_eq!(confirmed(&[]), None);
+}
+
 /// What happens to the VMs, the store and the upstreams.
 #[derive(Debug, Clone)]
 enum Step {
@@ -158,6 +188,13 @@
 struct Fleet {
     now: Instant,
     histories: [VersionHistory; 3],
+    /// Whether a version that comes back has another name.
+    has_new_names: bool,
+    generations: BTreeMap<u8, u32>,
+    /// VMs that read neither the directory nor, unless they are asked, the row.
+    parted: BTreeSet<usize>,
+    /// VMs that were parted since they started: they may have missed versions.
+    doubting: BTreeSet<usize>,
     row: VersionRecord,
     present: BTreeSet<SoftwareVersion>,
     /// When each version was last in service.
@@ -174,16 +211,51 @@
             history.set_first_start(now);
             history
         });
-        Self { now, histories, row, present, last_seen }
+        Self {
+            now,
+            histories,
+            has_new_names: false,
+            generations: BTreeMap::new(),
+            parted: BTreeSet::new(),
+            doubting: BTreeSet::new(),
+            row,
+            present,
+            last_seen,
+        }
+    }
+
+    /// Lets a VM stand still or be cut off, or be in step again.
+    fn toggle(&mut self, vm: usize) {
+        self.doubting.insert(vm);
+        if !self.parted.remove(&vm) {
+            self.parted.insert(vm);
+        }
     }
 
     fn apply(&mut self, step: &Step) {
-        let version = |number: u8| -> SoftwareVersion { format!("v{number}").into() };
+        let generations = &self.generations;
+        let version = |number: u8| -> SoftwareVersion {
+            let generation = generations.get(&number).unwrap_or(&0);
+            if self.has_new_names {
+                format!("v{number}.{generation}").into()
+            } else {
+                format!("v{number}").into()
+            }
+        };
         match step {
             Step::Appear(number) => drop(self.present.insert(version(*number))),
-            Step::Leave(number) => drop(self.present.remove(&version(*number))),
+            Step::Leave(number) => {
+                self.present.remove(&version(*number));
+                if self.has_new_names {
+                    *self.generations.entry(*number).or_default() += 1;
+                }
+            }
             Step::Restart(vm) => {
-                self.histories[usize::from(*vm)] = VersionHistory::new(self.now);
+                let vm = usize::from(*vm);
+                self.histories[vm] = VersionHistory::new(self.now);
+                if !self.parted.contains(&vm) {
+                    self.doubting.remove(&vm);
+                }
             }
             Step::RestartAll => {
                 self.histories = [(); 3].map(|()| VersionHistory::new(self.now));
@@ -192,7 +264,9 @@
         }
         let now = self.now;
         self.last_seen.extend(self.present.iter().map(|it| (it.clone(), now)));
-        for vm in 0..self.histories.len() {
+        for vm in
+            (0..self.histories.len()).filter(|it| !self.parted.contains(it)).collect::<Vec<_>>()
+        {
             self.synchronize(vm);
         }
     }
@@ -204,14 +278,27 @@
         if history.lacks_records() && self.row.revision > 0 {
             history.merge(now, std::slice::from_ref(&self.row));
         }
-        for record in history.due_records(now) {
-            if record.revision == self.row.revision {
-                self.row = VersionRecord { revision: record.revision + 1, ..record };
+        // The first write fails if another VM has written since this one read the row.
+        for _ in 0..2 {
+            for record in history.due_records(now) {
+                if record.revision == self.row.revision {
+                    self.row = VersionRecord { revision: record.revision + 1, ..record };
+                }
+                history.merge(now, std::slice::from_ref(&self.row));
             }
-            history.merge(now, std::slice::from_ref(&self.row));
         }
     }
 
+    /// Returns the version at which a VM continues a stream of unknown origin. One that is or was out of
+    /// step reads the row first.
+    fn sole_version(&mut self, vm: usize) -> Option<SoftwareVersion> {
+        let (now, history) = (self.now, &mut self.histories[vm]);
+        if !self.doubting.contains(&vm) {
+            return history.sole_version(now, POOL);
+        }
+        history.confirmed_sole_version(now, POOL, std::slice::from_ref(&self.row))
+    }
+
     /// Returns the versions that may have open streams.
     fn possible(&self) -> BTreeSet<SoftwareVersion> {
         let is_recent = |at: &Instant| self.now.saturating_duration_since(*at) < STREAM_LIFETIME;
@@ -220,19 +307,42 @@
     }
 }
 
+/// Returns an error if a VM would continue streams at a version although another may have begun them.
+fn check_sole_versions(fleet: &mut Fleet) -> Result<(), String> {
+    for vm in 0..fleet.histories.len() {
+        let Some(sole) = fleet.sole_version(vm) else { continue };
+        if !fleet.possible().iter().all(|it| *it == sole) {
+            return Err(format!("VM {vm}: {sole} of {:?}", fleet.possible()));
+        }
+    }
+    Ok(())
+}
+
 quickcheck! {
-    fn a_sole_version_began_all_open_streams(steps: Vec<Step>) -> TestResult {
+    fn a_sole_version_began_all_open_streams(steps: Vec<Step>) -> Result<(), String> {
         let mut fleet = Fleet::new();
-        for step in &steps {
+        steps.iter().try_for_each(|step| {
             fleet.apply(step);
-            for history in &fleet.histories {
-                let Some(sole) = history.sole_version(fleet.now, POOL) else { continue };
-                if !fleet.possible().iter().all(|it| *it == sole) {
-                    return TestResult::error(format!("{sole} of {:?}", fleet.possible()));
-                }
+            check_sole_versions(&mut fleet)
+        })
+    }
+
+    fn a_sole_version_at_parted_vms_began_all_open_streams(
+        steps: Vec<(u8, Step)>
+    ) -> Result<(), String> {
+        let mut fleet = Fleet { has_new_names: true, ..Fleet::new() };
+        // The pool has a row from here on.
+        fleet.apply(&Step::Appear(0));
+        steps.iter().try_for_each(|(vm, step)| {
+            // One VM stays in step and keeps the row.
+            match vm % 8 {
+                1 => fleet.toggle(1),
+                2 => fleet.toggle(2),
+                _ => {}
             }
-        }
-        TestResult::passed()
+            fleet.apply(step);
+            check_sole_versions(&mut fleet)
+        })
     }
 
     fn one_version_is_recognized_after_a_restart(versions: u8) -> bool {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -53,6 +53,7 @@
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
+pub(crate) use self::origins::OriginReply;
 pub(crate) use self::permits::PermitCoordinator;
 pub(crate) use self::tables::TableExchange;
 
@@ -97,7 +98,8 @@
     membership: Mutex<Membership>,
     seeds: Vec<SocketAddr>,
     load_queries: PendingQueries<UpstreamLoad>,
-    origin_queries: PendingQueries<StreamOrigin>,
+    /// Each coordinator replies with one item.
+    origin_queries: PendingQueries<Option<StreamOrigin>>,
     probe_queries: PendingQueries<UpstreamId>,
     secret: Arc<dyn SecretStore>,
     /// Key of the peer links, as in the store.
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -39,6 +39,9 @@
         loop {
             round += 1;
             self.send_heartbeat_round(round);
+            if self.is_minority() {
+                self.relay.streams.record_minority();
+            }
             self.relay.report_directory(None);
             self.relay.check_long_poll();
             self.repeat_suspects(round);
@@ -194,7 +197,7 @@
                     self.send_origin(&from, request_id, stream);
                 }
                 Received::Message(PeerMessage::OriginResponse { from, request_id, origin }) => {
-                    self.origin_queries.record_reply(request_id, &from.vm, origin);
+                    self.origin_queries.record_reply(request_id, &from.vm, [origin]);
                 }
                 Received::Message(PeerMessage::Refusals { refusals, .. }) => {
                     self.relay.dispatcher.handle(SchedulerEvent::PeerRefusals(refusals));
--- a/crates/relay/src/peers/origins.rs
+++ b/crates/relay/src/peers/origins.rs
@@ -14,14 +14,27 @@
 
 use super::Peers;
 
-/// Maximum time that a call waits for the origin of the stream that it resumes: a round trip between
-/// regions, plus the processing time on two small VMs. Only coordinators that are gone, or do not
-/// know the stream, make it wait so long.
+/// Maximum time that a query for the origin of a stream waits: a round trip between regions, plus the
+/// processing time on two small VMs. Only coordinators that are gone make it wait so long.
 const ORIGIN_QUERY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum number of queries for the origin of a stream: a message may be lost.
+const MAX_ORIGIN_QUERIES: u32 = 2;
+
 /// Maximum number of streams in one message; about 30 bytes each.
 const MAX_STREAMS_PER_MESSAGE: usize = 256;
 
+/// What the coordinators of a stream know of it.
+#[derive(Debug)]
+pub(crate) enum OriginReply {
+    /// The stream began here.
+    Known(StreamOrigin),
+    /// All coordinators replied, and none knows the stream.
+    Unknown,
+    /// There are no other coordinators, or some did not reply: they may know the stream.
+    Unanswered,
+}
+
 impl Peers {
     /// Sends the origins of streams to their coordinators.
     pub(crate) fn send_origins(&self, streams: &[(StreamKey, StreamOrigin)]) {
@@ -44,14 +57,25 @@
         }
     }
 
-    /// Asks the coordinators of a stream for its origin. Returns `None` if none of them knows it.
-    pub(crate) fn query_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
+    /// Asks the coordinators of a stream for its origin, again if some do not reply.
+    pub(crate) fn query_origin(&self, stream: StreamKey) -> OriginReply {
+        for _ in 1..MAX_ORIGIN_QUERIES {
+            let reply = self.query_origin_once(stream);
+            if !matches!(reply, OriginReply::Unanswered) {
+                return reply;
+            }
+        }
+        self.query_origin_once(stream)
+    }
+
+    fn query_origin_once(&self, stream: StreamKey) -> OriginReply {
         let (own, alive) = self.own_and_alive();
         let mut coordinators = coordinators_of(stream, &alive, ORIGIN_COORDINATORS);
         coordinators.retain(|it| it.vm != own.vm);
         if coordinators.is_empty() {
-            return None;
+            return OriginReply::Unanswered;
         }
+        let asked = coordinators.len();
         let vms = coordinators.iter().map(|it| it.vm.clone()).collect();
         let request_id = self.origin_queries.open(vms);
         for coordinator in coordinators {
@@ -60,9 +84,19 @@
                 self.origin_queries.record_reply(request_id, &coordinator.vm, None);
             }
         }
-        let origins =
-            self.origin_queries.wait(request_id, ORIGIN_QUERY_TIMEOUT, |it| !it.is_empty());
-        origins.into_iter().next()
+        let is_known = |replies: &[Option<StreamOrigin>]| replies.iter().any(Option::is_some);
+        let replies = self.origin_queries.wait(request_id, ORIGIN_QUERY_TIMEOUT, is_known);
+        let has_all_replied = replies.len() == asked;
+        match replies.into_iter().flatten().next() {
+            Some(origin) => OriginReply::Known(origin),
+            None if has_all_replied => OriginReply::Unknown,
+            None => OriginReply::Unanswered,
+        }
+    }
+
+    /// Returns `true` if this VM may be cut off from the other VMs, with others or alone.
+    pub(crate) fn is_minority(&self) -> bool {
+        self.membership().is_minority()
     }
 
     pub(super) fn send_origin(&self, to: &PeerAddress, request_id: QuestionId, stream: StreamKey) {
--- a/crates/relay/src/sources/versions.rs
+++ b/crates/relay/src/sources/versions.rs
@@ -22,6 +22,10 @@
 /// spread their reads, so that most of them find the record written.
 const READ_SPREAD: Duration = Duration::from_secs(1);
 
+/// Maximum number of writes in a row: those of other VMs may come first, and after their rows are read
+/// little is left to write.
+const MAX_WRITES: usize = 3;
+
 /// Delay between attempts while the record cannot be read or written.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -45,9 +49,9 @@
 
 /// Starts a thread that keeps the record of software versions.
 ///
-/// Every VM reads the record when it starts and after a restoration of the store, and writes it if
-/// there is none; the watchers of the failure domains keep it. When the whole system starts for the
-/// first time, there is none.
+/// Every VM reads the record when it starts, after a restoration of the store and when it may have
+/// missed a version, and writes it if there is none; the watchers of the failure domains keep it. When
+/// the whole system starts for the first time, there is none.
 ///
 /// # Errors
 ///
@@ -90,7 +94,7 @@
             wait_for_turn();
         }
         let result = if streams.lacks_records() { self.read() } else { Ok(()) };
-        let result = result.and_then(|()| self.write_due());
+        let result = result.and_then(|()| self.confirm()).and_then(|()| self.write_all_due());
         let is_failing = result.is_err();
         if let Err(error) = result
             && !self.is_failing
@@ -112,12 +116,30 @@
         Ok(())
     }
 
-    fn write_due(&self) -> Result<(), FeedError> {
+    /// Reads the records for the calls that wait for it.
+    fn confirm(&self) -> Result<(), FeedError> {
+        let Some(read) = self.relay.streams.begin_confirmation() else { return Ok(()) };
+        let records = self.store.read()?;
+        self.relay.streams.end_confirmation(read, records);
+        Ok(())
+    }
+
+    fn write_all_due(&self) -> Result<(), FeedError> {
+        for _ in 0..MAX_WRITES {
+            if !self.write_due()? {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes what is due and reads all records again. Returns `false` if nothing is due.
+    fn write_due(&self) -> Result<bool, FeedError> {
         let is_watcher = self.relay.is_source_reader();
         let mut due = self.relay.streams.due_records();
         due.retain(|it| is_watcher || it.revision == 0);
         if due.is_empty() {
-            return Ok(());
+            return Ok(false);
         }
         for record in due {
             if self.store.write(&record)? {
@@ -127,7 +149,8 @@
             }
         }
         // The revisions of the rows are known from the next read only.
-        self.read()
+        self.read()?;
+        Ok(true)
     }
 }
 
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -18,8 +18,17 @@
 use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
+use crate::peers::OriginReply;
+use crate::peers::Peers;
 use crate::state::Relay;
 
+/// Maximum time that a call waits for a read of the store's record: the store's response, after one to
+/// a read that began before.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Number of a read of the store's record, in the order in which reads began.
+type ReadId = u64;
+
 /// Why a stream cannot be continued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ContinuationError {
@@ -49,18 +58,45 @@
     state: Mutex<State>,
     /// Signalled when the record in the store may have to be read or written.
     versions_changed: Condvar,
+    /// Signalled when the record was read.
+    read_ended: Condvar,
 }
 
 #[derive(Debug)]
 struct State {
     origins: OriginLog,
     versions: VersionHistory,
+    confirmation: Confirmation,
+    /// Whether this VM was among a minority since the last confirmation. Members that are dead for
+    /// long are forgotten.
+    was_minority: bool,
+}
+
+/// Reads of the store's record for calls that cannot rely on what this VM knows.
+#[derive(Debug, Default)]
+struct Confirmation {
+    /// Whether a call waits for a read that has not begun.
+    is_requested: bool,
+    /// Read that began last.
+    last_read: ReadId,
+    /// Read that succeeded last, and its records.
+    last_success: ReadId,
+    records: Vec<VersionRecord>,
 }
 
 impl Streams {
     pub(crate) fn new(now: Instant) -> Self {
-        let state = State { origins: OriginLog::default(), versions: VersionHistory::new(now) };
-        Self { state: Mutex::new(state), versions_changed: Condvar::new() }
+        let state = State {
+            origins: OriginLog::default(),
+            versions: VersionHistory::new(now),
+            confirmation: Confirmation::default(),
+            was_minority: false,
+        };
+        Self {
+            state: Mutex::new(state),
+            versions_changed: Condvar::new(),
+            read_ended: Condvar::new(),
+        }
     }
 
     /// Declares that the whole system starts for the first time.
@@ -110,6 +146,51 @@
         self.lock().versions.sole_version(Instant::now(), pool)
     }
 
+    /// Returns the only version of the pool if a read of the store's record that begins after this call
+    /// names no other.
+    fn confirm_sole_version(&self, pool: &str) -> Option<SoftwareVersion> {
+        let mut state = self.lock();
+        let earlier = state.confirmation.last_read;
+        state.confirmation.is_requested = true;
+        self.versions_changed.notify_all();
+        let is_pending = |it: &mut State| it.confirmation.last_success <= earlier;
+        let waited = self.read_ended.wait_timeout_while(state, CONFIRMATION_TIMEOUT, is_pending);
+        let mut state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        if is_pending(&mut state) {
+            return None;
+        }
+        let records = &state.confirmation.records;
+        state.versions.confirmed_sole_version(Instant::now(), pool, records)
+    }
+
+    /// Records that a read begins, and returns its number; `None` if no call waits for one.
+    pub(crate) fn begin_confirmation(&self) -> Option<ReadId> {
+        let confirmation = &mut self.lock().confirmation;
+        if !std::mem::take(&mut confirmation.is_requested) {
+            return None;
+        }
+        confirmation.last_read += 1;
+        Some(confirmation.last_read)
+    }
+
+    /// Records what a read has brought.
+    pub(crate) fn end_confirmation(&self, read: ReadId, records: Vec<VersionRecord>) {
+        let mut state = self.lock();
+        state.confirmation.last_success = read;
+        state.confirmation.records = records;
+        state.was_minority = false;
+        self.read_ended.notify_all();
+    }
+
+    /// Records that this VM may be cut off from the other VMs.
+    pub(crate) fn record_minority(&self) {
+        self.lock().was_minority = true;
+    }
+
+    fn was_minority(&self) -> bool {
+        self.lock().was_minority
+    }
+
     /// Returns `true` if the store's record of the versions of some pool is not known.
     pub(crate) fn lacks_records(&self) -> bool {
         self.lock().versions.lacks_records()
@@ -125,9 +206,13 @@
         self.lock().versions.due_records(Instant::now())
     }
 
-    /// Waits at most `timeout` for a change of the directory.
+    /// Waits at most `timeout` for a change of the directory or a call that needs a read.
     pub(crate) fn wait_for_change(&self, timeout: Duration) {
-        let waited = self.versions_changed.wait_timeout(self.lock(), timeout);
+        let state = self.lock();
+        if state.confirmation.is_requested {
+            return;
+        }
+        let waited = self.versions_changed.wait_timeout(state, timeout);
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
@@ -192,27 +277,47 @@
         route: &RouteRule,
         request_id: Option<&str>,
     ) -> Result<StreamOrigin, ContinuationError> {
-        let Some(origin) = request_id.and_then(|it| self.find_origin(stream_key(it))) else {
-            return self.only_origin(route).ok_or(ContinuationError::UnknownOrigin);
+        let origin = match self.find_origin(request_id) {
+            OriginReply::Known(origin) => Some(origin),
+            OriginReply::Unknown => self.only_origin(route, true),
+            OriginReply::Unanswered => self.only_origin(route, false),
         };
+        let origin = origin.ok_or(ContinuationError::UnknownOrigin)?;
         let is_allowed = route.pools.iter().any(|it| it.pool == origin.pool);
         is_allowed.then_some(origin).ok_or(ContinuationError::PoolRemoved)
     }
 
-    fn find_origin(&self, stream: StreamKey) -> Option<StreamOrigin> {
-        self.streams.origin(stream).or_else(|| {
-            let origin = self.peers()?.query_origin(stream)?;
+    fn find_origin(&self, request_id: Option<&str>) -> OriginReply {
+        let Some(stream) = request_id.map(stream_key) else { return OriginReply::Unanswered };
+        if let Some(origin) = self.streams.origin(stream) {
+            return OriginReply::Known(origin);
+        }
+        let reply = self.peers().map_or(OriginReply::Unanswered, |it| it.query_origin(stream));
+        if let OriginReply::Known(origin) = &reply {
             self.streams.record_all(vec![(stream, origin.clone())]);
-            Some(origin)
-        })
+        }
+        reply
     }
 
     /// Returns the only origin that a stream of the route can have. If the route leads to several
     /// pools, that is one in the pool that gets most of its calls: a stream that the coordinators do
     /// not know began before the route was split.
-    fn only_origin(&self, route: &RouteRule) -> Option<StreamOrigin> {
+    ///
+    /// This VM may have missed a version while it stood still or was cut off. Either the coordinators
+    /// exclude a stream of such a version (`is_excluded`), or the store does, asked after the call came.
+    fn only_origin(&self, route: &RouteRule, is_excluded: bool) -> Option<StreamOrigin> {
         let main = route.pools.iter().max_by_key(|it| it.weight)?;
-        let software_version = self.streams.sole_version(&main.pool)?;
+        let sole = self.streams.sole_version(&main.pool)?;
+        let is_proven = is_excluded && !self.may_be_cut_off();
+        let software_version =
+            if is_proven { sole } else { self.streams.confirm_sole_version(&main.pool)? };
         Some(StreamOrigin { pool: main.pool.clone(), software_version })
     }
+
+    fn may_be_cut_off(&self) -> bool {
+        self.streams.was_minority() || self.peers().is_none_or(Peers::is_minority)
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/streams/tests.rs
@@ -0,0 +1,71 @@
+//! Reads of the store's record that prove a sole version.
+
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use cranberryvalve_coordination::versions::VersionRecord;
+use cranberryvalve_core::SoftwareVersion;
+
+use super::ReadId;
+use super::Streams;
+
+const POOL: &str = "engines";
+
+/// Time between two looks at what another thread does.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1);
+
+fn record(versions: &[&str]) -> VersionRecord {
+    let versions = versions.iter().map(|it| SoftwareVersion::from(*it)).collect();
+    VersionRecord { pool: POOL.into(), versions, revision: 1 }
+}
+
+/// Streams of a VM that knows one version.
+fn streams() -> Arc<Streams> {
+    let streams = Streams::new(Instant::now());
+    streams.merge(&[record(&["v1"])]);
+    Arc::new(streams)
+}
+
+/// Lets a call wait for a confirmation, and returns the number of the read for it.
+fn request(streams: &Arc<Streams>) -> (JoinHandle<Option<SoftwareVersion>>, ReadId) {
+    let caller = streams.clone();
+    let confirmed = thread::spawn(move || caller.confirm_sole_version(POOL));
+    loop {
+        if let Some(read) = streams.begin_confirmation() {
+            return (confirmed, read);
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+}
+
+#[test]
+fn read_that_began_before_the_call_proves_nothing() {
+    let streams = streams();
+    let (_, early) = request(&streams);
+    let (confirmed, _) = request(&streams);
+    streams.end_confirmation(early, vec![record(&["v1"])]);
+    assert_eq!(confirmed.join().expect("no panic"), None);
+}
+
+#[test]
+fn read_that_began_after_the_call_proves_a_sole_version() {
+    let streams = streams();
+    for (versions, sole) in [(vec!["v1"], Some("v1".into())), (vec!["v1", "v2"], None)] {
+        let (confirmed, read) = request(&streams);
+        streams.end_confirmation(read, vec![record(&versions)]);
+        assert_eq!(confirmed.join().expect("no panic"), sole);
+    }
+}
+
+#[test]
+fn a_vm_that_was_in_a_minority_doubts_until_it_has_read_the_record() {
+    let streams = streams();
+    streams.record_minority();
+    let (_, read) = request(&streams);
+    assert!(streams.was_minority());
+    streams.end_confirmation(read, vec![record(&["v1"])]);
+    assert!(!streams.was_minority());
+}
