fix(relay): a stream is continued right after the first start of a lone VM

Cause: since a missing reply is no longer taken for an answer, such a call asks the store, but the thread that reads for it waited for a random part of a second at the first start, and confirmed against rows that it was about to write.

--- a/crates/relay/src/sources/versions.rs
+++ b/crates/relay/src/sources/versions.rs
@@ -67,7 +67,7 @@
     let mut recorder = Recorder { relay: relay.clone(), store, store_era: 0, is_failing: false };
     thread::Builder::new().name("versions".to_owned()).spawn(move || {
         if is_first_start {
-            wait_for_turn();
+            recorder.wait_for_turn();
         }
         loop {
             recorder.run_once();
@@ -91,10 +91,11 @@
         if store_era > self.store_era {
             self.store_era = store_era;
             streams.forget_records();
-            wait_for_turn();
+            self.wait_for_turn();
         }
         let result = if streams.lacks_records() { self.read() } else { Ok(()) };
-        let result = result.and_then(|()| self.confirm()).and_then(|()| self.write_all_due());
+        // The first record of a pool is there when a call asks for it.
+        let result = result.and_then(|()| self.write_all_due()).and_then(|()| self.confirm());
         let is_failing = result.is_err();
         if let Err(error) = result
             && !self.is_failing
@@ -110,6 +111,11 @@
         }
     }
 
+    /// Waits for a random part of [`READ_SPREAD`], or until a call needs a read.
+    fn wait_for_turn(&self) {
+        self.relay.streams.wait_for_request(READ_SPREAD.mul_f64(rand::rng().random()));
+    }
+
     fn read(&self) -> Result<(), FeedError> {
         let records = self.store.read()?;
         self.relay.merge_version_records(&records);
@@ -153,8 +159,3 @@
         Ok(true)
     }
 }
-
-/// Waits for a random part of [`READ_SPREAD`].
-fn wait_for_turn() {
-    thread::sleep(READ_SPREAD.mul_f64(rand::rng().random()));
-}
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -206,6 +206,13 @@
         self.lock().versions.due_records(Instant::now())
     }
 
+    /// Waits at most `timeout` for a call that needs a read.
+    pub(crate) fn wait_for_request(&self, timeout: Duration) {
+        let is_idle = |it: &mut State| !it.confirmation.is_requested;
+        let waited = self.versions_changed.wait_timeout_while(self.lock(), timeout, is_idle);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// Waits at most `timeout` for a change of the directory or a call that needs a read.
     pub(crate) fn wait_for_change(&self, timeout: Duration) {
         let state = self.lock();
