refactor: relay and daemon count their threads with one type

Planned stops of both wait until no thread accepts or serves a connection, and each had a count, a guard and a wait of its own. They are adapters::threads::ThreadCount now.

--- a/crates/adapters/src/caller/server.rs
+++ b/crates/adapters/src/caller/server.rs
@@ -89,7 +89,7 @@
     closed: AtomicBool,
     open_connections: AtomicUsize,
     active_requests: AtomicUsize,
-    work: Arc<WorkInProgress>,
+    work: WorkInProgress,
 }
 
 impl CallerServer {
@@ -113,9 +113,9 @@
             closed: AtomicBool::new(false),
             open_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
-            work: Arc::default(),
+            work: WorkInProgress::default(),
         });
-        let (accepting, thread_guard) = (shared.clone(), shared.work.begin_thread());
+        let (accepting, thread_guard) = (shared.clone(), shared.work.threads.begin());
         let accepted = listener.try_clone()?;
         thread::Builder::new().name("accept".to_owned()).spawn(move || {
             accepting.run(&accepted);
@@ -165,7 +165,7 @@
     ///
     /// Returns whether there is none. Call [`CallerServer::close`] first.
     pub fn wait_for_end(&self, deadline: Instant) -> bool {
-        self.shared.work.wait_for_end(deadline)
+        self.shared.work.threads.wait_for_end(deadline)
     }
 }
 
@@ -183,7 +183,7 @@
     /// Starts a thread that serves the connection.
     fn spawn_connection(self: &Arc<Self>, stream: TcpStream) {
         let guard = ConnectionGuard::new(self.clone());
-        let (shared, thread_guard) = (self.clone(), self.work.begin_thread());
+        let (shared, thread_guard) = (self.clone(), self.work.threads.begin());
         let thread = thread::Builder::new().name("caller".to_owned()).stack_size(STACK_BYTES);
         // If the thread cannot be started, dropping the closure closes the connection.
         let _ = thread.spawn(move || {
--- a/crates/adapters/src/caller/work.rs
+++ b/crates/adapters/src/caller/work.rs
@@ -4,11 +4,11 @@
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Instant;
+
+use crate::threads::ThreadCount;
 
 type InputId = u64;
 
@@ -16,12 +16,11 @@
 #[derive(Debug, Default)]
 pub(super) struct WorkInProgress {
     state: Mutex<State>,
-    ended: Condvar,
+    pub(super) threads: Arc<ThreadCount>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    threads: usize,
     inputs: HashMap<InputId, Input>,
     last_id: InputId,
     waits_ended: bool,
@@ -35,9 +34,6 @@
     is_waiting: bool,
 }
 
-/// Counts a thread until it is dropped.
-pub(super) struct ThreadGuard(Arc<WorkInProgress>);
-
 /// Keeps the input of a connection registered until it is dropped.
 pub(super) struct InputGuard<'a> {
     work: &'a WorkInProgress,
@@ -45,11 +41,6 @@
 }
 
 impl WorkInProgress {
-    pub(super) fn begin_thread(self: &Arc<Self>) -> ThreadGuard {
-        self.lock().threads += 1;
-        ThreadGuard(self.clone())
-    }
-
     /// Registers a wait for a request. If such waits have ended, only bytes that have arrived are read.
     pub(super) fn begin_wait(&self, stream: &Arc<TcpStream>) -> InputGuard<'_> {
         let mut state = self.lock();
@@ -80,19 +71,6 @@
         self.lock().waits_ended
     }
 
-    /// Waits until no thread is left, but not longer than until `deadline`. Returns whether none is.
-    pub(super) fn wait_for_end(&self, deadline: Instant) -> bool {
-        let mut state = self.lock();
-        loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if state.threads == 0 || remaining.is_zero() {
-                return state.threads == 0;
-            }
-            let waited = self.ended.wait_timeout(state, remaining);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -107,13 +85,6 @@
     }
 }
 
-impl Drop for ThreadGuard {
-    fn drop(&mut self) {
-        self.0.lock().threads -= 1;
-        self.0.ended.notify_all();
-    }
-}
-
 impl Drop for InputGuard<'_> {
     fn drop(&mut self) {
         self.work.lock().inputs.remove(&self.id);
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod resume;
 pub mod shared_key;
 pub mod telemetry;
+pub mod threads;
 pub mod upstream;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -2,67 +2,21 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::Condvar;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_adapters::threads::ThreadCount;
+use cranberryvalve_adapters::threads::ThreadGuard;
 use slog::info;
 
 use crate::call_log::millis;
 use crate::socket::Waker;
 use crate::state::Relay;
 
-/// Counts the threads that accept or serve connections, which keep the process running.
-#[derive(Debug, Default)]
-struct WorkInProgress {
-    threads: Mutex<usize>,
-    ended: Condvar,
-}
-
-/// Counts a thread until it is dropped.
-pub(crate) struct WorkGuard(Arc<WorkInProgress>);
-
-impl WorkInProgress {
-    fn begin(self: &Arc<Self>) -> WorkGuard {
-        *self.lock() += 1;
-        WorkGuard(self.clone())
-    }
-
-    /// Waits until no such thread is left, but not longer than until `deadline`.
-    fn wait_for_end(&self, deadline: Instant) {
-        let mut threads = self.lock();
-        loop {
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if *threads == 0 || remaining.is_zero() {
-                return;
-            }
-            let waited = self.ended.wait_timeout(threads, remaining);
-            threads = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, usize> {
-        self.threads.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        let mut threads = self.0.lock();
-        *threads -= 1;
-        if *threads == 0 {
-            self.0.ended.notify_all();
-        }
-    }
-}
-
 /// Time limits of a graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownSettings {
@@ -85,7 +39,7 @@
     closed: Waker,
     /// Woken when the calls in flight are ended.
     calls_ended: Waker,
-    work: Arc<WorkInProgress>,
+    threads: Arc<ThreadCount>,
 }
 
 impl Lifecycle {
@@ -98,7 +52,7 @@
             calls_end_at: OnceLock::new(),
             closed: Waker::new()?,
             calls_ended: Waker::new()?,
-            work: Arc::default(),
+            threads: Arc::default(),
         })
     }
 
@@ -128,8 +82,8 @@
     }
 
     /// Counts a thread that accepts or serves connections.
-    pub(crate) fn begin_work(&self) -> WorkGuard {
-        self.work.begin()
+    pub(crate) fn begin_thread(&self) -> ThreadGuard {
+        self.threads.begin()
     }
 }
 
@@ -155,12 +109,12 @@
         let _ = lifecycle.calls_end_at.set(calls_end_at);
         self.close_listeners();
         lifecycle.closed.wake();
-        lifecycle.work.wait_for_end(calls_end_at);
+        lifecycle.threads.wait_for_end(calls_end_at);
         let ended_requests = self.active_requests();
         lifecycle.calls_ended.wake();
         // Counts from now, as this thread may have been woken late, and the callers' threads with it.
         let response_time = settings.timeout.saturating_sub(settings.call_timeout);
-        lifecycle.work.wait_for_end(Instant::now() + response_time);
+        lifecycle.threads.wait_for_end(Instant::now() + response_time);
         info!(self.log, "shutdown is over"; "elapsed_ms" => millis(requested_at.elapsed()),
             "ended_requests" => ended_requests, "requests" => self.active_requests(),
             "connections" => self.caller_connections());
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -186,7 +186,7 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         self.lock_listeners().push(listener.try_clone()?);
-        let (relay, work) = (self.clone(), self.lifecycle.begin_work());
+        let (relay, work) = (self.clone(), self.lifecycle.begin_thread());
         thread::Builder::new().name("accept".to_owned()).spawn(move || {
             relay.accept_loop(&listener, sender);
             drop(work);
@@ -423,7 +423,7 @@
     }
 
     fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
-        let (relay, work) = (self.clone(), self.lifecycle.begin_work());
+        let (relay, work) = (self.clone(), self.lifecycle.begin_thread());
         let builder =
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
