test: each case's run.sh reads TROUBLE itself

The variable was read by the program that the scripts start, so nothing in a case's folder showed it. run.sh now chooses by it and hands the choice on as an argument.

--- a/review/play.sh
+++ b/review/play.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Plays a case in a temporary folder, and ends all processes that it has started.
-# Usage: play.sh CASE NUMBER
+# Usage: play.sh CASE NUMBER with|without (the disruption)
 cd "$(dirname "$0")/.." || exit 2
 [ -x target/review/stage ] && [ -x target/release/cranberryvalve-node ] || { echo "not built"; exit 2; }
 folder=$(mktemp -d) || exit 2
@@ -17,7 +17,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM HUP
-target/review/stage "$1" "review/$2/record.txt" "$folder" &
+target/review/stage "$1" "review/$2/record.txt" "$folder" "$3" &
 stage=$!
 wait "$stage"
 status=$?
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -1,8 +1,9 @@
 //! Stand-ins of the platform's store, workers and clients, and the cases that start the program
 //! beside them.
 //!
-//! `stage CASE RECORD FOLDER` plays a case. It exits with 1 if the rule was broken, 0 if it held and 2
-//! if the case could not run. With `TROUBLE=0` in the environment it leaves out the disruption.
+//! `stage CASE RECORD FOLDER with|without` plays a case with its disruption or without it. It exits with 1
+//! if the rule was broken, 0 if it held and 2 if the case could not run. The scripts of the cases choose
+//! by `TROUBLE`.
 
 mod cases;
 mod http;
@@ -31,8 +32,12 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record, folder] = arguments.as_slice() else { exit(2) };
-    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let [_, case, record, folder, disruption] = arguments.as_slice() else { exit(2) };
+    let trouble = match disruption.as_str() {
+        "with" => true,
+        "without" => false,
+        _ => exit(2),
+    };
     let record = Record::create(record);
     record.say(if trouble { "with the disruption" } else { "without the disruption" });
     let watchdog = record.clone();
