test: review case restored: a drill and the loss of all machines join streams of two versions

Cause: the row that names a pool's software versions is believed as it is read; a machine that starts after a restoration of the store from a copy cannot tell that a later version is missing in it. Both the row and the new workers' entries are lost together, so streams of the later version go on at workers of the earlier one.

--- a/review/stage/cases.rs
+++ b/review/stage/cases.rs
@@ -1,10 +1,14 @@
 //! The cases, and what they have in common.
 
+pub mod frozen;
 pub mod head;
 pub mod limit;
+pub mod limits;
 pub mod memory;
 pub mod order;
+pub mod restored;
 pub mod resume;
+pub mod rolling;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -8,6 +8,7 @@
 mod cases;
 mod http;
 mod json;
+mod line;
 mod node;
 mod record;
 mod store;
@@ -51,6 +52,10 @@
         "limit" => cases::limit::play(&record, folder, trouble),
         "head" => cases::head::play(&record, folder, trouble),
         "resume" => cases::resume::play(&record, folder, trouble),
+        "restored" => cases::restored::play(&record, folder, trouble),
+        "frozen" => cases::frozen::play(&record, folder, trouble),
+        "rolling" => cases::rolling::play(&record, folder, trouble),
+        "limits" => cases::limits::play(&record, folder, trouble),
         "memory" => cases::memory::play(&record, folder, trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
--- a/review/stage/node.rs
+++ b/review/stage/node.rs
@@ -10,6 +10,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use crate::http::call;
@@ -32,10 +34,22 @@
     pub child: Child,
 }
 
-/// Returns an address with a port that is free now.
+/// Ports that no outgoing connection gets by itself, so that they stay free between two starts.
+const PORTS: std::ops::Range<u32> = 10_000..30_000;
+
+/// Returns an address with a port that is free now. None is returned twice.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    // Cases that are played at the same time begin at different ports.
+    let first = std::process::id().wrapping_mul(211);
+    loop {
+        let number = first.wrapping_add(COUNT.fetch_add(1, Ordering::SeqCst));
+        let port = PORTS.start + number % (PORTS.end - PORTS.start);
+        let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("a port")));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Node {
--- a/review/stage/store.rs
+++ b/review/stage/store.rs
@@ -33,6 +33,16 @@
     changes: Vec<(u64, RowKey, Option<Vec<u8>>)>,
     /// Last beat of each worker.
     beats: BTreeMap<String, Instant>,
+    /// Whether the store is away: it takes nothing and answers nothing.
+    is_away: bool,
+    /// Number of times that it has come back from a copy.
+    restorations: u64,
+}
+
+/// The rows at one moment.
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<RowKey, (Vec<u8>, u64)>,
 }
 
 pub struct Store {
@@ -77,6 +87,9 @@
     /// Takes a worker's beat. The entry changes if the worker says something new.
     pub fn beat(&self, id: &str, entry: &str) {
         let mut state = self.shared.0.lock().unwrap();
+        if state.is_away {
+            return;
+        }
         state.beats.insert(id.into(), Instant::now());
         let key = ("servers".to_owned(), String::new(), id.to_owned());
         if state.rows.get(&key).is_none_or(|it| it.0 != entry.as_bytes()) {
@@ -85,9 +98,43 @@
         }
     }
 
+    /// Takes a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.0.lock().unwrap();
+        Copy { version: state.version, rows: state.rows.clone() }
+    }
+
+    /// Takes the store away: connections end without an answer.
+    pub fn go_away(&self) {
+        self.shared.0.lock().unwrap().is_away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Brings the store back from a copy. What was written since is gone.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.changes.retain(|it| it.0 <= copy.version);
+        (state.version, state.rows) = (copy.version, copy.rows);
+        state.restorations += 1;
+        state.is_away = false;
+        let listed = state.rows.keys().filter(|it| it.0 == "servers").map(|it| it.2.clone());
+        // Entries lapse three heartbeats from now.
+        state.beats = listed.map(|it| (it, Instant::now())).collect();
+    }
+
+    /// Returns a row's value as text; empty if there is none.
+    pub fn text(&self, table: &str, key: &str) -> String {
+        let state = self.shared.0.lock().unwrap();
+        let row = state.rows.get(&(table.to_owned(), String::new(), key.to_owned()));
+        row.map(|it| String::from_utf8_lossy(&it.0).into_owned()).unwrap_or_default()
+    }
+
     /// Removes the entries of workers that are silent for three heartbeats.
     fn expire(&self) {
         let mut state = self.shared.0.lock().unwrap();
+        if state.is_away {
+            return;
+        }
         let silent = state.beats.iter().filter(|(_, at)| at.elapsed() > 3 * HEARTBEAT);
         let silent: Vec<String> = silent.map(|(id, _)| id.clone()).collect();
         for id in silent {
@@ -100,6 +147,9 @@
     fn serve(&self, mut reader: Reader) {
         while let Ok(Some(head)) = reader.head() {
             let Ok(body) = reader.body(&head) else { return };
+            if self.is_away() {
+                return;
+            }
             let target = head.word(1).to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let (status, text) = match path {
@@ -108,8 +158,12 @@
                 "/-/rows-tx" => self.transact(&body),
                 _ => (404, "{}".to_owned()),
             };
+            if self.is_away() {
+                return;
+            }
+            let era = 1 + self.shared.0.lock().unwrap().restorations;
             let answer = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
                  Content-Length: {}\r\n\r\n{text}",
                 text.len()
             );
@@ -119,6 +173,10 @@
         }
     }
 
+    fn is_away(&self) -> bool {
+        self.shared.0.lock().unwrap().is_away
+    }
+
     fn get(&self, query: &str) -> (u16, String) {
         thread::sleep(READ_TIME);
         let (table, part, from) =
@@ -139,11 +197,14 @@
         thread::sleep(READ_TIME);
         let mut state = self.shared.0.lock().unwrap();
         loop {
+            if after > state.version {
+                return (410, "{}".to_owned());
+            }
             let new = state.changes.iter().filter(|(ver, key, _)| *ver > after && key.0 == table);
             let rows: Vec<String> =
                 new.map(|(ver, key, value)| row(key, value.as_deref(), *ver)).collect();
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if !rows.is_empty() || remaining.is_zero() {
+            if !rows.is_empty() || remaining.is_zero() || state.is_away {
                 return (200, self.rows(&rows, state.version));
             }
             state = self.shared.1.wait_timeout(state, remaining).unwrap().0;
@@ -157,6 +218,9 @@
             (it.text("table").into(), it.text("part").into(), it.text("key").into())
         };
         let mut state = self.shared.0.lock().unwrap();
+        if state.is_away {
+            return (503, "{}".to_owned());
+        }
         let written = call.list("put").iter().chain(call.list("remove"));
         if written.clone().any(|it| ["op", "servers"].contains(&it.text("table"))) {
             return (403, "{}".to_owned());
--- a/review/stage/stream.rs
+++ b/review/stage/stream.rs
@@ -14,17 +14,22 @@
 /// Time for which a client waits for a stream, over all its attempts.
 const DEADLINE: Duration = Duration::from_secs(15);
 
+/// Time without anything after which a client gives an attempt up, if a case sets no other.
+const PATIENCE: Duration = Duration::from_secs(3);
+
 /// What a client has of a stream.
 #[derive(Default)]
 pub struct Stream {
     /// When the first attempt was sent.
-    begun_at: Option<Instant>,
+    pub begun_at: Option<Instant>,
     pub last_id: u64,
     /// Versions of the software that the events name.
     pub versions: BTreeSet<String>,
     pub is_complete: bool,
     /// Whether a piece was missing or came twice.
     pub is_faulty: bool,
+    /// Time without anything after which the client gives an attempt up, if not [`PATIENCE`].
+    pub patience: Option<Duration>,
 }
 
 impl Stream {
@@ -61,7 +66,7 @@
     }
 
     fn receive(&mut self, front: SocketAddr, request: &str) -> Result<u16> {
-        let mut reader = connect(front, Duration::from_secs(3))?;
+        let mut reader = connect(front, self.patience.unwrap_or(PATIENCE))?;
         reader.send(request.as_bytes())?;
         let head = reader.head()?.unwrap_or_default();
         let status = head.word(1).parse().unwrap_or(0);
