test: review case rolling: streams are not taken up again in a rolling restart

Cause: a machine that stops hands the origins of streams that it knows to nobody, and is not asked any more from SIGTERM on. Planned work only: eight machines are restarted in turn while two versions serve. It takes the place of case limit.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Plays the case "limit". With TROUBLE=0 it does the same without the disruption.
+# Plays the case "rolling". With TROUBLE=0 it does the same without the disruption.
 if [ "${TROUBLE:-1}" = 0 ]; then
     disruption=without
 else
     disruption=with
 fi
-exec "$(dirname "$0")/../play.sh" limit 5 "$disruption"
+exec "$(dirname "$0")/../play.sh" rolling 5 "$disruption"
