--- a/review/stage/cases.rs
+++ b/review/stage/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they have in common.
 
+pub mod crashes;
 pub mod frozen;
 pub mod head;
 pub mod limit;
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -56,6 +56,7 @@
         "frozen" => cases::frozen::play(&record, folder, trouble),
         "rolling" => cases::rolling::play(&record, folder, trouble),
         "limits" => cases::limits::play(&record, folder, trouble),
+        "crashes" => cases::crashes::play(&record, folder, trouble),
         "memory" => cases::memory::play(&record, folder, trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
--- a/review/stage/worker.rs
+++ b/review/stage/worker.rs
@@ -20,6 +20,9 @@
 use crate::store::HEARTBEAT;
 use crate::store::Store;
 
+/// Last part of the prompt of a request that crashes each worker that begins to run it.
+pub const CRASHING_PART: &str = "dead:371";
+
 /// What a worker does with the requests that it gets.
 #[derive(Debug, Clone)]
 pub struct Work {
@@ -139,6 +142,10 @@
         self.record.line(&format!("worker {} crashes", self.id));
     }
 
+    pub fn is_running(&self) -> bool {
+        self.process.lock().unwrap().is_some()
+    }
+
     pub fn name_limit(&self, limit: Option<u32>) {
         *self.limit.lock().unwrap() = limit;
     }
@@ -189,6 +196,12 @@
             let headers = format!("Instance-Id: {}\r\n", self.id);
             return reader.send(&plain_answer("421 Misdirected Request", &headers, ""));
         }
+        if head.get("prompt-prefix").is_some_and(|it| it.contains(CRASHING_PART)) {
+            self.runs.lock().unwrap().push(Run { request: request.clone(), at: Instant::now() });
+            self.record.line(&format!("worker {} begins to run {request}", self.id));
+            self.crash();
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
         let limit = *self.limit.lock().unwrap();
         let limit = limit.map(|it| format!("Server-Limit: {it}\r\n")).unwrap_or_default();
         self.runs.lock().unwrap().push(Run { request: request.clone(), at: Instant::now() });
