test: review case rolling ends its machines itself

Before, the script ended them, and they could be seen for a moment after it; a play without the script left them.

--- a/review/stage/cases/rolling.rs
+++ b/review/stage/cases/rolling.rs
@@ -117,6 +117,8 @@
         }
     }
     let _ = clients.join();
+    // The threads that ask whether the machines are ready hold on to them.
+    machines.iter().for_each(|it| it.node.lock().unwrap().kill());
     let counts = counts.lock().unwrap();
     record.say(&format!(
         "at machines in touch: {} of {} new streams began, {} of {} streams that were taken up again went \
