feat(policy): learned performance of upstreams decides lanes and room

Short streams on pools with uneven engines ended late: they ran beside prompts on slow engines, went first to engines that had just started, and on to an engine whose responses started seconds late, since calls that are too short for a query of the load are unknown to the other VMs.

Where engines report how long work takes at the moment (the fourth figure of the load), calls that mostly generate get a lane of their own with the fastest engines, the decode pace counts up to a slowness of 4 and is sampled from short streams, and the excess of observed over expected delays counts as a wait.

--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -41,6 +41,9 @@
     pub memory_tokens: u64,
     /// Whether engines can fetch prefixes from each other's caches.
     pub has_remote_cache_fetch: bool,
+    /// Whether engines report how long work takes at the moment, so that the scheduler counts what it
+    /// learns of each one.
+    pub reports_work_time: bool,
     /// Engine crashes during the run.
     pub crashes: Vec<Crash>,
 }
@@ -66,6 +69,7 @@
             slowdowns: vec![1.0],
             memory_tokens: 245_000,
             has_remote_cache_fetch: true,
+            reports_work_time: false,
             crashes: Vec::new(),
         }
     }
@@ -82,6 +86,13 @@
         self
     }
 
+    /// Lets engines report how long work takes at the moment.
+    #[must_use]
+    pub const fn reporting_work_time(mut self) -> Self {
+        self.reports_work_time = true;
+        self
+    }
+
     /// Stops engines from fetching prefixes from each other's caches.
     #[must_use]
     pub fn without_remote_cache_fetch(mut self) -> Self {
--- a/crates/model/src/simulation/engines.rs
+++ b/crates/model/src/simulation/engines.rs
@@ -20,6 +20,9 @@
 /// Minimum number of gaps between events for a stream to give a sample of its engine's decode pace.
 const MIN_PACE_GAPS: usize = 8;
 
+/// Minimum number of event gaps from which a sample is taken of a shorter stream.
+const MIN_SHORT_PACE_GAPS: usize = 4;
+
 /// Time since a prefix was last used within which another prefill of it counts as recomputation.
 const RECOMPUTE_WINDOW: Duration = Duration::from_secs(8);
 
@@ -107,15 +110,22 @@
         let (vm, attempt) = (request.vm, request.attempt);
         let now = self.start + self.now;
         let gaps = &mut request.gaps;
+        let upstream = engine_name(engine);
         if gaps.len() >= MIN_PACE_GAPS {
             let median = gaps.len() / 2;
             let event_gap = *gaps.select_nth_unstable(median).1;
-            let paced = SchedulerEvent::StreamMeasured { upstream: engine_name(engine), event_gap };
-            self.vms[vm].handle(now, paced);
+            self.vms[vm].handle(now, SchedulerEvent::StreamMeasured { upstream, event_gap });
+        } else if gaps.len() >= MIN_SHORT_PACE_GAPS {
+            let event_gap = *gaps.select_nth_unstable(1).1;
+            self.vms[vm].handle(now, SchedulerEvent::ShortStreamMeasured { upstream, event_gap });
         }
         let (running, waiting) = self.engines[engine].load();
-        let load =
-            ReportedLoad { running: running as u32, waiting: waiting as u32, slots: SLOTS as u32 };
+        let load = ReportedLoad {
+            running: running as u32,
+            waiting: waiting as u32,
+            slots: SLOTS as u32,
+            work_time_percent: self.fleet.reports_work_time.then_some(100),
+        };
         let report = SchedulerEvent::LoadReported { upstream: engine_name(engine), load };
         self.vms[vm].handle(now, report);
         let actions =
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -31,6 +31,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -130,6 +131,9 @@
     budget: RetryBudget,
     recent_arrivals: RecentArrivals,
     prefill_ratios: HashMap<(PoolId, Tier), PrefillRatio>,
+    /// Pools with upstreams that report how long work takes at the moment. Such upstreams differ in speed
+    /// and change, so what is learned of each one counts there.
+    measured_pools: HashSet<PoolId>,
     /// Decode paces of upstreams that the directory does not list, or does not list yet.
     pending_paces: HashMap<IncarnationHash, DecodePace>,
     departures: Departures,
@@ -168,6 +172,7 @@
             calls: HashMap::new(),
             recent_arrivals: RecentArrivals::default(),
             prefill_ratios: HashMap::new(),
+            measured_pools: HashSet::new(),
             pending_paces: HashMap::new(),
             departures: Departures::default(),
             has_rate_limits: false,
@@ -196,11 +201,12 @@
             SchedulerEvent::StreamMeasured { upstream, event_gap } => {
                 self.on_stream_measured(&upstream, event_gap, &mut actions);
             }
+            SchedulerEvent::ShortStreamMeasured { upstream, event_gap } => {
+                self.on_short_stream_measured(&upstream, event_gap);
+            }
             SchedulerEvent::PeerPaces(paces) => self.on_peer_paces(&paces),
             SchedulerEvent::LoadReported { upstream, load } => {
-                if let Some(it) = self.upstreams.get_mut(&upstream) {
-                    it.record_reported_load(now, load);
-                }
+                self.on_load_reported(now, &upstream, load);
             }
             SchedulerEvent::NoticeReceived { upstream, incarnation, notice } => {
                 self.on_notice(now, &upstream, incarnation, notice, &mut actions);
--- a/crates/policy/src/scheduler/decode_pace.rs
+++ b/crates/policy/src/scheduler/decode_pace.rs
@@ -17,6 +17,10 @@
 /// streams were never free of interference.
 const MAX_SLOWNESS: f64 = 1.5;
 
+/// Maximum slowness in pools with measured engines, whose speeds differ more: the largest error of one
+/// response that counts when prefill times are learned.
+const MAX_MEASURED_SLOWNESS: f64 = 4.0;
+
 /// Number of times that a new pace is sent to each neighbour, in case a message is lost.
 const SENDS_PER_UPDATE: u32 = 2;
 
@@ -65,11 +69,13 @@
     }
 
     /// Returns the factor by which the engine is slower than the `fast` engines of its pool, at
-    /// most [`MAX_SLOWNESS`]; 1 if it isn't slow or a pace is unknown.
-    pub(super) fn slowness(&self, fast: Option<PaceStep>) -> f64 {
+    /// most [`MAX_SLOWNESS`], or [`MAX_MEASURED_SLOWNESS`] in pools with measured engines; 1 if it isn't
+    /// slow or a pace is unknown.
+    pub(super) fn slowness(&self, fast: Option<PaceStep>, is_measured: bool) -> f64 {
+        let max = if is_measured { MAX_MEASURED_SLOWNESS } else { MAX_SLOWNESS };
         match (self.step, fast) {
             (Some(own), Some(fast)) if own >= fast + MIN_SLOW_STEPS => {
-                STEP_RATIO.powi(i32::from(own - fast)).min(MAX_SLOWNESS)
+                STEP_RATIO.powi(i32::from(own - fast)).min(max)
             }
             _ => 1.0,
         }
@@ -77,7 +83,7 @@
 
     /// Returns `true` if the engine is slow compared with the `fast` engines of its pool.
     pub(super) fn is_slow(&self, fast: Option<PaceStep>) -> bool {
-        self.slowness(fast) > 1.0
+        self.slowness(fast, false) > 1.0
     }
 }
 
--- a/crates/policy/src/scheduler/directory.rs
+++ b/crates/policy/src/scheduler/directory.rs
@@ -36,6 +36,7 @@
         self.queues.retain(|pool, _| is_kept(pool));
         self.budget.retain_pools(is_kept);
         self.recent_arrivals.retain_pools(is_kept);
+        self.measured_pools.retain(is_kept);
         self.prefill_ratios.retain(|(pool, _), _| is_kept(pool));
     }
 
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -157,7 +157,11 @@
             failure_domain: self.settings.failure_domain.as_ref(),
             max_own_in_flight: (max_in_flight as u32).max(1),
             brittle_vm_count: self.is_brittle(now, pool).then_some(self.vm_count),
-            long_share: self.recent_arrivals.long_share(now, pool),
+            lane_rules: self.recent_arrivals.lane_rules(
+                now,
+                pool,
+                self.measured_pools.contains(pool),
+            ),
             prefill_ratio: prefill_ratio.unwrap_or_default().get(),
         }
     }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -37,6 +37,14 @@
         /// Median interval between two events of the stream.
         event_gap: Duration,
     },
+    /// A stream of a few events ended. Engines that get only such streams have no other sample of their
+    /// decode pace; it counts for upstreams that report how long work takes at the moment.
+    ShortStreamMeasured {
+        /// Upstream that generated the stream.
+        upstream: UpstreamId,
+        /// One of the shortest intervals between two events of the stream.
+        event_gap: Duration,
+    },
     /// Another VM sent decode paces of upstreams.
     PeerPaces(Vec<UpstreamPace>),
     /// An upstream reported its load along with a response.
@@ -111,6 +119,9 @@
     pub waiting: u32,
     /// Maximum number of requests that can run at the same time.
     pub slots: u32,
+    /// How long work takes at this moment, in percent of the usual time; `None` if the upstream does not
+    /// report it.
+    pub work_time_percent: Option<u32>,
 }
 
 /// How an attempt ended.
@@ -294,6 +305,8 @@
     pub candidates: u32,
     /// Estimated time until the upstream has prefilled the prompts before this one.
     pub backlog: Duration,
+    /// Time by which responses are expected to start later than that, as lately observed.
+    pub excess_delay: Duration,
     /// Estimated time to fetch and prefill the prompt itself, including the time for prompts of
     /// higher tiers that overtake it.
     pub prefill: Duration,
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -23,6 +23,8 @@
 use super::Prompt;
 use super::engine;
 use super::lanes;
+use super::lanes::Lane;
+use super::lanes::LaneRules;
 use super::lanes::Lanes;
 use super::upstream::Upstream;
 
@@ -85,8 +87,8 @@
     /// Number of VMs that share upstreams which fail under refusals, or `None` if those of the pool do
     /// not.
     pub(super) brittle_vm_count: Option<u32>,
-    /// Fraction of the pool's capacity that is reserved for long prompts.
-    pub(super) long_share: f64,
+    /// How the engines of the pool are divided among kinds of prompts.
+    pub(super) lane_rules: LaneRules,
     /// Ratio of the observed to the estimated prefill time.
     pub(super) prefill_ratio: f64,
 }
@@ -140,13 +142,14 @@
             reason: PlacementReason {
                 candidates: u32::try_from(candidates.len()).unwrap_or(u32::MAX),
                 backlog: it.backlog,
+                excess_delay: it.excess_delay,
                 prefill: it.prefill,
                 cached_tokens: it.cached_tokens,
                 peer_age: it.upstream.peer_age(context.now),
             },
         }),
         None => {
-            let shortest = candidates.iter().map(|it| it.backlog).min();
+            let shortest = candidates.iter().map(|it| it.backlog + it.excess_delay).min();
             Placement::Full(shortest.unwrap_or_default())
         }
     }
@@ -181,7 +184,7 @@
     let healthy: Vec<&Upstream> = filter_or_all(&in_service, |it| it.accepts_work(context.now));
     // A pause concerns one VM only, so that lanes without the paused upstreams would differ from
     // those of the other VMs.
-    let lanes = Lanes::new(&members, context.long_share);
+    let lanes = Lanes::new(&members, context.lane_rules);
     let ranked = match &call.prompt {
         Some(prompt) => rank_by_ownership(context, prompt, &lanes, &healthy),
         None => healthy.clone(),
@@ -195,8 +198,8 @@
             .as_ref()
             .is_some_and(|it| lanes::is_long(it) && it.shared_prefix_hash().is_some()),
         lanes: &lanes,
-        other_vms_backlog: [true, false].map(|is_long| {
-            let in_lane = in_service.iter().filter(|it| lanes.is_long_lane(it) == is_long);
+        other_vms_backlog: Lane::ALL.map(|lane| {
+            let in_lane = in_service.iter().filter(|it| lanes.lane(it) == lane);
             mean_reported_backlog(context.now, call.tier, in_lane)
         }),
     };
@@ -289,9 +292,8 @@
     /// Whether the call goes to an owner of its prefix as long as one of them has room.
     prefers_owners: bool,
     lanes: &'a Lanes,
-    /// Estimated backlog of the other VMs at an engine for which no VM reported one: in the lane
-    /// for long prompts, then in the lane for short ones.
-    other_vms_backlog: [Duration; 2],
+    /// Estimated backlog of the other VMs at an engine for which no VM reported one, by lane.
+    other_vms_backlog: [Duration; 3],
 }
 
 /// A candidate for a call, with its cost.
@@ -305,6 +307,8 @@
     has_overflow_room: bool,
     cost_ms: f64,
     backlog: Duration,
+    /// Time by which responses are expected to start later than the backlog explains.
+    excess_delay: Duration,
     /// Estimated time to fetch the cached prefix and to prefill the rest of the prompt.
     prefill: Duration,
     cached_tokens: u32,
@@ -338,6 +342,7 @@
                 has_overflow_room: false,
                 cost_ms: load * load * SERVICE_FULL_DELAY_MS + network_ms,
                 backlog: Duration::ZERO,
+                excess_delay: Duration::ZERO,
                 prefill: Duration::ZERO,
                 cached_tokens: 0,
                 prefix_source: None,
@@ -358,14 +363,19 @@
         let prefill =
             engine::prefill_time(prompt.input_tokens, cached_tokens.saturating_add(fetched_tokens))
                 .mul_f64(factors.lanes.slowness(upstream) * context.prefill_ratio)
+                .mul_f64(upstream.performance.work_time_factor(context.now))
                 + engine::fetch_time(fetched_tokens);
         let unreported = match upstream.reported_backlog(context.now, call.tier) {
             Some(_) => Duration::ZERO,
-            None if factors.lanes.is_long_lane(upstream) => factors.other_vms_backlog[0],
-            None => factors.other_vms_backlog[1],
+            None => factors.other_vms_backlog[factors.lanes.lane(upstream) as usize],
         };
         let backlog = upstream.backlog(context.now, call.tier) + unreported;
-        let time_to_first_token = backlog + prefill;
+        let excess_delay = match context.lane_rules.is_measured {
+            true => upstream.performance.excess_delay(context.now),
+            false => Duration::ZERO,
+        };
+        let wait = backlog.max(excess_delay);
+        let time_to_first_token = wait + prefill;
         let time_to_target = call.target_at().saturating_duration_since(context.now);
         let late =
             time_to_first_token.saturating_sub(time_to_target.mul_f64(ON_TIME_TARGET_FRACTION));
@@ -373,7 +383,7 @@
         let lane_ms = if is_matching_lane { 0.0 } else { OTHER_LANE_COST_MS };
         let fill = f64::from(in_flight) / f64::from(upstream.record.slots.max(1));
         let cost_ms = millis(prefill)
-            + WAIT_COST_PER_MS * millis(backlog)
+            + WAIT_COST_PER_MS * millis(wait)
             + LATE_COST_PER_MS * millis(late)
             + fill * FULL_LOAD_COST_MS
             + f64::from(fetched_tokens) / 1_000.0 * FETCH_COST_MS_PER_KILOTOKEN
@@ -386,11 +396,12 @@
         Self {
             upstream,
             is_preferred: !factors.prefers_owners || factors.owners.contains(&&upstream.record.id),
-            has_room: has_free_slot && backlog <= max_backlog,
+            has_room: has_free_slot && wait <= max_backlog,
             has_overflow_room: has_free_slot
-                && backlog <= max_backlog.mul_f64(OVERFLOW_BACKLOG_FRACTION),
+                && wait <= max_backlog.mul_f64(OVERFLOW_BACKLOG_FRACTION),
             cost_ms,
             backlog,
+            excess_delay: wait - backlog,
             cached_tokens,
             prefill,
             prefix_source: prefix_source.map(|it| (*it).clone()),
--- a/crates/policy/src/scheduler/sharing.rs
+++ b/crates/policy/src/scheduler/sharing.rs
@@ -13,6 +13,7 @@
 
 use super::PredictedQuantity;
 use super::Prediction;
+use super::ReportedLoad;
 use super::Scheduler;
 use super::SchedulerAction;
 use super::decode_pace::DecodePace;
@@ -23,6 +24,19 @@
 const MAX_PENDING_PACES: usize = 1_800;
 
 impl Scheduler {
+    pub(super) fn on_load_reported(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamId,
+        load: ReportedLoad,
+    ) {
+        let Some(it) = self.upstreams.get_mut(upstream) else { return };
+        if load.work_time_percent.is_some() && !self.measured_pools.contains(&it.record.pool) {
+            self.measured_pools.insert(it.record.pool.clone());
+        }
+        it.record_reported_load(now, load);
+    }
+
     /// Returns this VM's load on each upstream where it has requests in flight, for reporting to
     /// other VMs.
     pub fn loads_for_peers(&self) -> Vec<UpstreamLoad> {
@@ -90,6 +104,13 @@
         upstream.pace.record(event_gap);
     }
 
+    pub(super) fn on_short_stream_measured(&mut self, upstream: &UpstreamId, event_gap: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else { return };
+        if self.measured_pools.contains(&upstream.record.pool) {
+            upstream.pace.record(event_gap);
+        }
+    }
+
     pub(super) fn on_peer_paces(&mut self, paces: &[UpstreamPace]) {
         let mut steps: HashMap<IncarnationHash, PaceStep> = HashMap::new();
         for pace in paces {
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -29,6 +29,7 @@
 use super::decode_pace::DecodePace;
 use super::prefix_cache::PrefixCache;
 use super::rate_limit::RateLimit;
+use crate::performance::Performance;
 use crate::upstream::CircuitBreaker;
 
 /// Age from which a load report of another VM is ignored. A report of the upstream itself counts
@@ -94,6 +95,8 @@
     pub(super) cache: PrefixCache,
     pub(super) is_engine: bool,
     pub(super) pace: DecodePace,
+    /// What the responses to this VM have shown lately.
+    pub(super) performance: Performance,
     in_flight: HashMap<RequestId, InFlight>,
     /// When a prefill was last seen to finish, or when an attempt was sent while no other prefill
     /// was pending.
@@ -133,6 +136,7 @@
             cache: PrefixCache::default(),
             is_engine: false,
             pace: DecodePace::default(),
+            performance: Performance::default(),
             in_flight: HashMap::new(),
             prefill_progress_at: now,
             reported_load: None,
@@ -191,6 +195,9 @@
             sent_at: now,
             expected_response: reason.backlog + reason.prefill,
         };
+        if is_prefilling {
+            self.performance.record_sent(call.id, now, in_flight.expected_response);
+        }
         self.in_flight.insert(call.id, in_flight);
         if let Some(prompt) = &call.prompt {
             self.cache.insert(prompt);
@@ -213,6 +220,7 @@
         if !std::mem::take(&mut in_flight.is_prefilling) {
             return None;
         }
+        self.performance.record_response_start(now, id);
         Some(Prediction {
             predicted: PredictedQuantity::FirstEvent,
             expected: in_flight.expected_response,
@@ -223,10 +231,14 @@
     /// Removes an attempt that has ended.
     pub(super) fn remove_attempt(&mut self, id: RequestId) {
         self.in_flight.remove(&id);
+        self.performance.forget(id);
     }
 
     /// Records the load that the upstream reported.
-    pub(super) const fn record_reported_load(&mut self, now: Instant, load: ReportedLoad) {
+    pub(super) fn record_reported_load(&mut self, now: Instant, load: ReportedLoad) {
+        if let Some(percent) = load.work_time_percent {
+            self.performance.record_work_time(now, percent);
+        }
         self.reported_load = Some(Timestamped { value: load, received_at: now });
     }
 
--- a/crates/policy/tests/odd_numbers.rs
+++ b/crates/policy/tests/odd_numbers.rs
@@ -101,6 +101,7 @@
                 running: extreme_u32(draw / 4),
                 waiting: extreme_u32(other),
                 slots: extreme_u32(other / 3),
+                work_time_percent: other.is_multiple_of(2).then(|| extreme_u32(draw / 3)),
             };
             SchedulerEvent::LoadReported { upstream: id.into(), load }
         }
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -53,6 +53,7 @@
         "input_tokens" => progress.input_tokens,
         "peer_age_ms" => millis(reason.peer_age),
         "cached_tokens" => reason.cached_tokens,
+        "excess_delay_ms" => millis(reason.excess_delay),
         "backlog_ms" => millis(reason.backlog),
         "candidates" => reason.candidates,
         "failures" => &*progress.failed_attempts,
@@ -88,6 +89,7 @@
 ) {
     info!(log, "attempt failed";
         "peer_age_ms" => millis(command.reason.peer_age),
+        "excess_delay_ms" => millis(command.reason.excess_delay),
         "backlog_ms" => millis(command.reason.backlog),
         "candidates" => command.reason.candidates,
         "prefix_source" => command.prefix_source.as_ref().map(|it| &*it.id),
--- a/crates/relay/src/exchange/delivery.rs
+++ b/crates/relay/src/exchange/delivery.rs
@@ -18,6 +18,9 @@
 /// pace is derived.
 const MIN_EVENT_GAPS: usize = 8;
 
+/// Minimum number of gaps from which a sample is taken of a stream that is too short for that.
+const MIN_SHORT_STREAM_GAPS: usize = 4;
+
 /// How far the response to a caller has got.
 #[derive(Debug, Default)]
 enum State {
@@ -144,4 +147,11 @@
         let is_long_enough = self.gaps.len() >= MIN_EVENT_GAPS;
         is_long_enough.then(|| *self.gaps.select_nth_unstable(middle).1)
     }
+
+    /// Returns the second shortest time between events, or `None` if the stream has fewer than
+    /// [`MIN_SHORT_STREAM_GAPS`] gaps. The shortest one may follow an event that was held up on its way.
+    pub(super) fn short_gap(&mut self) -> Option<Duration> {
+        let is_long_enough = self.gaps.len() >= MIN_SHORT_STREAM_GAPS;
+        is_long_enough.then(|| *self.gaps.select_nth_unstable(1).1)
+    }
 }
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -55,9 +55,14 @@
     }
 
     fn on_stream_end(&self, delivery: &mut Delivery) {
-        let Some(event_gap) = delivery.median_gap() else { return };
         let upstream = self.command.upstream.id.clone();
-        let event = SchedulerEvent::StreamMeasured { upstream, event_gap };
+        let event = if let Some(event_gap) = delivery.median_gap() {
+            SchedulerEvent::StreamMeasured { upstream, event_gap }
+        } else if let Some(event_gap) = delivery.short_gap() {
+            SchedulerEvent::ShortStreamMeasured { upstream, event_gap }
+        } else {
+            return;
+        };
         self.exchange.relay.dispatcher.handle(event);
     }
 }
