fix(relay): responses without a body have none, and state no length of their own

Callers that sent HEAD and were refused by a VM (400, 401, 404, 408, 413, 431, 502, 503, 504) got the text of the refusal after its head.

Cause: a refusal was written whatever the method of its request was. The connection now records the method as soon as it has arrived, also of a head that is rejected, and the refusal ends with its head. Its Content-Length is the one that GET would get (RFC 9110, section 8.6). The server of the metrics and of the daemon (adapters) had the same fault.

Found while checking the other responses without a body:

- A relayed response to HEAD, and 304, stated Content-Length: 0 whatever the upstream stated, and 204 stated one at all.
The length is relayed as it is, or left out.
- The client of the store took an interim response (1xx) for the response and waited for the end of the connection.
Interim responses are skipped, up to eight.

A caller whose connection is refused (too many connections) before a byte of its request has arrived still gets a body, as its method is not known; the connection is closed after it.

--- a/crates/adapters/src/caller.rs
+++ b/crates/adapters/src/caller.rs
@@ -20,6 +20,7 @@
 pub use head::OwnedHeaders;
 pub use head::RequestHead;
 pub use head::copy_headers;
+pub use head::method_of;
 pub use head::parse_head;
 pub use head::parsed_head_len;
 pub use request::CallerRequest;
--- a/crates/adapters/src/caller/head.rs
+++ b/crates/adapters/src/caller/head.rs
@@ -119,6 +119,14 @@
     owned.collect()
 }
 
+/// Returns the method of the request that begins with `bytes`, of which only a part may have arrived;
+/// empty if its end has not.
+pub fn method_of(bytes: &[u8]) -> &str {
+    let bytes = bytes.trim_ascii_start();
+    let end = bytes.iter().position(|it| *it == b' ').unwrap_or(0);
+    std::str::from_utf8(&bytes[..end]).unwrap_or_default()
+}
+
 /// Parses a head and returns it with its length in bytes, or `None` if more bytes are needed.
 ///
 /// # Errors
--- a/crates/adapters/src/caller/request.rs
+++ b/crates/adapters/src/caller/request.rs
@@ -13,6 +13,7 @@
 use super::head::BodyKind;
 use super::head::HeadError;
 use super::head::RequestHead;
+use super::head::method_of;
 use super::head::parse_head;
 
 /// Size of the buffer for one read, in bytes.
@@ -48,11 +49,19 @@
     stream: &'a TcpStream,
     limits: &'a ServerLimits,
     buffered: Vec<u8>,
+    /// Method of the latest request, as far as it has arrived.
+    method: Box<str>,
 }
 
 impl<'a> RequestReader<'a> {
-    pub(super) const fn new(stream: &'a TcpStream, limits: &'a ServerLimits) -> Self {
-        Self { stream, limits, buffered: Vec::new() }
+    pub(super) fn new(stream: &'a TcpStream, limits: &'a ServerLimits) -> Self {
+        Self { stream, limits, buffered: Vec::new(), method: Box::default() }
+    }
+
+    /// Returns the method of the latest request, even if the request was refused; empty if it has not
+    /// arrived.
+    pub(super) fn method(&self) -> &str {
+        &self.method
     }
 
     /// Waits for the first byte of the next request, for `idle_timeout` at most.
@@ -87,6 +96,7 @@
     fn read_head(&mut self) -> Result<RequestHead, ReadError> {
         let deadline = Instant::now() + self.limits.head_timeout;
         loop {
+            self.method = method_of(&self.buffered).into();
             if let Some((head, len)) = parse_head(&self.buffered)? {
                 self.buffered.drain(..len);
                 return Ok(head);
--- a/crates/adapters/src/caller/response.rs
+++ b/crates/adapters/src/caller/response.rs
@@ -16,12 +16,15 @@
 pub struct Responder<'a> {
     stream: &'a TcpStream,
     keep_alive: bool,
+    /// Whether the request is one for the head alone.
+    is_head_request: bool,
     is_started: bool,
 }
 
 impl<'a> Responder<'a> {
-    pub(super) const fn new(stream: &'a TcpStream, keep_alive: bool) -> Self {
-        Self { stream, keep_alive, is_started: false }
+    /// `method` is the method of the request, or empty if it is not known.
+    pub(super) fn new(stream: &'a TcpStream, keep_alive: bool, method: &str) -> Self {
+        Self { stream, keep_alive, is_head_request: method == "HEAD", is_started: false }
     }
 
     /// Returns whether a response has been started.
@@ -34,7 +37,7 @@
         self.keep_alive && self.is_started
     }
 
-    /// Sends a complete response.
+    /// Sends a complete response. No body follows the head of a response to HEAD.
     ///
     /// # Errors
     ///
@@ -47,9 +50,17 @@
     ) -> io::Result<()> {
         self.start()?;
         let mut head = self.head(status, headers);
-        write!(head, "content-length: {}\r\n\r\n", body.len()).map_err(io::Error::other)?;
+        // In a response to HEAD, the length is that of the body that GET would get; an upstream's
+        // response to HEAD does not bring it here. 204 and 304 need none (RFC 9110, section 8.6).
+        let lacks_length = matches!(status, 204 | 304) || (self.is_head_request && body.is_empty());
+        if !lacks_length {
+            write!(head, "content-length: {}\r\n", body.len()).map_err(io::Error::other)?;
+        }
+        head.push_str("\r\n");
         let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(body);
+        if !lacks_length && !self.is_head_request {
+            bytes.extend_from_slice(body);
+        }
         self.stream.write_all(&bytes).inspect_err(|_| self.keep_alive = false)
     }
 
--- a/crates/adapters/src/caller/server.rs
+++ b/crates/adapters/src/caller/server.rs
@@ -203,7 +203,7 @@
         }
         if self.open_connections.load(Ordering::SeqCst) > self.limits.max_connections {
             let message = format!("more than {} connections", self.limits.max_connections);
-            self.refuse(stream, 503, &message);
+            self.refuse(stream, 503, &message, "");
             return;
         }
         let mut reader = RequestReader::new(stream, &self.limits);
@@ -223,25 +223,25 @@
         let request = match read {
             Ok(request) => request,
             Err(ReadError::Closed) if self.work.are_waits_ended() => {
-                self.refuse(stream, 503, STOPPING);
+                self.refuse(stream, 503, STOPPING, reader.method());
                 return false;
             }
             Err(ReadError::Closed) => return false,
             Err(ReadError::Refused(status, message)) => {
-                self.refuse(stream, status, &message);
+                self.refuse(stream, status, &message, reader.method());
                 return false;
             }
         };
         let keep_alive = request.head.keep_alive && !self.closing.load(Ordering::SeqCst);
-        let mut responder = Responder::new(stream, keep_alive);
+        let mut responder = Responder::new(stream, keep_alive, reader.method());
         self.handler.handle(request, stream, &mut responder);
         // What the response announced holds, even if the server is closing by now.
         responder.keeps_alive()
     }
 
-    /// Sends a refusal and reads the remaining input.
-    fn refuse(&self, stream: &TcpStream, status: u16, message: &str) {
-        let mut responder = Responder::new(stream, false);
+    /// Sends a refusal of a request with this method, and reads the remaining input.
+    fn refuse(&self, stream: &TcpStream, status: u16, message: &str, method: &str) {
+        let mut responder = Responder::new(stream, false, method);
         self.handler.on_refused(status, message, &mut responder);
         discard_input(stream);
     }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -9,6 +9,7 @@
 use cranberryvalve_adapters::caller::BodyKind;
 use cranberryvalve_adapters::caller::HeadError;
 use cranberryvalve_adapters::caller::RequestHead;
+use cranberryvalve_adapters::caller::method_of;
 use cranberryvalve_adapters::caller::parse_head;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_policy::execution::NotRun;
@@ -106,18 +107,24 @@
     pub(crate) connection: Connection,
     /// Whether the connection may be used for another request.
     pub(crate) keeps_alive: bool,
+    /// Method of the request that is served, as far as it has arrived: no body follows the head of a
+    /// response to HEAD.
+    method: Box<str>,
     /// Whether refusals state for another VM that the call was not run.
     attests_refusals: bool,
 }
 
 impl CallerConnection {
     /// `attests_refusals` tells whether refusals state for another VM that the call was not run.
-    pub(crate) const fn new(connection: Connection, attests_refusals: bool) -> Self {
-        Self { connection, keeps_alive: true, attests_refusals }
+    pub(crate) fn new(connection: Connection, attests_refusals: bool) -> Self {
+        Self { connection, keeps_alive: true, method: Box::default(), attests_refusals }
     }
 
     /// Sends `refusal` before any request was read, and closes the connection.
     pub(crate) fn refuse_connection(mut self, refusal: &Refusal) {
+        // A part of the request may have arrived. If the read fails, so will the write.
+        let _ = self.connection.fill();
+        self.method = method_of(&self.connection.input).into();
         UnsentResponse::new().reject(&mut self, refusal);
     }
 
@@ -179,6 +186,8 @@
         calls_ended: &Waker,
     ) -> Result<RequestHead, ReadError> {
         loop {
+            // A head that is rejected may be one of HEAD, too.
+            self.method = method_of(&self.connection.input).into();
             if let Some((head, len)) = parse_head(&self.connection.input)? {
                 check_line_endings(&self.connection.input[..len])?;
                 if len > limits.max_head_bytes {
@@ -253,7 +262,14 @@
     /// Sends a complete upstream response.
     fn send_response(&mut self, response: &BufferedResponse) -> Result<(), WriteError> {
         let mut head = self.response_head(response.head());
-        push_header(&mut head, "content-length", &response.body().len().to_string());
+        let length = if response.head().lacks_body(&self.method) {
+            response.head().length_without_body()
+        } else {
+            Some(response.body().len() as u64)
+        };
+        if let Some(length) = length {
+            push_header(&mut head, "content-length", &length.to_string());
+        }
         head.push_str("\r\n");
         let mut bytes = head.into_bytes();
         let deadline = Instant::now() + WRITE_TIMEOUT;
@@ -280,8 +296,10 @@
         push_header(&mut head, "content-length", &(message.len() + 1).to_string());
         self.push_connection_header(&mut head);
         head.push_str("\r\n");
-        head.push_str(message);
-        head.push('\n');
+        if &*self.method != "HEAD" {
+            head.push_str(message);
+            head.push('\n');
+        }
         self.write(head.as_bytes(), Instant::now() + WRITE_TIMEOUT)
     }
 
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -30,6 +30,9 @@
 /// as a snapshot, in pages of 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum number of interim responses before the response, as for upstreams.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// HTTP client for a single service. Requests are sent one at a time over a persistent connection.
 #[derive(Debug)]
 pub struct HttpClient {
@@ -203,12 +206,21 @@
     Ok(())
 }
 
+/// Receives the head of the response. Interim responses (1xx), which consist of their head, are skipped.
 fn receive_head(connection: &mut Connection, limit: Limit<'_>) -> Result<ResponseHead, HttpError> {
+    let mut interim_responses = 0;
     loop {
         let parsed = parse_response_head(&connection.input).map_err(|_| HttpError::Malformed)?;
         if let Some((head, len)) = parsed {
             connection.input.drain(..len);
-            return Ok(head);
+            if head.status >= 200 {
+                return Ok(head);
+            }
+            interim_responses += 1;
+            if interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(HttpError::Malformed);
+            }
+            continue;
         }
         if wait_and_read(connection, limit)? == ReadOutcome::Closed {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
--- a/crates/relay/src/client/tests.rs
+++ b/crates/relay/src/client/tests.rs
@@ -29,6 +29,15 @@
     assert_eq!(get("HTTP/1.1 200 OK\r\n\r\nrows").ok(), Some(b"rows".to_vec()));
 }
 
+#[test]
+fn interim_responses_have_no_body_and_are_skipped() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
+    let response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows";
+    assert_eq!(get(&format!("{interim}{response}")).ok(), Some(b"rows".to_vec()));
+    let endless = "HTTP/1.1 102 Processing\r\n\r\n".repeat(100);
+    assert!(matches!(get(&endless), Err(HttpError::Malformed)));
+}
+
 #[test]
 fn body_shorter_than_its_length_is_an_error() {
     assert!(matches!(
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -76,7 +76,19 @@
     /// Returns `true` if no body follows the head, whatever its headers state. `method` is the method
     /// of the request.
     pub(crate) fn lacks_body(&self, method: &str) -> bool {
-        method == "HEAD" || self.status == 204 || self.status == 304
+        method == "HEAD" || self.status < 200 || self.status == 204 || self.status == 304
+    }
+
+    /// Returns the length that the head states for a body that does not follow it, or `None` if it
+    /// states none. That is the length in a response to GET, which must be relayed as it is or left out
+    /// (RFC 9110, section 8.6); 204 never has one.
+    pub(crate) fn length_without_body(&self) -> Option<u64> {
+        if self.status == 204 || self.header("transfer-encoding").is_some() {
+            return None;
+        }
+        let mut lengths = self.headers().filter(|(name, _)| *name == "content-length");
+        let (_, length) = lengths.next().filter(|_| lengths.next().is_none())?;
+        length.bytes().all(|it| it.is_ascii_digit()).then(|| length.parse().ok()).flatten()
     }
 
     /// Returns how the body is delimited. `method` is the method of the request.
