fix(relay): a request goes by the limits in force when it arrives

Cause: serve_request read the limits before it waited for the request, so a connection went by those from before its last request.

The limits are now read when the first byte has arrived, and again before a request is refused by them: what either configuration allows is served, since the caller may know either, so neither order of a change and a request can refuse one that some configuration in force allowed. The idle timeout and the time for a head are extended if they are raised meanwhile. A lowered idle timeout holds from the next wait on; looking for it earlier would wake each idle thread.

Before the first configuration, a request above the default limits got 413 as well. It gets 503 with Retry-After, since it is not known what will be allowed.

A VM that forwards a call to another one still relays that one's 413 if its configuration is older.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server side of a caller's connection.
 
+mod limits;
 mod response;
 
 use std::io;
@@ -11,7 +12,6 @@
 use cranberryvalve_adapters::caller::RequestHead;
 use cranberryvalve_adapters::caller::method_of;
 use cranberryvalve_adapters::caller::parse_head;
-use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_policy::execution::NotRun;
 
 use crate::body::BodyDecoder;
@@ -30,6 +30,8 @@
 use crate::socket::Waker;
 use crate::socket::wait;
 
+pub(crate) use self::limits::LimitsInForce;
+pub(crate) use self::limits::RequestLimits;
 pub(crate) use self::response::BegunStream;
 pub(crate) use self::response::UnsentResponse;
 
@@ -131,10 +133,12 @@
     /// Waits for the first byte of the next request. `closed` ends the wait.
     pub(crate) fn wait_for_request(
         &mut self,
-        idle_timeout: Duration,
+        limits: LimitsInForce<'_>,
         closed: &Waker,
     ) -> Result<(), ReadError> {
-        let deadline = Instant::now() + idle_timeout;
+        let started_at = Instant::now();
+        let idle_timeout = || limits().unwrap_or_default().idle_timeout;
+        let mut deadline = started_at + idle_timeout();
         while self.connection.input.is_empty() {
             let interest = Interest {
                 caller: Some(&self.connection),
@@ -144,7 +148,10 @@
             };
             let ready = wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
             let outcome = self.connection.fill().map_err(|_| ReadError::Disconnected)?;
-            let should_stop = ready.timed_out || ready.broadcast;
+            // The timeout may have been raised meanwhile.
+            let is_over = ready.timed_out && Instant::now() >= started_at + idle_timeout();
+            deadline = deadline.max(started_at + idle_timeout());
+            let should_stop = is_over || ready.broadcast;
             if outcome == ReadOutcome::Closed || (outcome == ReadOutcome::WouldBlock && should_stop)
             {
                 return Err(ReadError::Disconnected);
@@ -157,15 +164,15 @@
     /// ends the wait.
     pub(crate) fn read_request(
         &mut self,
-        limits: &CallerLimits,
+        limits: &RequestLimits<'_>,
         calls_ended: &Waker,
     ) -> Result<(CallerRequest, UnsentResponse), ReadError> {
         let arrived_at = Instant::now();
-        let head = self.read_head(limits, arrived_at + limits.head_timeout, calls_ended)?;
+        let head = self.read_head(limits, arrived_at, calls_ended)?;
         self.keeps_alive = head.keep_alive;
         let framing = match head.body_kind()? {
-            BodyKind::Length(length) if length > limits.max_body_bytes => {
-                return Err(body_too_large(limits));
+            BodyKind::Length(length) if !limits.allows_body(length) => {
+                return Err(limits.body_too_large());
             }
             BodyKind::Length(length) => Framing::Length(length as u64),
             BodyKind::Chunked => Framing::Chunked,
@@ -181,17 +188,18 @@
 
     fn read_head(
         &mut self,
-        limits: &CallerLimits,
-        deadline: Instant,
+        limits: &RequestLimits<'_>,
+        arrived_at: Instant,
         calls_ended: &Waker,
     ) -> Result<RequestHead, ReadError> {
         loop {
+            let deadline = arrived_at + limits.head_timeout();
             // A head that is rejected may be one of HEAD, too.
             self.method = method_of(&self.connection.input).into();
             if let Some((head, len)) = parse_head(&self.connection.input)? {
                 check_line_endings(&self.connection.input[..len])?;
-                if len > limits.max_head_bytes {
-                    return Err(head_too_large(limits));
+                if !limits.allows_head(len) {
+                    return Err(limits.head_too_large());
                 }
                 self.connection.input.drain(..len);
                 if head.headers().filter(|(name, _)| *name == "host").count() != 1 {
@@ -202,8 +210,8 @@
                 }
                 return Ok(head);
             }
-            if self.connection.input.len() > limits.max_head_bytes {
-                return Err(head_too_large(limits));
+            if !limits.allows_head(self.connection.input.len()) {
+                return Err(limits.head_too_large());
             }
             if self.fill(deadline, Some(calls_ended))? == ReadOutcome::WouldBlock
                 && Instant::now() >= deadline
@@ -216,7 +224,7 @@
     fn read_body(
         &mut self,
         framing: Framing,
-        limits: &CallerLimits,
+        limits: &RequestLimits<'_>,
         calls_ended: &Waker,
     ) -> Result<Vec<u8>, ReadError> {
         let deadline = Instant::now() + BODY_TIMEOUT;
@@ -226,8 +234,8 @@
             decoder.decode(&mut self.connection.input, &mut body).map_err(|error| {
                 ReadError::invalid(InvalidRequest::Malformed, error.to_string())
             })?;
-            if body.len() > limits.max_body_bytes {
-                return Err(body_too_large(limits));
+            if !limits.allows_body(body.len()) {
+                return Err(limits.body_too_large());
             }
             if decoder.is_complete() {
                 return Ok(body);
@@ -391,20 +399,6 @@
     Ok(())
 }
 
-fn head_too_large(limits: &CallerLimits) -> ReadError {
-    ReadError::invalid(
-        InvalidRequest::HeadTooLarge,
-        format!("the head is above {} bytes", limits.max_head_bytes),
-    )
-}
-
-fn body_too_large(limits: &CallerLimits) -> ReadError {
-    ReadError::invalid(
-        InvalidRequest::BodyTooLarge,
-        format!("the body is above {} bytes", limits.max_body_bytes),
-    )
-}
-
 const fn reason_phrase(status: u16) -> &'static str {
     match status {
         400 => "Bad Request",
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -16,7 +16,6 @@
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::stable_hash;
-use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::RouteRule;
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::execution::NotRun;
@@ -33,6 +32,7 @@
 use crate::caller::CallerConnection;
 use crate::caller::CallerRequest;
 use crate::caller::ReadError;
+use crate::caller::RequestLimits;
 use crate::caller::UnsentResponse;
 use crate::dialect::CallMetadata;
 use crate::dispatch::CallGuard;
@@ -56,7 +56,7 @@
 
 /// `Retry-After` for refusals that have no better estimate, such as those before the first
 /// configuration is known.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Who sends the requests of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,11 +101,12 @@
 impl ConnectionHandler<'_> {
     /// Serves one request. Returns `false` if the connection must be closed.
     fn serve_request(&mut self) -> bool {
-        let limits = self.limits();
-        if self.caller.wait_for_request(limits.idle_timeout, self.relay.lifecycle.closed()).is_err()
-        {
+        let relay = self.relay;
+        let limits_in_force = || relay.routing_table().map(|it| it.limits().clone());
+        if self.caller.wait_for_request(&limits_in_force, relay.lifecycle.closed()).is_err() {
             return false;
         }
+        let limits = RequestLimits::at_arrival(&limits_in_force);
         let _active_request = self.relay.track_request();
         let (request, response) =
             match self.caller.read_request(&limits, self.relay.lifecycle.calls_ended()) {
@@ -129,10 +130,6 @@
         conclusion.send(&mut self.caller) && self.caller.keeps_alive
     }
 
-    fn limits(&self) -> CallerLimits {
-        self.relay.routing_table().map(|it| it.limits().clone()).unwrap_or_default()
-    }
-
     /// Logs and counts a request that was refused before it reached the scheduler.
     fn log_refusal(&self, request: &CallerRequest, refusal: &Refusal) {
         let id = self.relay.dialect.parse_call(&request.head).ok().and_then(|it| it.request_id);
