feat(coordination): duty of usage reports under a lease, and merged counts

Usage must be reported by one VM at a time, and never twice with different counts. duties is the lease with its intended reports, a row for each era of the store; usage counts by window and customer, merges the counts of all VMs and agrees on the true time.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -45,8 +45,11 @@
 pub const UNANNOUNCED_PROTOCOL: u32 = 0;
 
 /// Names of the capabilities that builds announce, by their bit. Names are only appended.
-pub const CAPABILITIES: [&str; 5] =
-    ["permits", "quarantine", "stream_origins", "forwarding", "refusals"];
+pub const CAPABILITIES: [&str; 6] =
+    ["permits", "quarantine", "stream_origins", "forwarding", "refusals", "usage_reports"];
+
+/// Bit of the capability to exchange [`UsageMessage`](crate::usage::UsageMessage)s.
+pub const USAGE_REPORTS_BIT: u64 = 1 << 5;
 
 /// Bits of all capabilities that this build knows.
 pub const ALL_CAPABILITIES: u64 = (1 << CAPABILITIES.len()) - 1;
--- a/crates/coordination/src/builds/exchange.rs
+++ b/crates/coordination/src/builds/exchange.rs
@@ -162,6 +162,12 @@
         std::iter::once(MemberBuild::new(own.vm.clone(), Some(&own))).chain(alive).collect()
     }
 
+    /// Returns whether a VM has announced a capability in this incarnation.
+    pub fn is_able(&self, vm: &str, incarnation: u64, capability: u64) -> bool {
+        let build = self.log.build_of(vm, incarnation);
+        build.is_some_and(|it| it.capabilities & capability != 0)
+    }
+
     /// Returns the number of living VMs by protocol version.
     pub fn count_by_protocol(&self, membership: &Membership) -> BTreeMap<u32, usize> {
         let mut counts = BTreeMap::new();
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! so each can be embedded anywhere and tested exhaustively.
 //!
 //! - [`builds`]: which build each VM runs.
+//! - [`duties`]: a duty that one VM at a time carries out.
 //! - [`era`]: for how long a VM has known the era of a store that may be restored.
 //! - [`feed`]: tables that VMs pass on to each other as changes.
 //! - [`home`]: choice of the coordinator of a resource by rendezvous hashing.
@@ -23,6 +24,7 @@
 //! - [`quarantine`]: calls that crash upstreams are held back on all VMs.
 //! - [`store`]: interface to the table service and the object store.
 //! - [`transfer`]: transfer of a large versioned value between VMs, in parts.
+//! - [`usage`]: requests by window and customer, for usage reports.
 //! - [`versions`]: which software versions of a pool may have open streams.
 //! - [`watch`]: which VMs of a failure domain read a source for all of them.
 //!
@@ -39,6 +41,7 @@
 //! ```
 
 pub mod builds;
+pub mod duties;
 pub mod era;
 pub mod feed;
 pub mod home;
@@ -58,5 +61,6 @@
 pub mod replica;
 pub mod store;
 pub mod transfer;
+pub mod usage;
 pub mod versions;
 pub mod watch;
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -27,6 +27,7 @@
 use crate::quarantine::SuspectUpdate;
 use crate::transfer::Part;
 use crate::transfer::PartRequest;
+use crate::usage::UsageMessage;
 
 /// A message from one VM to another.
 ///
@@ -241,6 +242,13 @@
         /// What each VM runs.
         builds: Vec<VmBuild>,
     },
+    /// Usage for reports, sent to VMs with the capability `usage_reports` only.
+    Usage {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The message.
+        message: UsageMessage,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -325,7 +333,8 @@
             | Self::ProbeRequest { from, .. }
             | Self::ProbeResponse { from, .. }
             | Self::Refusals { from, .. }
-            | Self::Builds { from, .. } => from,
+            | Self::Builds { from, .. }
+            | Self::Usage { from, .. } => from,
         }
     }
 }
--- a/crates/coordination/tests/damaged_messages.rs
+++ b/crates/coordination/tests/damaged_messages.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use cranberryvalve_coordination::builds::BuildLog;
+use cranberryvalve_coordination::duties::DutyRow;
 use cranberryvalve_coordination::feed::FeedLog;
 use cranberryvalve_coordination::lease::LeaseRow;
 use cranberryvalve_coordination::ledger::LedgerRow;
@@ -20,6 +21,10 @@
 use cranberryvalve_coordination::plan::Head;
 use cranberryvalve_coordination::quarantine::Quarantine;
 use cranberryvalve_coordination::transfer::Fetch;
+use cranberryvalve_coordination::usage::ClockVotes;
+use cranberryvalve_coordination::usage::MergedUsage;
+use cranberryvalve_coordination::usage::UsageMessage;
+use cranberryvalve_coordination::usage::UsageRules;
 use cranberryvalve_core::ConfigDocument;
 use cranberryvalve_core::CustomerSpec;
 use cranberryvalve_core::Digest;
@@ -32,6 +37,7 @@
 use landed::builds;
 use landed::first;
 use landed::origins;
+use landed::usage;
 
 /// Seed of the generated values.
 const SEED: u64 = 20_261_205;
@@ -45,6 +51,9 @@
 /// Number of variants that a later build may have after those of this one.
 const LATER_VARIANTS: u8 = 40;
 
+const USAGE_RULES: UsageRules =
+    UsageRules { window: Duration::from_secs(5), due: Duration::from_secs(10), tolerance: 0.05 };
+
 /// One VM's state, as far as messages of peers change it.
 struct Vm {
     membership: Membership,
@@ -55,6 +64,8 @@
     origins: OriginLog,
     limits: LimitCoordinator,
     builds: BuildLog,
+    usage: MergedUsage,
+    votes: ClockVotes,
 }
 
 impl Vm {
@@ -73,6 +84,8 @@
             origins: OriginLog::default(),
             limits: LimitCoordinator::default(),
             builds: BuildLog::default(),
+            usage: MergedUsage::default(),
+            votes: ClockVotes::default(),
         }
     }
 
@@ -114,6 +127,13 @@
                 self.builds.take_updates();
                 self.builds.next_repeated(4);
             }
+            PeerMessage::Usage { message: UsageMessage::Counts(counts, reading), from } => {
+                let window = USAGE_RULES.window_at(reading.estimate_ms);
+                self.usage.merge(&USAGE_RULES, reading.estimate_ms, counts);
+                self.usage.state(&USAGE_RULES, reading.estimate_ms, window, &[from.vm]);
+                self.votes.record(now, &"a".into(), reading);
+                self.votes.agreed_ms(now);
+            }
             _ => {}
         }
     }
@@ -132,7 +152,7 @@
 
 fn messages() -> Vec<Sample> {
     let landed = first::messages().into_iter().chain(origins::messages());
-    landed.chain(builds::messages()).collect()
+    landed.chain(builds::messages()).chain(usage::messages()).collect()
 }
 
 fn check(property: fn(Vec<u8>, usize, u8, u8) -> bool) {
@@ -170,6 +190,7 @@
         let _ = Head::from_bytes(&bytes);
         let _ = LedgerRow::from_bytes(&bytes);
         let _ = LeaseRow::from_bytes(&bytes);
+        let _ = DutyRow::from_bytes(&bytes);
         let _ = ConfigDocument::from_bytes(&bytes);
         true
     });
@@ -187,7 +208,13 @@
 
 #[test]
 fn cut_tables_and_rows_are_not_read() {
-    let samples = [first::tables(), first::rows(), first::operator_messages(), origins::rows()];
+    let samples = [
+        first::tables(),
+        first::rows(),
+        first::operator_messages(),
+        origins::rows(),
+        usage::rows(),
+    ];
     for sample in samples.into_iter().flatten() {
         for end in 0..sample.bytes.len() {
             assert!(!(sample.is_read_from)(&sample.bytes[..end]), "{} cut at {end}", sample.text);
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -19,6 +19,7 @@
 use landed::first;
 use landed::origins;
 use landed::text;
+use landed::usage;
 use landed_file::from_file;
 use landed_file::misread;
 use landed_file::to_file;
@@ -48,7 +49,7 @@
 
 /// Returns what this build writes. Its file is added by the landing after it.
 fn samples() -> Vec<Sample> {
-    builds_samples()
+    builds_samples().into_iter().chain(usage::messages()).chain(usage::rows()).collect()
 }
 
 /// Checks that a file has the bytes of exactly these samples, and that this build reads them.
@@ -80,7 +81,7 @@
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
-    let messages = messages.chain(builds::messages());
+    let messages = messages.chain(builds::messages()).chain(usage::messages());
     let covered: BTreeSet<u8> = messages.map(|it| it.bytes[0]).collect();
     // Zeros stand for empty texts and lists, absent values and the first variant of an enum.
     let exists = |it: &u8| {
@@ -106,7 +107,7 @@
     let later = |name, bytes| Sample { name, bytes, ..text("", "") };
     changed.push(later("later-row", b"{}".to_vec()));
     changed.push(later("later-message", known[1].bytes.clone()));
-    let names = [known[0].name, known[1].name, "later-message", "builds"];
+    let names = [known[0].name, known[1].name, "later-message", "usage-duty"];
     assert_eq!(misread(&to_file(&changed), &known), names);
     let unread_names = [known[0].name, known[1].name, "later-row", "later-message"];
     assert_eq!(unread(&to_file(&changed), &known), unread_names);
--- a/crates/coordination/tests/support/landed/all.rs
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -7,6 +7,7 @@
 pub(crate) mod builds;
 pub(crate) mod first;
 pub(crate) mod origins;
+pub(crate) mod usage;
 
 use std::fmt::Debug;
 
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -161,7 +161,8 @@
                 | PeerMessage::ForwardOffer { .. }
                 | PeerMessage::ProbeRequest { .. }
                 | PeerMessage::ProbeResponse { .. }
-                | PeerMessage::Refusals { .. },
+                | PeerMessage::Refusals { .. }
+                | PeerMessage::Usage { .. },
             ) => {}
             Received::Dropped(report) => log_dropped(node, report),
         }
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -225,7 +225,8 @@
                     PeerMessage::LimitReport { .. }
                     | PeerMessage::LimitShares { .. }
                     | PeerMessage::DocumentRequest { .. }
-                    | PeerMessage::Document { .. },
+                    | PeerMessage::Document { .. }
+                    | PeerMessage::Usage { .. },
                 ) => {}
                 Received::Dropped(report) => self.log_dropped(report),
             }
