feat(relay): usage reports by the VM that holds the duty

Counts requests where the first part of a response arrives, sends the counts to the holder once a second, and renews the lease and reports from a thread of its own. HttpClient sends further headers, and asks right before the first byte whether it may send.

--- a/crates/coordination/src/usage/clock.rs
+++ b/crates/coordination/src/usage/clock.rs
@@ -88,6 +88,12 @@
         times.get(times.len() / 2).copied()
     }
 
+    /// Returns the VMs whose readings count.
+    pub fn vms(&self, now: Instant) -> Vec<VmId> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < READING_LIFETIME;
+        self.readings.iter().filter(|(_, it)| is_recent(it.0)).map(|(vm, _)| vm.clone()).collect()
+    }
+
     /// Returns `true` if the VM has to be told the agreed time.
     pub const fn deviates(reading: ClockReading, agreed_ms: u64) -> bool {
         deviates(reading.estimate_ms, agreed_ms)
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use crate::body::BodyDecoder;
+use crate::exchange::push_header;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
 use crate::socket::Connection;
@@ -99,7 +100,7 @@
     ///
     /// Returns an error if no complete response arrives within `timeout`.
     pub fn get(&self, target: &str, timeout: Duration) -> Result<HttpResponse, HttpError> {
-        self.send_request("GET", target, None, Limit::new(timeout))
+        self.send_request(&Request::new("GET", target), Limit::new(timeout))
     }
 
     /// Sends a `GET` request whose response may take long, and waits for it. `interrupt` ends the wait
@@ -115,7 +116,7 @@
         interrupt: &PollInterrupt,
     ) -> Result<HttpResponse, HttpError> {
         let limit = Limit { interrupt: Some(interrupt.waker()), ..Limit::new(timeout) };
-        self.send_request("GET", target, None, limit)
+        self.send_request(&Request::new("GET", target), limit)
     }
 
     /// Sends a `POST` request with a JSON body and waits for the complete response.
@@ -130,14 +131,33 @@
         json: &str,
         timeout: Duration,
     ) -> Result<HttpResponse, HttpError> {
-        self.send_request("POST", target, Some(json), Limit::new(timeout))
+        let request = Request { json: Some(json), ..Request::new("POST", target) };
+        self.send_request(&request, Limit::new(timeout))
     }
 
-    fn send_request(
+    /// Sends a `POST` request with a JSON body and further headers, unless `may_send`, asked right
+    /// before the first byte, returns `false`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no complete response arrives within `timeout`, and
+    /// [`HttpError::Interrupted`] if nothing was sent because of `may_send`.
+    pub fn post_if(
         &self,
-        method: &str,
         target: &str,
-        json: Option<&str>,
+        headers: &[(&str, &str)],
+        json: &str,
+        timeout: Duration,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<HttpResponse, HttpError> {
+        let request =
+            Request { json: Some(json), headers, may_send, ..Request::new("POST", target) };
+        self.send_request(&request, Limit::new(timeout))
+    }
+
+    fn send_request(
+        &self,
+        request: &Request<'_>,
         limit: Limit<'_>,
     ) -> Result<HttpResponse, HttpError> {
         let mut idle_connection =
@@ -146,18 +166,13 @@
             Some(connection) => connection,
             None => self.connect(limit)?,
         };
-        let body = json.unwrap_or_default();
-        let content_type_header =
-            if json.is_some() { "content-type: application/json\r\n" } else { "" };
-        let request = format!(
-            "{method} {target} HTTP/1.1\r\nhost: {}\r\n{content_type_header}\
-             content-length: {}\r\n\r\n{body}",
-            self.address,
-            body.len(),
-        );
-        write_all(&connection, request.as_bytes(), limit)?;
+        let bytes = request.encode(self.address);
+        if !(request.may_send)() {
+            return Err(HttpError::Interrupted);
+        }
+        write_all(&connection, &bytes, limit)?;
         let head = receive_head(&mut connection, limit)?;
-        let framing = head.framing(method).map_err(|_| HttpError::Malformed)?;
+        let framing = head.framing(request.method).map_err(|_| HttpError::Malformed)?;
         let mut decoder = BodyDecoder::new(framing);
         let body = receive_body(&mut connection, &mut decoder, limit)?;
         if head.keeps_alive() && connection.is_idle() {
@@ -177,6 +192,35 @@
     }
 }
 
+/// A request as sent.
+struct Request<'a> {
+    method: &'a str,
+    target: &'a str,
+    /// Further headers.
+    headers: &'a [(&'a str, &'a str)],
+    json: Option<&'a str>,
+    /// Whether the request may be sent, asked right before its first byte.
+    may_send: &'a dyn Fn() -> bool,
+}
+
+impl<'a> Request<'a> {
+    fn new(method: &'a str, target: &'a str) -> Self {
+        Self { method, target, headers: &[], json: None, may_send: &|| true }
+    }
+
+    fn encode(&self, host: SocketAddr) -> Vec<u8> {
+        let body = self.json.unwrap_or_default();
+        let mut head = format!("{} {} HTTP/1.1\r\n", self.method, self.target);
+        push_header(&mut head, "host", &host.to_string());
+        if self.json.is_some() {
+            push_header(&mut head, "content-type", "application/json");
+        }
+        self.headers.iter().for_each(|(name, value)| push_header(&mut head, name, value));
+        push_header(&mut head, "content-length", &body.len().to_string());
+        format!("{head}\r\n{body}").into_bytes()
+    }
+}
+
 /// When a request ends without its response.
 #[derive(Debug, Clone, Copy)]
 struct Limit<'a> {
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -42,11 +42,16 @@
             | Verdict::Stray
             | Verdict::Nameless => {}
         }
+        // A stream begins to run with its first event.
+        if verdict == Verdict::Match && !self.exchange.is_stream {
+            relay.usage.record(self.exchange.customer);
+        }
         verdict
     }
 
     fn on_first_events(&self) {
         self.call_guard.response_started(self.command.attempt);
+        self.exchange.relay.usage.record(self.exchange.customer);
         if let Some(stream) = self.exchange.stream_id {
             let is_split = self.exchange.is_route_split;
             self.exchange.relay.record_stream(stream, &self.command.upstream, is_split);
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -21,6 +21,8 @@
 use crate::call_log::millis;
 use crate::peers::Peers;
 use crate::state::Relay;
+use crate::usage::UsageLedger;
+use crate::usage::UsageStatus;
 
 /// Path of the metrics in the Prometheus text format.
 const METRICS_PATH: &str = "/metrics";
@@ -124,6 +126,9 @@
         .set(relay.crash_guard.condemned().len() as f64);
     let by_protocol = relay.peers().map(Peers::members_by_protocol).unwrap_or_default();
     record_members(&by_protocol);
+    if let Some(ledger) = relay.usage.ledger() {
+        ledger.update_gauges();
+    }
     for (source, age) in relay.source_ages() {
         metrics::gauge!("cranberryvalve_source_age_seconds", "source" => source)
             .set(age.as_secs_f64());
@@ -143,6 +148,9 @@
     members: Vec<String>,
     member_builds: Vec<MemberBuild>,
     quarantined: Vec<QuarantinedKey>,
+    /// State of usage reports; absent unless the settings name the duty.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageStatus>,
     scheduler: SchedulerSnapshot,
 }
 
@@ -180,6 +188,7 @@
             members: relay.peers().map(Peers::alive_names).unwrap_or_default(),
             member_builds: relay.peers().map(Peers::member_builds).unwrap_or_default(),
             quarantined: relay.crash_guard.condemned().into_iter().map(Into::into).collect(),
+            usage: relay.usage.ledger().map(UsageLedger::status),
             scheduler: relay.dispatcher.snapshot(),
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod sources;
 mod state;
 mod streams;
+pub mod usage;
 
 pub use dialect::CallMetadata;
 pub use dialect::Dialect;
--- a/crates/relay/src/lifecycle.rs
+++ b/crates/relay/src/lifecycle.rs
@@ -118,6 +118,9 @@
         // Counts from now, as this thread may have been woken late, and the callers' threads with it.
         let response_time = settings.timeout.saturating_sub(settings.call_timeout);
         lifecycle.threads.wait_for_end(Instant::now() + response_time);
+        if let Some(peers) = self.peers() {
+            peers.send_usage_counts();
+        }
         info!(self.log, "shutdown is over"; "elapsed_ms" => millis(requested_at.elapsed()),
             "ended_requests" => ended_requests, "requests" => self.active_requests(),
             "connections" => self.caller_connections());
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -16,6 +16,7 @@
 mod permits;
 mod queries;
 mod tables;
+mod usage;
 
 use std::collections::HashMap;
 use std::io;
--- a/crates/relay/src/peers/builds.rs
+++ b/crates/relay/src/peers/builds.rs
@@ -65,7 +65,7 @@
     }
 
     /// Locks the exchange; after the membership, where both are needed.
-    fn builds(&self) -> MutexGuard<'_, BuildExchange> {
+    pub(super) fn builds(&self) -> MutexGuard<'_, BuildExchange> {
         self.builds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -219,14 +219,16 @@
                 Received::Message(PeerMessage::Builds { builds, .. }) => {
                     self.handle_builds(builds);
                 }
+                Received::Message(PeerMessage::Usage { from, message }) => {
+                    self.handle_usage(&from, message);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Received::Message(
                     PeerMessage::LimitReport { .. }
                     | PeerMessage::LimitShares { .. }
                     | PeerMessage::DocumentRequest { .. }
-                    | PeerMessage::Document { .. }
-                    | PeerMessage::Usage { .. },
+                    | PeerMessage::Document { .. },
                 ) => {}
                 Received::Dropped(report) => self.log_dropped(report),
             }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -53,6 +53,7 @@
 use crate::sources::Row;
 use crate::sources::SharedDirectory;
 use crate::streams::Streams;
+use crate::usage::Usage;
 
 /// Stack size of a thread that serves a connection, in bytes.
 const HANDLER_STACK_BYTES: usize = 256 * 1024;
@@ -99,6 +100,7 @@
     pub(crate) permits: PermitCoordinator,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) streams: Streams,
+    pub(crate) usage: Usage,
     pub(crate) forwarding: Forwarding,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -136,6 +138,7 @@
             permits: PermitCoordinator::default(),
             crash_guard: CrashGuard::new(log.clone()),
             streams: Streams::new(Instant::now()),
+            usage: Usage::default(),
             forwarding: Forwarding::new(failure_domain, Instant::now()),
             log,
             caller_connections: AtomicUsize::new(0),
