feat(relay): a holder without its links is replaced, and figures of usage reports

A holder that reaches no endpoint for 6 s, or may be cut off from most VMs, lets the lease expire. Reports are aborted at their timeout, since the system would send them after a partition, and an unanswered report does not hold up later ones. A new VM no longer costs the window in which it starts.

--- a/crates/coordination/src/duties.rs
+++ b/crates/coordination/src/duties.rs
@@ -288,18 +288,15 @@
         &self.write
     }
 
-    /// Processes the reply to the write that was issued at `issued`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the duty without the lease if it was not or may not have been acquired. Nobody acts
-    /// under a lease whose acquisition is in doubt.
-    pub fn on_reply(self, issued: Moment, reply: DutyReply) -> Result<HeldDuty, IdleDuty> {
+    /// Processes the reply to the write that was issued at `issued`. Nobody acts under a lease whose
+    /// acquisition is in doubt.
+    pub fn on_reply(self, issued: Moment, reply: DutyReply) -> DutyStep {
+        let Self { idle, write: DutyWrite { row, .. } } = self;
         match reply {
-            DutyReply::Written(era, revision) if era == self.write.row.era => {
-                Ok(HeldDuty { idle: self.idle, row: self.write.row, revision, valid_from: issued })
+            DutyReply::Written(era, revision) if era == row.era => {
+                DutyStep::Held(HeldDuty { idle, row, revision, valid_from: issued })
             }
-            _ => Err(self.idle),
+            _ => DutyStep::Lost(idle),
         }
     }
 }
@@ -315,14 +312,14 @@
     valid_from: Moment,
 }
 
-/// State after a renewal.
+/// State after a write, or after a read of what became of it.
 #[derive(Debug)]
-pub enum RenewalStep {
-    /// The row was written.
-    Renewed(HeldDuty),
+pub enum DutyStep {
+    /// This VM holds the lease.
+    Held(HeldDuty),
     /// Read the rows and pass them to [`HeldDuty::on_snapshot`].
     InDoubt(HeldDuty),
-    /// Another VM has the lease, or the store was restored.
+    /// This VM does not hold the lease.
     Lost(IdleDuty),
 }
 
@@ -346,23 +343,19 @@
     }
 
     /// Processes the reply to a renewal that was issued at `issued`.
-    pub fn on_renewed(mut self, issued: Moment, write: DutyWrite, reply: DutyReply) -> RenewalStep {
+    pub fn on_renewed(mut self, issued: Moment, write: DutyWrite, reply: DutyReply) -> DutyStep {
         match reply {
             DutyReply::Written(era, revision) if era == self.row.era => {
                 (self.row, self.revision, self.valid_from) = (write.row, revision, issued);
-                RenewalStep::Renewed(self)
+                DutyStep::Held(self)
             }
-            DutyReply::Written(..) => RenewalStep::Lost(self.into_idle()),
-            DutyReply::Conflict | DutyReply::InDoubt => RenewalStep::InDoubt(self),
+            DutyReply::Written(..) => DutyStep::Lost(self.into_idle()),
+            DutyReply::Conflict | DutyReply::InDoubt => DutyStep::InDoubt(self),
         }
     }
 
     /// Finds out what became of a renewal in doubt. The lease is not extended.
-    ///
-    /// # Errors
-    ///
-    /// Returns the duty without the lease if the row is not that of this holder.
-    pub fn on_snapshot(mut self, snapshot: &DutySnapshot) -> Result<Self, IdleDuty> {
+    pub fn on_snapshot(mut self, snapshot: &DutySnapshot) -> DutyStep {
         let rows = snapshot.rows.iter().filter_map(|it| Some((it.revision, it.row.as_ref()?)));
         let own = rows
             .filter(|_| snapshot.era == self.row.era)
@@ -370,9 +363,9 @@
         match own {
             Some((revision, row)) => {
                 (self.revision, self.row) = (revision, row.clone());
-                Ok(self)
+                DutyStep::Held(self)
             }
-            None => Err(self.into_idle()),
+            None => DutyStep::Lost(self.into_idle()),
         }
     }
 
--- a/crates/coordination/src/usage.rs
+++ b/crates/coordination/src/usage.rs
@@ -217,7 +217,8 @@
         WindowCounts { window, is_complete, counts }
     }
 
-    fn forget_old(&mut self, rules: &UsageRules, now_ms: u64) {
+    /// Forgets windows that are over.
+    pub fn forget_old(&mut self, rules: &UsageRules, now_ms: u64) {
         let first = rules.first_open_window(now_ms);
         self.windows = self.windows.split_off(&first);
         self.complete_sends = self.complete_sends.split_off(&first);
--- a/crates/coordination/src/usage/merged.rs
+++ b/crates/coordination/src/usage/merged.rs
@@ -110,9 +110,10 @@
         let mut vms: BTreeSet<&VmId> = living.iter().collect();
         vms.extend(self.vms.iter().filter(|it| has_window(it.1, window)).map(|it| it.0));
         let start_ms = rules.start_ms(window);
-        let partial = living.iter().filter(|it| self.may_have_lost(it, window, start_ms));
-        let partial = missing.iter().chain(partial).collect::<BTreeSet<_>>().len();
-        if vms.is_empty() || partial as f64 > rules.tolerance * vms.len() as f64 {
+        let started = living.iter().filter(|it| self.may_have_lost(it, window, start_ms)).count();
+        let is_mass_start = 2 * started > living.len();
+        let is_much_missing = missing.len() as f64 > rules.tolerance * vms.len() as f64;
+        if vms.is_empty() || is_mass_start || is_much_missing {
             return WindowState::Lost;
         }
         WindowState::Ready(UsageReport { window, counts: self.sum(window) })
@@ -124,13 +125,15 @@
         latest.and_then(|it| it.windows.get(&window)).is_some_and(|it| it.is_complete)
     }
 
-    /// Returns whether a VM began to count within the window, and nothing is known of the counts that
-    /// an earlier start of it may have made.
+    /// Returns whether a VM began to count within the window, and no earlier start of it is known. A
+    /// few such VMs are new; if most are, all of them were restarted and what they counted is lost.
     fn may_have_lost(&self, vm: &VmId, window: WindowId, start_ms: u64) -> bool {
         let Some(starts) = self.vms.get(vm) else { return true };
+        // An earlier start that ended before the window lost nothing of it.
+        let previous = window.saturating_sub(1);
         let counts_since_ms = starts.values().next_back().map_or(u64::MAX, |it| it.counts_since_ms);
         let knows_earlier =
-            starts.values().rev().skip(1).any(|it| it.windows.contains_key(&window));
+            starts.values().rev().skip(1).any(|it| it.windows.range(previous..=window).count() > 0);
         counts_since_ms > start_ms && !knows_earlier
     }
 
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -136,7 +136,8 @@
     }
 
     /// Sends a `POST` request with a JSON body and further headers, unless `may_send`, asked right
-    /// before the first byte, returns `false`.
+    /// before the first byte, returns `false`. The request does not arrive later than the timeout, for
+    /// example after a partition: what is not sent by then is discarded.
     ///
     /// # Errors
     ///
@@ -150,8 +151,12 @@
         timeout: Duration,
         may_send: &dyn Fn() -> bool,
     ) -> Result<HttpResponse, HttpError> {
-        let request =
-            Request { json: Some(json), headers, may_send, ..Request::new("POST", target) };
+        let request = Request {
+            json: Some(json),
+            headers,
+            may_send: Some(may_send),
+            ..Request::new("POST", target)
+        };
         self.send_request(&request, Limit::new(timeout))
     }
 
@@ -167,8 +172,11 @@
             None => self.connect(limit)?,
         };
         let bytes = request.encode(self.address);
-        if !(request.may_send)() {
-            return Err(HttpError::Interrupted);
+        if let Some(may_send) = request.may_send {
+            connection.discard_on_close()?;
+            if !may_send() {
+                return Err(HttpError::Interrupted);
+            }
         }
         write_all(&connection, &bytes, limit)?;
         let head = receive_head(&mut connection, limit)?;
@@ -200,12 +208,12 @@
     headers: &'a [(&'a str, &'a str)],
     json: Option<&'a str>,
     /// Whether the request may be sent, asked right before its first byte.
-    may_send: &'a dyn Fn() -> bool,
+    may_send: Option<&'a dyn Fn() -> bool>,
 }
 
 impl<'a> Request<'a> {
     fn new(method: &'a str, target: &'a str) -> Self {
-        Self { method, target, headers: &[], json: None, may_send: &|| true }
+        Self { method, target, headers: &[], json: None, may_send: None }
     }
 
     fn encode(&self, host: SocketAddr) -> Vec<u8> {
--- a/crates/relay/src/peers/usage.rs
+++ b/crates/relay/src/peers/usage.rs
@@ -73,7 +73,7 @@
     pub(crate) fn announce_usage_holder(&self, fencing: FencingToken) {
         let holder = UsageHolder { holder: self.own_address(), fencing };
         if let Some(ledger) = self.relay.usage.ledger() {
-            self.apply_usage_holder(ledger, holder);
+            self.apply_usage_holder(ledger, &holder);
         }
     }
 
@@ -96,7 +96,7 @@
                     self.send_usage(from, UsageMessage::Clock(agreed_ms));
                 }
             }
-            UsageMessage::Holder(holder) => self.apply_usage_holder(ledger, holder),
+            UsageMessage::Holder(holder) => self.apply_usage_holder(ledger, &holder),
             UsageMessage::Clock(agreed_ms) => {
                 let is_holder = ledger.holder().is_some_and(|it| it.holder.vm == from.vm);
                 let correction_ms = is_holder.then(|| ledger.correct_clock(agreed_ms)).flatten();
@@ -113,7 +113,7 @@
     }
 
     /// Sends all counts to a holder that is new, and forwards its announcement.
-    fn apply_usage_holder(&self, ledger: &UsageLedger, holder: UsageHolder) {
+    fn apply_usage_holder(&self, ledger: &UsageLedger, holder: &UsageHolder) {
         if !ledger.set_holder(holder.clone()) {
             return;
         }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Makes the system discard what it has not sent yet when the connection is closed, also by the end
+    /// of the process, instead of sending it later.
+    pub(crate) fn discard_on_close(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Returns `true` if no input is pending and the peer has not closed the connection.
     pub(crate) fn is_idle(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,6 +22,7 @@
 
 use cranberryvalve_adapters::telemetry::LogRateLimiter;
 use cranberryvalve_coordination::feed::FeedDelta;
+use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
@@ -330,6 +331,11 @@
         self.shared_directory.is_first_reader(Instant::now(), &own, &vms)
     }
 
+    /// Returns whether a VM is in the failure domain of this one.
+    pub(crate) fn is_near(&self, vm: &PeerAddress) -> bool {
+        self.settings.scheduler.failure_domain.as_ref() == Some(&vm.failure_domain)
+    }
+
     /// Ends a long poll if this VM has become the first reader of its failure domain.
     pub(crate) fn check_long_poll(&self) {
         if self.is_first_source_reader() {
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -179,7 +179,6 @@
             let previous = state.previous.iter().filter(|it| **it != holder.holder.vm);
             entrusted = previous.flat_map(|it| state.merged.counts_of(it)).collect();
         }
-        state.merged.forget_old(&self.rules, now_ms);
         let uptime = now.saturating_duration_since(self.started_at);
         let uptime_ms = u64::try_from(uptime.as_millis()).unwrap_or(u64::MAX);
         let counts_since_ms =
@@ -188,6 +187,14 @@
         Some(DueCounts { holder, windows, entrusted, counts_since_ms, reading })
     }
 
+    /// Forgets windows that are over.
+    fn forget_old(&self) {
+        let mut state = self.state();
+        let now_ms = state.clock.now_ms(Instant::now());
+        state.local.forget_old(&self.rules, now_ms);
+        state.merged.forget_old(&self.rules, now_ms);
+    }
+
     /// Merges counts of a VM.
     pub(crate) fn merge(&self, counts: VmCounts) {
         let mut state = self.state();
--- a/crates/relay/src/usage/duty.rs
+++ b/crates/relay/src/usage/duty.rs
@@ -1,5 +1,6 @@
 //! The thread of the VM that reports usage.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io;
 use std::sync::Arc;
@@ -10,12 +11,12 @@
 use cranberryvalve_adapters::telemetry::unix_time_ms;
 use cranberryvalve_coordination::duties::DutyReply;
 use cranberryvalve_coordination::duties::DutySnapshot;
+use cranberryvalve_coordination::duties::DutyStep;
 use cranberryvalve_coordination::duties::DutyWrite;
 use cranberryvalve_coordination::duties::HeldDuty;
 use cranberryvalve_coordination::duties::IdleDuty;
 use cranberryvalve_coordination::duties::LeaseTiming;
 use cranberryvalve_coordination::duties::Moment;
-use cranberryvalve_coordination::duties::RenewalStep;
 use cranberryvalve_coordination::duties::WatchStep;
 use cranberryvalve_coordination::usage::ReportPlan;
 use cranberryvalve_coordination::usage::UsageReport;
@@ -30,6 +31,7 @@
 use super::NO_TOKEN;
 use super::UsageLedger;
 use crate::client::HttpError;
+use crate::peers::Peers;
 use crate::sources::FeedError;
 use crate::state::Relay;
 
@@ -46,9 +48,9 @@
 /// Time for which calls of the endpoint fail until the holder lets another VM try.
 const MAX_FAILING_TIME: Duration = Duration::from_secs(6);
 
-/// Time for which a holder whose calls failed does not take part: longer than another VM takes to take
-/// over and report.
-const PAUSE_AFTER_FAILURE: Duration = Duration::from_secs(20);
+/// Time for which a holder whose calls failed, or a VM that may be cut off from most others, does not
+/// take part: longer than another VM takes to take over.
+const PAUSE: Duration = Duration::from_secs(8);
 
 /// Part of the calls that the endpoint accepts a second that are used for reports.
 const RATE_SHARE: f64 = 0.5;
@@ -56,6 +58,13 @@
 /// Maximum number of reports in a round, which is that of reports that wait.
 const MAX_REPORTS_PER_ROUND: f64 = 3.0;
 
+/// Part of the lease after a renewal in which reports are sent. The next renewal follows before another
+/// VM takes over, also if the store takes a third of the lease.
+const REPORTING_PART: f64 = 0.7;
+
+/// Part of the lease that a report has to be left to be sent.
+const MIN_REPORT_PART: f64 = 0.1;
+
 /// Settings of usage reports.
 #[derive(Debug, Clone, PartialEq)]
 pub struct UsageSettings {
@@ -71,13 +80,6 @@
     pub is_first_start: bool,
 }
 
-impl UsageSettings {
-    /// Returns the timeout of a report, so that two fit between renewals and the end of the lease.
-    pub fn report_timeout(&self) -> Duration {
-        self.lease / 4
-    }
-}
-
 /// Storage of the lease and the intended reports.
 pub trait DutyStore: Send + Sync + 'static {
     /// Reads all rows of the duty.
@@ -126,6 +128,9 @@
     thread::Builder::new().name("usage".to_owned()).spawn(move || {
         for round in 0.. {
             thread::sleep(COUNT_INTERVAL);
+            if let Some(ledger) = counter.usage.ledger() {
+                ledger.forget_old();
+            }
             if let Some(peers) = counter.peers() {
                 peers.exchange_usage(round);
             }
@@ -135,16 +140,18 @@
     thread::Builder::new().name("duty".to_owned()).spawn(move || {
         let timing = LeaseTiming { lease: settings.lease };
         let idle = IdleDuty::new(settings.vm.clone(), timing, settings.rules);
-        let (confirmed, failing_since, paused_until) = (BTreeSet::new(), None, None);
         let mut runner = Runner {
             relay,
             settings,
             timing,
             store,
             endpoint,
-            confirmed,
-            failing_since,
-            paused_until,
+            confirmed: BTreeSet::new(),
+            failing_since: None,
+            paused_until: None,
+            minority_since: None,
+            acquired_at: None,
+            sent_at: BTreeMap::new(),
         };
         let mut stage = Stage::Idle(idle);
         loop {
@@ -172,10 +179,19 @@
     failing_since: Option<Instant>,
     /// Until when this VM does not take part.
     paused_until: Option<Instant>,
+    /// Since when this VM may be cut off from most others.
+    minority_since: Option<Instant>,
+    /// When this VM last became the holder.
+    acquired_at: Option<Instant>,
+    /// When each report that waits was last sent.
+    sent_at: BTreeMap<WindowId, Instant>,
 }
 
 impl Runner {
     fn step(&mut self, stage: Stage) -> Stage {
+        let is_minority = self.relay.peers().is_some_and(Peers::is_minority);
+        let since = self.minority_since.unwrap_or_else(Instant::now);
+        self.minority_since = is_minority.then_some(since);
         match stage {
             Stage::Idle(idle) if !self.may_acquire() => {
                 thread::sleep(RETRY_INTERVAL);
@@ -190,16 +206,31 @@
         }
     }
 
-    /// Returns whether this VM may become the holder.
+    /// Returns whether this VM may become the holder. A VM that may be cut off from most others leaves
+    /// them the time to take over, and takes part after that: they may be dead.
     fn may_acquire(&self) -> bool {
         let is_paused = self.paused_until.is_some_and(|it| Instant::now() < it);
-        !is_paused && self.may_hold() && self.relay.is_source_reader()
+        let is_cut_off = self.minority_since.is_some_and(|it| it.elapsed() < PAUSE);
+        !is_paused && !is_cut_off && self.can_act() && self.is_candidate()
     }
 
-    /// Returns whether this VM may remain the holder: it neither stops nor is cut off from the others.
+    /// Returns whether this VM may remain the holder: it neither stops, nor was it cut off from most
+    /// others since it became the holder.
     fn may_hold(&self) -> bool {
-        let is_connected = self.relay.peers().is_some_and(|it| !it.is_minority());
-        is_connected && !self.relay.is_draining() && !self.is_endpoint_lost()
+        let is_cut_off = self.minority_since.is_some_and(|it| self.acquired_at < Some(it));
+        !is_cut_off && self.can_act()
+    }
+
+    fn can_act(&self) -> bool {
+        self.relay.peers().is_some() && !self.relay.is_draining() && !self.is_endpoint_lost()
+    }
+
+    /// Returns whether this VM watches the lease: one VM of each failure domain, and the other source
+    /// readers of the holder's.
+    fn is_candidate(&self) -> bool {
+        let holder = self.ledger().holder();
+        let is_near_holder = || holder.is_none_or(|it| self.relay.is_near(&it.holder));
+        self.relay.is_first_source_reader() || (self.relay.is_source_reader() && is_near_holder())
     }
 
     /// Returns whether other VMs may reach an endpoint that this one does not.
@@ -223,8 +254,8 @@
                 let issued = moment();
                 let reply = self.store.write(acquiring.write());
                 match acquiring.on_reply(issued, reply) {
-                    Ok(held) => self.acquired(held),
-                    Err(idle) => {
+                    DutyStep::Held(held) | DutyStep::InDoubt(held) => self.acquired(held),
+                    DutyStep::Lost(idle) => {
                         thread::sleep(RETRY_INTERVAL);
                         Stage::Idle(idle)
                     }
@@ -233,10 +264,11 @@
         }
     }
 
-    fn acquired(&self, held: HeldDuty) -> Stage {
+    fn acquired(&mut self, held: HeldDuty) -> Stage {
         let row = held.row();
         info!(self.relay.log, "usage reports are this VM's duty"; "fencing" => row.fencing,
             "concluded" => row.concluded, "intended" => row.intended.len());
+        self.acquired_at = Some(Instant::now());
         self.ledger().set_own_token(row.fencing);
         if let Some(peers) = self.relay.peers() {
             peers.announce_usage_holder(row.fencing);
@@ -248,7 +280,7 @@
     fn lose(&mut self, idle: IdleDuty, reason: &'static str) -> Stage {
         info!(self.relay.log, "usage reports are no longer this VM's duty"; "reason" => reason);
         if self.is_endpoint_lost() {
-            self.paused_until = Some(Instant::now() + PAUSE_AFTER_FAILURE);
+            self.paused_until = Some(Instant::now() + PAUSE);
         }
         self.failing_since = None;
         self.ledger().set_own_token(NO_TOKEN);
@@ -264,14 +296,14 @@
         let issued = moment();
         let reply = self.store.write(&write);
         match held.on_renewed(issued, write, reply) {
-            RenewalStep::Renewed(held) => {
+            DutyStep::Held(held) => {
                 self.ledger().record_backlog(Some(held.row()));
-                self.send_reports(&held);
+                self.send_reports(&held, issued.at);
                 thread::sleep(round_end.saturating_duration_since(Instant::now()));
                 Stage::Holding(held)
             }
-            RenewalStep::InDoubt(held) => Stage::InDoubt(held),
-            RenewalStep::Lost(idle) => self.lose(idle, "the store was restored"),
+            DutyStep::InDoubt(held) => Stage::InDoubt(held),
+            DutyStep::Lost(idle) => self.lose(idle, "the store was restored"),
         }
     }
 
@@ -281,8 +313,9 @@
             return Stage::InDoubt(held);
         };
         match held.on_snapshot(&snapshot) {
-            Ok(held) => Stage::Holding(held),
-            Err(idle) => self.lose(idle, "another VM has the lease"),
+            DutyStep::Held(held) => Stage::Holding(held),
+            DutyStep::InDoubt(held) => Stage::InDoubt(held),
+            DutyStep::Lost(idle) => self.lose(idle, "another VM has the lease"),
         }
     }
 
@@ -292,7 +325,7 @@
         if let Some(correction_ms) = ledger.agree() {
             warn!(relay.log, "clock of usage counts corrected"; "correction_ms" => correction_ms);
         }
-        let living = relay.peers().map(|it| it.living_vms()).unwrap_or_default();
+        let living = relay.peers().map(Peers::living_vms).unwrap_or_default();
         let now_ms = ledger.now_ms();
         // The first holder of all has nothing to report of the time before it.
         let concluded = match held.row().concluded {
@@ -316,22 +349,28 @@
         }
         let first = rules.first_open_window(now_ms);
         self.confirmed = self.confirmed.split_off(&first);
+        self.sent_at = self.sent_at.split_off(&first);
         plan
     }
 
-    /// Sends the reports that were not accepted yet, while the lease lasts.
-    fn send_reports(&mut self, held: &HeldDuty) {
+    /// Sends the reports that were not accepted yet, those first that were not sent for longest, after
+    /// the renewal that was issued at `renewed_at`.
+    fn send_reports(&mut self, held: &HeldDuty, renewed_at: Instant) {
         let max_calls = self.settings.max_calls_per_s * RATE_SHARE;
         let max_calls = max_calls * self.timing.renewal_interval().as_secs_f64();
         let max_calls = max_calls.clamp(1.0, MAX_REPORTS_PER_ROUND) as usize;
-        let timeout = self.settings.report_timeout();
-        let may_send = || held.covers_action(moment(), timeout);
+        let end = renewed_at + self.timing.lease.mul_f64(REPORTING_PART);
         let due = held.row().intended.iter().filter(|it| !self.confirmed.contains(&it.window));
-        let due: Vec<&UsageReport> = due.take(max_calls).collect();
-        for report in due {
-            if !may_send() {
+        let mut due: Vec<&UsageReport> = due.collect();
+        due.sort_by_key(|it| self.sent_at.get(&it.window));
+        for report in due.into_iter().take(max_calls) {
+            let remaining = || end.saturating_duration_since(Instant::now());
+            let may_send = || held.covers_action(moment(), remaining());
+            let timeout = remaining().min(self.timing.lease / 2);
+            if timeout < self.timing.lease.mul_f64(MIN_REPORT_PART) || !may_send() {
                 return;
             }
+            self.sent_at.insert(report.window, Instant::now());
             let fencing = held.row().fencing;
             let result = self.endpoint.report(report, fencing, timeout, &may_send);
             self.record_result(report, result);
