--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -219,6 +219,9 @@
                 Received::Message(PeerMessage::Builds { builds, .. }) => {
                     self.handle_builds(builds);
                 }
+                Received::Message(PeerMessage::Usage { from, message }) => {
+                    self.handle_usage(&from, message);
+                }
                 // The relay does not enforce limits of customers, and the daemon's documents have
                 // another format.
                 Received::Message(
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,6 +22,7 @@
 
 use cranberryvalve_adapters::telemetry::LogRateLimiter;
 use cranberryvalve_coordination::feed::FeedDelta;
+use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::StoreEra;
 use cranberryvalve_core::UpstreamId;
@@ -53,6 +54,7 @@
 use crate::sources::Row;
 use crate::sources::SharedDirectory;
 use crate::streams::Streams;
+use crate::usage::Usage;
 
 /// Stack size of a thread that serves a connection, in bytes.
 const HANDLER_STACK_BYTES: usize = 256 * 1024;
@@ -99,6 +101,7 @@
     pub(crate) permits: PermitCoordinator,
     pub(crate) crash_guard: CrashGuard,
     pub(crate) streams: Streams,
+    pub(crate) usage: Usage,
     pub(crate) forwarding: Forwarding,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
@@ -136,6 +139,7 @@
             permits: PermitCoordinator::default(),
             crash_guard: CrashGuard::new(log.clone()),
             streams: Streams::new(Instant::now()),
+            usage: Usage::default(),
             forwarding: Forwarding::new(failure_domain, Instant::now()),
             log,
             caller_connections: AtomicUsize::new(0),
@@ -327,6 +331,11 @@
         self.shared_directory.is_first_reader(Instant::now(), &own, &vms)
     }
 
+    /// Returns whether a VM is in the failure domain of this one.
+    pub(crate) fn is_near(&self, vm: &PeerAddress) -> bool {
+        self.settings.scheduler.failure_domain.as_ref() == Some(&vm.failure_domain)
+    }
+
     /// Ends a long poll if this VM has become the first reader of its failure domain.
     pub(crate) fn check_long_poll(&self) {
         if self.is_first_source_reader() {
