fix(relay): one memory budget for connections, request bodies and responses

Cause: a request body grew as a Vec up to maxBodyBytes on each connection for up to 15 s, and was copied once more for the upstream. Only held responses had a budget, so clients that stop short of the end of their bodies, or that send whole ones at the same time, exceeded the memory of the machine.

Change: all users reserve their bytes from one budget (memoryMb less 24 MB at rest) before they allocate them. Half of it is for small bodies, connections and responses. If there is no room, one unfinished body is shed with 503 and Retry-After: the largest that has made no progress for a second, or else the newest. Bodies are held in segments that are reused and written to the upstream without a copy. Responses of known length reserve it first and wait for it up to 5 s. The number of connections also follows from memory; connections far beyond it are closed without a thread. Metrics and a log line tell what holds the memory and what is refused. The decisions are in policy::memory, without clock or threads.

--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -28,12 +28,20 @@
     /// Computes the fingerprint of a request with these fields, such as its customer, method and
     /// target, and this body.
     pub fn new<const N: usize>(fields: [&str; N], body: &[u8]) -> Self {
+        Self::of_segments(fields, [body])
+    }
+
+    /// Like [`Self::new`], of a body in several parts.
+    pub fn of_segments<'a, const N: usize>(
+        fields: [&str; N],
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         let mut hash = Sha256::new();
         for field in fields {
             hash.update((field.len() as u64).to_be_bytes());
             hash.update(field);
         }
-        hash.update(body);
+        body.into_iter().for_each(|it| hash.update(it));
         let mut bytes = [0; FINGERPRINT_BYTES];
         bytes.copy_from_slice(&hash.finalize()[..FINGERPRINT_BYTES]);
         Self(bytes)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 
 mod event;
 pub mod execution;
+pub mod memory;
 mod pressure;
 mod queue;
 mod request;
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -55,6 +55,14 @@
         matches!(self.0, State::UntilClose)
     }
 
+    /// Returns the number of bytes that are still to come, if that is known.
+    pub(crate) fn announced_bytes(&self) -> Option<usize> {
+        match self.0 {
+            State::Length { remaining } => usize::try_from(remaining).ok(),
+            _ => None,
+        }
+    }
+
     /// Moves the available part of the body from `input` to `output`, removing the chunked coding.
     ///
     /// # Errors
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -3,6 +3,7 @@
 mod response;
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,11 +13,15 @@
 use cranberryvalve_adapters::caller::parse_head;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_policy::execution::NotRun;
+use cranberryvalve_policy::memory::MemoryKind;
 
 use crate::body::BodyDecoder;
 use crate::exchange::BufferedResponse;
 use crate::exchange::end_to_end_headers;
 use crate::exchange::push_header;
+use crate::memory::HeldBody;
+use crate::memory::MemoryBudget;
+use crate::memory::OutOfMemory;
 use crate::refusal::InvalidRequest;
 use crate::refusal::LEAVING_RETRY_AFTER;
 use crate::refusal::NOT_RUN_HEADER;
@@ -41,11 +46,30 @@
 /// Maximum time to drain the input of a caller whose request was rejected.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Size of the buffers that the memory of a connection includes, in bytes. Larger heads take further
+/// memory.
+const CONNECTION_BUFFER_BYTES: usize = 16 * 1024;
+
+/// `Retry-After` for requests that are refused for lack of memory: by then, bodies that make no progress
+/// give way.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the reading of a request needs besides its connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Intake<'a> {
+    pub(crate) limits: &'a CallerLimits,
+    /// Ends the wait for input.
+    pub(crate) calls_ended: &'a Waker,
+    pub(crate) memory: &'a MemoryBudget,
+    /// Wakes this thread if the body has to make room for others.
+    pub(crate) waker: &'a Arc<Waker>,
+}
+
 /// A request with its complete body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) head: RequestHead,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: HeldBody,
     /// When the first byte of the request was available.
     pub(crate) arrived_at: Instant,
 }
@@ -70,6 +94,13 @@
         Self::Rejected(UnsentResponse::new(), refusal)
     }
 
+    fn out_of_memory(memory: &MemoryBudget, reason: &'static str) -> Self {
+        memory.record_refusal(reason);
+        let proof = NotRun::before_sending();
+        let refusal = Refusal::not_run(proof, MEMORY_RETRY_AFTER, "the VM is short of memory");
+        Self::Rejected(UnsentResponse::new(), refusal)
+    }
+
     fn too_slow(message: &str) -> Self {
         Self::Rejected(UnsentResponse::new(), Refusal::not_read(message))
     }
@@ -128,6 +159,7 @@
         closed: &Waker,
     ) -> Result<(), ReadError> {
         let deadline = Instant::now() + idle_timeout;
+        self.connection.shrink_input();
         while self.connection.input.is_empty() {
             let interest = Interest {
                 caller: Some(&self.connection),
@@ -146,15 +178,13 @@
         Ok(())
     }
 
-    /// Reads a request with its complete body. Returns it with the response that is due. `calls_ended`
-    /// ends the wait.
+    /// Reads a request with its complete body. Returns it with the response that is due.
     pub(crate) fn read_request(
         &mut self,
-        limits: &CallerLimits,
-        calls_ended: &Waker,
+        intake: Intake<'_>,
     ) -> Result<(CallerRequest, UnsentResponse), ReadError> {
-        let arrived_at = Instant::now();
-        let head = self.read_head(limits, arrived_at + limits.head_timeout, calls_ended)?;
+        let (limits, arrived_at) = (intake.limits, Instant::now());
+        let head = self.read_head(intake, arrived_at + limits.head_timeout)?;
         self.keeps_alive = head.keep_alive;
         let framing = match head.body_kind()? {
             BodyKind::Length(length) if length > limits.max_body_bytes => {
@@ -168,16 +198,17 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n", deadline)
                 .map_err(|_| ReadError::Disconnected)?;
         }
-        let body = self.read_body(framing, limits, calls_ended)?;
+        let body = self.read_body(framing, intake)?;
         Ok((CallerRequest { head, body, arrived_at }, UnsentResponse::new()))
     }
 
     fn read_head(
         &mut self,
-        limits: &CallerLimits,
+        intake: Intake<'_>,
         deadline: Instant,
-        calls_ended: &Waker,
     ) -> Result<RequestHead, ReadError> {
+        let limits = intake.limits;
+        let mut memory = intake.memory.reserve(MemoryKind::SmallBody);
         loop {
             if let Some((head, len)) = parse_head(&self.connection.input)? {
                 check_line_endings(&self.connection.input[..len])?;
@@ -196,7 +227,14 @@
             if self.connection.input.len() > limits.max_head_bytes {
                 return Err(head_too_large(limits));
             }
-            if self.fill(deadline, Some(calls_ended))? == ReadOutcome::WouldBlock
+            let received_bytes = self.connection.input.len();
+            if received_bytes > CONNECTION_BUFFER_BYTES {
+                // A buffer that grows has at most twice the capacity that its content needs.
+                memory
+                    .extend_to(2 * received_bytes)
+                    .map_err(|OutOfMemory| ReadError::out_of_memory(intake.memory, "head"))?;
+            }
+            if self.fill(deadline, Some(intake.calls_ended), None)? == ReadOutcome::WouldBlock
                 && Instant::now() >= deadline
             {
                 return Err(ReadError::too_slow("the request head took too long"));
@@ -204,41 +242,47 @@
         }
     }
 
-    fn read_body(
-        &mut self,
-        framing: Framing,
-        limits: &CallerLimits,
-        calls_ended: &Waker,
-    ) -> Result<Vec<u8>, ReadError> {
+    fn read_body(&mut self, framing: Framing, intake: Intake<'_>) -> Result<HeldBody, ReadError> {
         let deadline = Instant::now() + BODY_TIMEOUT;
         let mut decoder = BodyDecoder::new(framing);
-        let mut body = Vec::new();
-        loop {
-            decoder.decode(&mut self.connection.input, &mut body).map_err(|error| {
+        let mut body = HeldBody::new(intake.memory.reserve(MemoryKind::SmallBody));
+        while !decoder.is_complete() {
+            let input = &mut self.connection.input;
+            let buffer = body
+                .buffer(input.len())
+                .map_err(|OutOfMemory| ReadError::out_of_memory(intake.memory, "body"))?;
+            decoder.decode(input, buffer).map_err(|error| {
                 ReadError::invalid(InvalidRequest::Malformed, error.to_string())
             })?;
-            if body.len() > limits.max_body_bytes {
-                return Err(body_too_large(limits));
+            if body.len() > intake.limits.max_body_bytes {
+                return Err(body_too_large(intake.limits));
             }
             if decoder.is_complete() {
-                return Ok(body);
+                break;
             }
-            if self.fill(deadline, Some(calls_ended))? == ReadOutcome::WouldBlock
-                && Instant::now() >= deadline
-            {
+            body.begin_receiving(intake.waker);
+            let outcome = self.fill(deadline, Some(intake.calls_ended), Some(intake.waker))?;
+            if outcome == ReadOutcome::WouldBlock && body.is_shed() {
+                break;
+            }
+            if outcome == ReadOutcome::WouldBlock && Instant::now() >= deadline {
                 return Err(ReadError::too_slow("the request body took too long"));
             }
         }
+        let is_kept = body.end_receiving();
+        is_kept.then_some(body).ok_or_else(|| ReadError::out_of_memory(intake.memory, "shed"))
     }
 
     fn fill(
         &mut self,
         deadline: Instant,
         calls_ended: Option<&Waker>,
+        waker: Option<&Waker>,
     ) -> Result<ReadOutcome, ReadError> {
         let interest = Interest {
             caller: Some(&self.connection),
             caller_input: true,
+            waker,
             broadcast: calls_ended,
             ..Interest::default()
         };
@@ -314,7 +358,7 @@
     fn drain_input(&mut self) {
         self.connection.shutdown_write();
         let deadline = Instant::now() + LINGER_TIMEOUT;
-        while Instant::now() < deadline && self.fill(deadline, None).is_ok() {
+        while Instant::now() < deadline && self.fill(deadline, None, None).is_ok() {
             self.connection.input.clear();
         }
     }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -53,16 +53,16 @@
 #[derive(Debug)]
 pub(crate) struct Mailbox {
     directives: Mutex<VecDeque<(RequestId, Directive)>>,
-    waker: Waker,
+    waker: Arc<Waker>,
 }
 
 impl Mailbox {
     pub(crate) fn new() -> std::io::Result<Self> {
-        Ok(Self { directives: Mutex::default(), waker: Waker::new()? })
+        Ok(Self { directives: Mutex::default(), waker: Arc::new(Waker::new()?) })
     }
 
     /// Returns the waker that signals new directives.
-    pub(crate) const fn waker(&self) -> &Waker {
+    pub(crate) const fn waker(&self) -> &Arc<Waker> {
         &self.waker
     }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -62,7 +62,7 @@
 pub(crate) struct Exchange<'a> {
     pub(crate) relay: &'a Relay,
     pub(crate) head: &'a RequestHead,
-    pub(crate) body: &'a [u8],
+    pub(crate) body: &'a HeldBody,
     /// Request identifier chosen by the caller.
     pub(crate) caller_id: Option<&'a str>,
     pub(crate) customer: Option<&'a str>,
@@ -269,7 +269,7 @@
         if let Err(refusal) = self.relay.claim_send(self.suspect_keys) {
             return AttemptOutcome::Quarantined(refusal);
         }
-        let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id()));
+        let request = self.encode_request(command, delivery.last_event_id());
         let remote = ScheduledUpstream { exchange: self, command, call_guard };
         let mut attempt = Attempt {
             exchange: self,
@@ -401,8 +401,12 @@
         }
     }
 
-    /// Serializes the request head and body for the upstream.
-    fn encode_request(&self, command: &SendCommand, last_event_id: Option<EventId>) -> Vec<u8> {
+    /// Serializes the request for the upstream.
+    fn encode_request(
+        &self,
+        command: &SendCommand,
+        last_event_id: Option<EventId>,
+    ) -> RequestWriter<'_> {
         let request = UpstreamRequest {
             upstream: &command.upstream,
             prefix_source: command.prefix_source.as_deref(),
@@ -425,14 +429,12 @@
     }
 
     /// Ends the head and appends the request's body.
-    fn append_body(&self, mut head: String) -> Vec<u8> {
-        if !self.body.is_empty() || self.head.header("content-length").is_some() {
+    fn append_body(&self, mut head: String) -> RequestWriter<'_> {
+        if self.body.len() > 0 || self.head.header("content-length").is_some() {
             push_header(&mut head, "content-length", &self.body.len().to_string());
         }
         head.push_str("\r\n");
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(self.body);
-        bytes
+        RequestWriter::new(head.into_bytes(), self.body.segments())
     }
 }
 
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -15,6 +15,7 @@
 use crate::body::BodyDecoder;
 use crate::caller::CallerConnection;
 use crate::memory::HeldBody;
+use crate::memory::OutOfMemory;
 use crate::response::ResponseHead;
 use crate::response::parse_response_head;
 use crate::socket::Connection;
@@ -63,7 +64,7 @@
     pub(super) caller: &'a mut CallerConnection,
     pub(super) delivery: &'a mut Delivery,
     pub(super) connection: Connection,
-    pub(super) request: RequestWriter,
+    pub(super) request: RequestWriter<'a>,
     pub(super) trace: &'a mut AttemptTrace,
 }
 
@@ -216,16 +217,21 @@
 
     /// Receives a whole body, within the memory for responses.
     fn receive_body(&mut self, decoder: &mut BodyDecoder) -> Result<HeldBody, AttemptError> {
-        let mut body = HeldBody::new(self.exchange.relay.response_memory.reserve());
+        let mut body =
+            HeldBody::new(self.exchange.relay.memory.reserve_response(self.exchange.deadline));
+        if let Some(length) = decoder.announced_bytes().filter(|it| *it <= MAX_RESPONSE_BYTES) {
+            body.reserve(length).map_err(|error| self.out_of_memory(error))?;
+        }
         loop {
             let received_bytes = body.len();
             let is_within_limit = received_bytes <= MAX_RESPONSE_BYTES;
-            let buffer = body.buffer(self.connection.input.len());
-            let Some(buffer) = buffer.ok().filter(|_| is_within_limit) else {
+            if !is_within_limit {
                 warn!(self.exchange.relay.log, "response is too large";
                     "upstream" => self.remote.name(), "received_bytes" => received_bytes);
                 return Err(AttemptError::Incomplete);
-            };
+            }
+            let buffer = body.buffer(self.connection.input.len());
+            let buffer = buffer.map_err(|error| self.out_of_memory(error))?;
             decoder
                 .decode(&mut self.connection.input, buffer)
                 .map_err(|_| AttemptError::Incomplete)?;
@@ -242,6 +248,11 @@
         }
     }
 
+    fn out_of_memory(&self, _: OutOfMemory) -> AttemptError {
+        self.exchange.relay.memory.record_refusal("response");
+        AttemptError::Incomplete
+    }
+
     /// Relays the stream to the caller, event by event. Returns whether it ended with its connection.
     fn relay_stream(
         &mut self,
@@ -249,12 +260,13 @@
         mut decoder: BodyDecoder,
     ) -> Result<bool, AttemptError> {
         let mut reader = self.delivery.reader(head).ok_or(AttemptError::Incomplete)?;
-        let mut reservation = self.exchange.relay.response_memory.reserve();
+        let mut reservation = self.exchange.relay.memory.reserve_response(self.exchange.deadline);
         let mut is_response_started = false;
         loop {
             // A buffer that grows has at most twice the capacity that its content needs.
             let max_capacity_bytes = 2 * (reader.buffer().len() + self.connection.input.len());
-            reservation.extend_to(max_capacity_bytes).map_err(|_| AttemptError::Incomplete)?;
+            let reserved = reservation.extend_to(max_capacity_bytes);
+            reserved.map_err(|error| self.out_of_memory(error))?;
             let decode_result = decoder.decode(&mut self.connection.input, reader.buffer());
             let events = reader.take_complete();
             if events.count > 0 {
@@ -322,37 +334,65 @@
 }
 
 /// A serialized request and how much of it was sent.
-pub(super) struct RequestWriter {
-    bytes: Vec<u8>,
-    sent: usize,
+pub(super) struct RequestWriter<'a> {
+    /// The head, with a copy of the first part of the body, so that they travel in one packet. Released
+    /// once it is sent.
+    first: Vec<u8>,
+    /// The other parts of the body.
+    rest: &'a [Vec<u8>],
+    /// Number of bytes sent of what is left of the request.
+    sent_of_part: usize,
+    is_started: bool,
 }
 
-impl RequestWriter {
-    pub(super) const fn new(bytes: Vec<u8>) -> Self {
-        Self { bytes, sent: 0 }
+impl<'a> RequestWriter<'a> {
+    /// Creates a writer of a request with this head and the segments of its body.
+    pub(super) fn new(mut head: Vec<u8>, body: &'a [Vec<u8>]) -> Self {
+        let (segment, rest) = body.split_first().map_or((&[][..], body), |it| (&it.0[..], it.1));
+        head.extend_from_slice(segment);
+        Self { first: head, rest, sent_of_part: 0, is_started: false }
     }
 
     /// Writes as much as the connection accepts without blocking.
     fn write_available(&mut self, connection: &Connection) -> io::Result<()> {
-        while !self.is_complete() {
-            let written = connection.try_write(&self.bytes[self.sent..])?;
-            if written == 0 {
+        while let Some(part) = self.part() {
+            let part_bytes = part.len();
+            let written = connection.try_write(&part[self.sent_of_part..])?;
+            self.is_started |= written > 0;
+            self.sent_of_part += written;
+            if self.sent_of_part == part_bytes {
+                self.end_part();
+            } else if written == 0 {
                 return Ok(());
             }
-            self.sent += written;
         }
         Ok(())
     }
 
+    /// Returns the part that is being sent, or `None` after the last one.
+    fn part(&self) -> Option<&[u8]> {
+        let next = if self.first.is_empty() { self.rest.first() } else { Some(&self.first) };
+        next.map(|it| &it[..])
+    }
+
+    fn end_part(&mut self) {
+        self.sent_of_part = 0;
+        if self.first.is_empty() {
+            self.rest = &self.rest[1..];
+        } else {
+            self.first = Vec::new();
+        }
+    }
+
     /// Writes the first bytes. Returns `false` if the connection accepts none.
     fn start(&mut self, connection: &Connection) -> bool {
         // An error after the first bytes shows again with the next ones.
         let _ = self.write_available(connection);
-        self.sent > 0
+        self.is_started
     }
 
-    const fn is_complete(&self) -> bool {
-        self.sent == self.bytes.len()
+    fn is_complete(&self) -> bool {
+        self.first.is_empty() && self.rest.is_empty()
     }
 }
 
--- a/crates/relay/src/exchange/attempt/tests.rs
+++ b/crates/relay/src/exchange/attempt/tests.rs
@@ -24,8 +24,11 @@
 #[test]
 fn a_request_that_fails_after_its_first_bytes_was_started() {
     for _ in 0..20 {
-        let mut request = RequestWriter::new(vec![b'x'; LONG_REQUEST_BYTES]);
+        let segments = [vec![b'x'; LONG_REQUEST_BYTES / 2], vec![b'x'; LONG_REQUEST_BYTES / 2]];
+        let mut request = RequestWriter::new(b"head".to_vec(), &segments);
         let is_started = request.start(&closed_by_peer());
-        assert_eq!(is_started, request.sent > 0, "{} bytes were sent", request.sent);
+        // A part that was sent as a whole is released.
+        let has_sent = request.sent_of_part > 0 || request.first.is_empty();
+        assert_eq!(is_started, has_sent, "{} bytes were sent", request.sent_of_part);
     }
 }
--- a/crates/relay/src/exchange/forward.rs
+++ b/crates/relay/src/exchange/forward.rs
@@ -74,14 +74,14 @@
             caller,
             delivery,
             connection,
-            request: RequestWriter::new(request),
+            request,
             trace,
         };
         attempt.run().0
     }
 
     /// Serializes the request as the caller sent it, but for what has changed since.
-    fn encode_forwarded(&self, delivery: &Delivery, upstream_attempts: u32) -> Vec<u8> {
+    fn encode_forwarded(&self, delivery: &Delivery, upstream_attempts: u32) -> RequestWriter<'_> {
         let call = ForwardedCall {
             remaining_time: self.deadline.saturating_duration_since(Instant::now()),
             last_event_id: delivery.last_event_id(),
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -14,6 +14,7 @@
 use cranberryvalve_coordination::builds::MemberBuild;
 use cranberryvalve_coordination::quarantine;
 use cranberryvalve_core::UpstreamId;
+use cranberryvalve_policy::memory::MemoryKind;
 use cranberryvalve_policy::scheduler::SchedulerSnapshot;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
@@ -28,6 +29,13 @@
 /// Path of the state dump in JSON.
 const STATE_PATH: &str = "/state";
 
+/// Maximum number of concurrent connections to one of these servers. A load balancer and a collector have
+/// a few.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Maximum size of the body of a request to these servers, in bytes; they use none.
+const MAX_BODY_BYTES: usize = 4 * 1024;
+
 /// Media type of the Prometheus text format.
 const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4";
 
@@ -60,7 +68,12 @@
 
 fn start_server(address: SocketAddr, handler: impl CallerHandler) -> io::Result<()> {
     // The accepting thread keeps running after the server handle is dropped.
-    CallerServer::start(address, ServerLimits::default(), Arc::new(handler)).map(drop)
+    let limits = ServerLimits {
+        max_connections: MAX_CONNECTIONS,
+        max_body_bytes: MAX_BODY_BYTES,
+        ..ServerLimits::default()
+    };
+    CallerServer::start(address, limits, Arc::new(handler)).map(drop)
 }
 
 struct ReadinessHandler {
@@ -122,6 +135,11 @@
     metrics::gauge!("cranberryvalve_peer_age_seconds").set(peer_age_ms as f64 / 1_000.0);
     metrics::gauge!("cranberryvalve_quarantined_keys")
         .set(relay.crash_guard.condemned().len() as f64);
+    metrics::gauge!("cranberryvalve_memory_limit_bytes").set(relay.memory.limit_bytes() as f64);
+    for kind in MemoryKind::ALL {
+        metrics::gauge!("cranberryvalve_memory_bytes", "kind" => kind.name())
+            .set(relay.memory.used_bytes(kind) as f64);
+    }
     let by_protocol = relay.peers().map(Peers::members_by_protocol).unwrap_or_default();
     record_members(&by_protocol);
     for (source, age) in relay.source_ages() {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -1,5 +1,6 @@
 //! Serves the requests of a caller's connection.
 
+mod call;
 mod conclusion;
 mod forward;
 mod progress;
@@ -12,7 +13,6 @@
 use cranberryvalve_core::ConfigVersion;
 use cranberryvalve_core::CustomerId;
 use cranberryvalve_core::PoolId;
-use cranberryvalve_core::RequestFingerprint;
 use cranberryvalve_core::SuspectKey;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::stable_hash;
@@ -32,6 +32,7 @@
 use crate::call_log::log_failed_attempt;
 use crate::caller::CallerConnection;
 use crate::caller::CallerRequest;
+use crate::caller::Intake;
 use crate::caller::ReadError;
 use crate::caller::UnsentResponse;
 use crate::dialect::CallMetadata;
@@ -50,6 +51,8 @@
 use crate::socket::wait;
 use crate::state::Relay;
 
+use self::call::scheduler_call;
+use self::call::suspect_keys;
 use self::conclusion::CallConclusion;
 pub(crate) use self::progress::CallOutcome;
 pub(crate) use self::progress::CallProgress;
@@ -70,13 +73,15 @@
 /// Serves a connection until it is closed.
 pub(crate) fn serve_connection(relay: &Arc<Relay>, stream: TcpStream, sender: Sender) {
     let Ok(connection) = Connection::from_accepted(stream) else { return };
-    // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
-    let Ok(mailbox) = Mailbox::new() else { return };
     let caller = CallerConnection::new(connection, sender == Sender::Vm);
-    if relay.caller_connections() > relay.settings.max_connections {
+    let has_room = relay.caller_connections() <= relay.max_connections;
+    let Some(_memory) = has_room.then(|| relay.memory.reserve_connection().ok()).flatten() else {
+        relay.memory.record_refusal("connection");
         caller.refuse_connection(&not_yet_sent("too many connections"));
         return;
-    }
+    };
+    // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
+    let Ok(mailbox) = Mailbox::new() else { return };
     let mut handler = ConnectionHandler { relay, sender, mailbox: Arc::new(mailbox), caller };
     while handler.serve_request() {}
 }
@@ -107,15 +112,20 @@
             return false;
         }
         let _active_request = self.relay.track_request();
-        let (request, response) =
-            match self.caller.read_request(&limits, self.relay.lifecycle.calls_ended()) {
-                Ok(request) => request,
-                Err(ReadError::Disconnected) => return false,
-                Err(ReadError::Rejected(response, refusal)) => {
-                    response.reject(&mut self.caller, &refusal);
-                    return false;
-                }
-            };
+        let intake = Intake {
+            limits: &limits,
+            calls_ended: self.relay.lifecycle.calls_ended(),
+            memory: &self.relay.memory,
+            waker: self.mailbox.waker(),
+        };
+        let (request, response) = match self.caller.read_request(intake) {
+            Ok(request) => request,
+            Err(ReadError::Disconnected) => return false,
+            Err(ReadError::Rejected(response, refusal)) => {
+                response.reject(&mut self.caller, &refusal);
+                return false;
+            }
+        };
         if self.relay.is_draining() {
             self.caller.keeps_alive = false;
         }
@@ -421,41 +431,6 @@
     ShuttingDown,
 }
 
-/// Returns what a call has in common with others that may crash upstreams, the most general first.
-fn suspect_keys(request: &CallerRequest, call: &Call) -> Vec<SuspectKey> {
-    let parts = call.prompt.as_ref().map(Prompt::shared_part_ids).unwrap_or_default();
-    let part_keys =
-        parts.into_iter().map(|part| SuspectKey::PromptPart { pool: call.pool.clone(), part });
-    let customer = call.customer.as_deref().unwrap_or_default();
-    let host = request.head.header("host").unwrap_or_default();
-    let fields = [customer, host, &request.head.method, &request.head.target];
-    let fingerprint = RequestFingerprint::new(fields, &request.body);
-    part_keys.chain([SuspectKey::Request(fingerprint)]).collect()
-}
-
-fn scheduler_call(
-    request: &CallerRequest,
-    timeout: Option<Duration>,
-    prompt: Option<Prompt>,
-    context: &RequestContext,
-) -> Call {
-    let route = context.route.clone();
-    let timeout = timeout.map_or(route.timeout, |it| it.min(route.timeout));
-    Call {
-        id: 0,
-        pool: context.pool.clone(),
-        customer: context.customer.clone(),
-        tier: context.tier,
-        arrived_at: request.arrived_at,
-        deadline: request.arrived_at + timeout,
-        prompt,
-        max_attempts: route.max_attempts,
-        body_bytes: request.body.len(),
-        software_version: None,
-        route,
-    }
-}
-
 /// Resolves the route, pool and customer of a request.
 fn resolve_context(
     table: &RoutingTable,
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -89,6 +89,13 @@
         self.stream.take_error()
     }
 
+    /// Releases the memory of an empty input buffer that has held more than a read.
+    pub(crate) fn shrink_input(&mut self) {
+        if self.input.is_empty() && self.input.capacity() > 2 * READ_CHUNK_BYTES {
+            self.input = Vec::new();
+        }
+    }
+
     /// Reads available data into the input buffer.
     pub(crate) fn fill(&mut self) -> io::Result<ReadOutcome> {
         let len_before = self.input.len();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -42,7 +42,8 @@
 use crate::dispatch::Dispatcher;
 use crate::forwarding::Forwarding;
 use crate::lifecycle::Lifecycle;
-use crate::memory::ResponseMemory;
+use crate::memory::MemoryBudget;
+use crate::memory::max_connections;
 use crate::peers::Peers;
 use crate::peers::PermitCoordinator;
 use crate::peers::TableExchange;
@@ -57,6 +58,10 @@
 /// Stack size of a thread that serves a connection, in bytes.
 const HANDLER_STACK_BYTES: usize = 256 * 1024;
 
+/// Number of connections beyond the maximum that get a response before they are closed. Each has a
+/// thread; further ones are closed at once.
+const REFUSED_CONNECTIONS: usize = 32;
+
 /// Delay before accepting again after a failure, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -65,10 +70,10 @@
 pub struct RelaySettings {
     /// Settings of the scheduler.
     pub scheduler: SchedulerSettings,
-    /// Maximum number of concurrent caller connections.
+    /// Maximum number of concurrent caller connections, as far as descriptors allow.
     pub max_connections: usize,
-    /// Memory for all responses that are held until they are complete, in bytes.
-    pub response_memory_bytes: usize,
+    /// Memory for connections, request bodies and responses, in bytes.
+    pub memory_bytes: usize,
     /// Time within which a VM has to know what the store acknowledges.
     pub contact_time: Duration,
 }
@@ -80,7 +85,7 @@
     pub(crate) log: Logger,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) idle_connections: IdleConnections,
-    pub(crate) response_memory: ResponseMemory,
+    pub(crate) memory: MemoryBudget,
     /// Limits the log lines of routine calls.
     pub(crate) call_log_limiter: LogRateLimiter,
     pub(crate) lifecycle: Lifecycle,
@@ -100,6 +105,8 @@
     pub(crate) crash_guard: CrashGuard,
     pub(crate) streams: Streams,
     pub(crate) forwarding: Forwarding,
+    /// Maximum number of concurrent caller connections, by descriptors and by memory.
+    pub(crate) max_connections: usize,
     caller_connections: AtomicUsize,
     active_requests: AtomicUsize,
 }
@@ -118,7 +125,8 @@
         let failure_domain = settings.scheduler.failure_domain.clone().unwrap_or_default();
         let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone(), log.clone()));
         Ok(Arc::new(Self {
-            response_memory: ResponseMemory::new(settings.response_memory_bytes),
+            memory: MemoryBudget::new(settings.memory_bytes, log.clone()),
+            max_connections: settings.max_connections.min(max_connections(settings.memory_bytes)),
             settings,
             dialect,
             dispatcher,
@@ -430,19 +438,33 @@
     }
 
     fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
-        let (relay, work) = (self.clone(), self.lifecycle.begin_thread());
+        let connections = self.caller_connections.fetch_add(1, Ordering::SeqCst);
+        let guard = ConnectionGuard(self.clone());
+        if connections >= self.max_connections + REFUSED_CONNECTIONS {
+            self.memory.record_refusal("connection");
+            return;
+        }
+        let work = self.lifecycle.begin_thread();
         let builder =
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
         let _ = builder.spawn(move || {
-            let count = CountGuard::new(&relay.caller_connections);
-            serve_connection(&relay, stream, sender);
-            drop(count);
+            serve_connection(&guard.0, stream, sender);
+            drop(guard);
             drop(work);
         });
     }
 }
 
+/// A caller's connection, counted until it is dropped.
+struct ConnectionGuard(Arc<Relay>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.caller_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Keeps a counter incremented until it is dropped.
 pub(crate) struct CountGuard<'a>(&'a AtomicUsize);
 
