fix(relay): the longest idle timeout of an upstream ends no caller's thread

Cause: Keep-Alive: timeout= in a response overflowed the sum in IdleConnections::put, which ended the caller's thread after the call had run; the caller got no response.

Change: at most an hour of an announced idle timeout is made use of. The test longest_idle_timeout failed before (no response, 'overflow when adding duration to instant') and passes now.

Looked at for the same fault: Retry-After, Server-Limit, Server-Load, Deadline-Ms, Content-Length and chunk sizes of messages, times of tables and permits from other VMs. These are clamped, checked or compared only.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -19,6 +19,10 @@
 /// a connection just as it is reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Longest idle timeout of an upstream that is made use of. Few connections are idle for longer, and the
+/// sum of a time and this one stays within its type.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -94,11 +98,13 @@
 }
 
 /// Returns the idle timeout that a response announces in its `Keep-Alive` header, less
-/// [`IDLE_MARGIN`], or [`DEFAULT_IDLE_TIMEOUT`] if it announces none.
+/// [`IDLE_MARGIN`], or [`DEFAULT_IDLE_TIMEOUT`] if it announces none; [`MAX_IDLE_TIMEOUT`] at most.
 fn idle_timeout(head: &ResponseHead) -> Duration {
     let timeout = head.header("keep-alive").and_then(|it| {
         let parameters = it.split(',').map(str::trim);
         parameters.filter_map(|it| it.strip_prefix("timeout=")).find_map(|it| it.parse().ok())
     });
-    timeout.map_or(DEFAULT_IDLE_TIMEOUT, |it| Duration::from_secs(it).saturating_sub(IDLE_MARGIN))
+    timeout.map_or(DEFAULT_IDLE_TIMEOUT, |it| {
+        Duration::from_secs(it).min(MAX_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN)
+    })
 }
