perf(relay): the parts of a request are written with one call

Cause: a body in segments took one write for each of them, where a copy in one piece took one for all. A body of which memory was asked for again after it had been shed also kept its memory for as long as its client went on to send.

Change: vectored writes of up to 16 parts; a shed body gets no further memory.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -248,12 +248,14 @@
         let mut body = HeldBody::new(intake.memory.reserve(MemoryKind::SmallBody));
         while !decoder.is_complete() {
             let input = &mut self.connection.input;
-            let buffer = body
-                .buffer(input.len())
-                .map_err(|OutOfMemory| ReadError::out_of_memory(intake.memory, "body"))?;
-            decoder.decode(input, buffer).map_err(|error| {
-                ReadError::invalid(InvalidRequest::Malformed, error.to_string())
-            })?;
+            if !input.is_empty() {
+                let buffer = body
+                    .buffer(input.len())
+                    .map_err(|OutOfMemory| ReadError::out_of_memory(intake.memory, "body"))?;
+                decoder.decode(input, buffer).map_err(|error| {
+                    ReadError::invalid(InvalidRequest::Malformed, error.to_string())
+                })?;
+            }
             if body.len() > intake.limits.max_body_bytes {
                 return Err(body_too_large(intake.limits));
             }
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -1,6 +1,8 @@
 //! One request and its response on a connection to an upstream.
 
 use std::io;
+use std::io::IoSlice;
+use std::iter;
 
 use slog::warn;
 
@@ -36,6 +38,9 @@
 /// the response.
 const MAX_SKIPPED_RESPONSES: usize = 8;
 
+/// Maximum number of parts of a request in one write: 1 MB with segments of 64 KiB.
+const MAX_WRITTEN_PARTS: usize = 16;
+
 /// What an attempt was sent to: an upstream, or another VM that forwards the call to one.
 pub(super) trait Remote {
     /// Returns the name in logs.
@@ -355,33 +360,36 @@
 
     /// Writes as much as the connection accepts without blocking.
     fn write_available(&mut self, connection: &Connection) -> io::Result<()> {
-        while let Some(part) = self.part() {
-            let part_bytes = part.len();
-            let written = connection.try_write(&part[self.sent_of_part..])?;
-            self.is_started |= written > 0;
-            self.sent_of_part += written;
-            if self.sent_of_part == part_bytes {
-                self.end_part();
-            } else if written == 0 {
+        while !self.is_complete() {
+            let mut parts = [IoSlice::new(&[]); MAX_WRITTEN_PARTS];
+            let unsent = iter::once(&self.first).chain(self.rest);
+            let unsent = unsent.filter(|it| !it.is_empty());
+            let count = parts.iter_mut().zip(unsent).map(|(to, it)| *to = IoSlice::new(it)).count();
+            parts[0].advance(self.sent_of_part);
+            let written = connection.try_write_parts(&parts[..count])?;
+            if written == 0 {
                 return Ok(());
             }
+            self.is_started = true;
+            self.advance(written);
         }
         Ok(())
     }
 
-    /// Returns the part that is being sent, or `None` after the last one.
-    fn part(&self) -> Option<&[u8]> {
-        let next = if self.first.is_empty() { self.rest.first() } else { Some(&self.first) };
-        next.map(|it| &it[..])
-    }
-
-    fn end_part(&mut self) {
-        self.sent_of_part = 0;
-        if self.first.is_empty() {
-            self.rest = &self.rest[1..];
-        } else {
+    /// Drops the parts that were sent with `written` further bytes.
+    fn advance(&mut self, written: usize) {
+        self.sent_of_part += written;
+        if !self.first.is_empty() && self.sent_of_part >= self.first.len() {
+            self.sent_of_part -= self.first.len();
             self.first = Vec::new();
         }
+        while self.first.is_empty()
+            && let Some((part, rest)) = self.rest.split_first()
+            && self.sent_of_part >= part.len()
+        {
+            self.sent_of_part -= part.len();
+            self.rest = rest;
+        }
     }
 
     /// Writes the first bytes. Returns `false` if the connection accepts none.
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -158,12 +158,13 @@
         needed_bytes: usize,
         mut take: impl FnMut(&mut MemoryLedger) -> bool,
     ) -> Result<(), OutOfMemory> {
+        let User { kind, own, wait_end } = user;
         let mut state = self.lock();
-        if take(&mut state.ledger) {
+        let is_own_shed = |state: &State| own.is_some_and(|it| state.ledger.is_shed(it));
+        if !is_own_shed(&state) && take(&mut state.ledger) {
             state.trim_spare_segments();
             return Ok(());
         }
-        let User { kind, own, wait_end } = user;
         let is_response = kind == MemoryKind::Response;
         let timeout = if is_response { RESPONSE_TIMEOUT } else { SHED_TIMEOUT };
         let deadline = Instant::now() + timeout;
@@ -172,8 +173,7 @@
         state.waiting_bytes += needed_bytes;
         let result = loop {
             let now = Instant::now();
-            let is_own_shed = own.is_some_and(|it| state.ledger.is_shed(it));
-            if is_own_shed || now >= deadline {
+            if is_own_shed(&state) || now >= deadline {
                 break Err(OutOfMemory);
             }
             let needed_bytes = state.waiting_bytes;
@@ -192,7 +192,7 @@
             }
             let waited = self.changed.wait_timeout(state, deadline - now);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
-            if take(&mut state.ledger) {
+            if !is_own_shed(&state) && take(&mut state.ledger) {
                 state.trim_spare_segments();
                 break Ok(());
             }
--- a/crates/relay/src/memory/tests.rs
+++ b/crates/relay/src/memory/tests.rs
@@ -92,6 +92,8 @@
         while !body.is_shed() {
             thread::sleep(Duration::from_millis(1));
         }
+        // A body that goes on to arrive gets no more either.
+        assert_eq!(body.buffer(2 * SEGMENT_BYTES).err(), Some(OutOfMemory));
         assert!(!body.end_receiving());
         drop(body);
         assert_eq!(response.join().expect("no panic"), Ok(()));
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,6 +1,7 @@
 //! Non-blocking sockets and polling of several of them.
 
 use std::io;
+use std::io::IoSlice;
 use std::io::Read;
 use std::io::Write;
 use std::mem::MaybeUninit;
@@ -112,8 +113,13 @@
 
     /// Writes as much as possible without blocking and returns the number of bytes written.
     pub(crate) fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        match (&self.stream).write(bytes) {
-            Ok(0) if !bytes.is_empty() => Err(io::ErrorKind::WriteZero.into()),
+        self.try_write_parts(&[IoSlice::new(bytes)])
+    }
+
+    /// Like [`Self::try_write`], of several parts.
+    pub(crate) fn try_write_parts(&self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
+        match (&self.stream).write_vectored(parts) {
+            Ok(0) if parts.iter().any(|it| !it.is_empty()) => Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => Ok(written),
             Err(error) if is_transient(&error) => Ok(0),
             Err(error) => Err(error),
