--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 
 mod event;
 pub mod execution;
+pub mod memory;
 pub mod performance;
 mod pressure;
 mod queue;
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -1,6 +1,7 @@
 //! Non-blocking sockets and polling of several of them.
 
 use std::io;
+use std::io::IoSlice;
 use std::io::Read;
 use std::io::Write;
 use std::mem::MaybeUninit;
@@ -89,6 +90,13 @@
         self.stream.take_error()
     }
 
+    /// Releases the memory of an empty input buffer that has held more than a read.
+    pub(crate) fn shrink_input(&mut self) {
+        if self.input.is_empty() && self.input.capacity() > 2 * READ_CHUNK_BYTES {
+            self.input = Vec::new();
+        }
+    }
+
     /// Reads available data into the input buffer.
     pub(crate) fn fill(&mut self) -> io::Result<ReadOutcome> {
         let len_before = self.input.len();
@@ -105,8 +113,13 @@
 
     /// Writes as much as possible without blocking and returns the number of bytes written.
     pub(crate) fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        match (&self.stream).write(bytes) {
-            Ok(0) if !bytes.is_empty() => Err(io::ErrorKind::WriteZero.into()),
+        self.try_write_parts(&[IoSlice::new(bytes)])
+    }
+
+    /// Like [`Self::try_write`], of several parts.
+    pub(crate) fn try_write_parts(&self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
+        match (&self.stream).write_vectored(parts) {
+            Ok(0) if parts.iter().any(|it| !it.is_empty()) => Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => Ok(written),
             Err(error) if is_transient(&error) => Ok(0),
             Err(error) => Err(error),
