--- a/crates/relay/src/peers/usage.rs
+++ b/crates/relay/src/peers/usage.rs
@@ -17,15 +17,15 @@
 /// Number of VMs that keep the counts of the holder, so that they outlive it and one more.
 const DEPUTIES: usize = 2;
 
-/// Number of rounds, of which there is one a second, between repetitions of the holder to one
-/// neighbour after the other.
+/// Number of rounds, of which there is one a second among many VMs, between repetitions of the holder
+/// to one neighbour after the other.
 const ROUNDS_PER_REPETITION: usize = 2;
 
 /// Maximum number of VMs that are asked for counts in a round.
 const MAX_REQUESTS: usize = 16;
 
 impl Peers {
-    /// Sends what is due in a round, of which there is one a second.
+    /// Sends what is due in a round.
     pub(crate) fn exchange_usage(&self, round: usize) {
         let Some(ledger) = self.relay.usage.ledger() else { return };
         self.send_usage_counts();
--- a/crates/relay/src/usage/duty.rs
+++ b/crates/relay/src/usage/duty.rs
@@ -38,6 +38,12 @@
 /// Interval at which counts are sent to the holder. A VM that dies loses the counts of this time.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// That interval among few VMs, of which each counts a larger part of the requests.
+const SHORT_COUNT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of VMs up to which they are few. A message without counts has 130 bytes.
+const FEW_VMS: usize = 16;
+
 /// Delay before a VM that cannot take part, or does not reach the store, checks again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -127,7 +133,8 @@
     let counter = relay.clone();
     thread::Builder::new().name("usage".to_owned()).spawn(move || {
         for round in 0.. {
-            thread::sleep(COUNT_INTERVAL);
+            let vms = counter.peers().map_or(1, |it| it.living_vms().len());
+            thread::sleep(if vms <= FEW_VMS { SHORT_COUNT_INTERVAL } else { COUNT_INTERVAL });
             if let Some(ledger) = counter.usage.ledger() {
                 ledger.forget_old();
             }
@@ -148,6 +155,7 @@
             endpoint,
             confirmed: BTreeSet::new(),
             failing_since: None,
+            is_unaccepted: false,
             paused_until: None,
             minority_since: None,
             acquired_at: None,
@@ -177,6 +185,8 @@
     confirmed: BTreeSet<WindowId>,
     /// Since when no call of the endpoint has had a response.
     failing_since: Option<Instant>,
+    /// Whether the last report was not accepted.
+    is_unaccepted: bool,
     /// Until when this VM does not take part.
     paused_until: Option<Instant>,
     /// Since when this VM may be cut off from most others.
@@ -308,10 +318,9 @@
     }
 
     fn resolve(&mut self, held: HeldDuty) -> Stage {
-        let Ok(snapshot) = self.store.read() else {
-            thread::sleep(self.timing.renewal_interval());
-            return Stage::InDoubt(held);
-        };
+        // The store may refuse all writes and still be read.
+        thread::sleep(self.timing.renewal_interval() / 2);
+        let Ok(snapshot) = self.store.read() else { return Stage::InDoubt(held) };
         match held.on_snapshot(&snapshot) {
             DutyStep::Held(held) => Stage::Holding(held),
             DutyStep::InDoubt(held) => Stage::InDoubt(held),
@@ -381,20 +390,28 @@
         let label = match result {
             Ok(200) => {
                 self.failing_since = None;
+                if std::mem::take(&mut self.is_unaccepted) {
+                    info!(self.relay.log, "usage reports are accepted again";
+                        "window" => report.window);
+                }
                 self.confirmed.insert(report.window);
                 self.ledger().record_accepted(report.window);
                 "accepted"
             }
             Ok(status) => {
                 self.failing_since = None;
-                warn!(self.relay.log, "usage report refused; sending it again"; "status" => status,
-                    "window" => report.window);
+                if !std::mem::replace(&mut self.is_unaccepted, true) {
+                    warn!(self.relay.log, "usage report refused; sending it again";
+                        "status" => status, "window" => report.window);
+                }
                 "refused"
             }
             Err(error) => {
                 self.failing_since.get_or_insert_with(Instant::now);
-                warn!(self.relay.log, "usage report failed; sending it again";
-                    "error" => error.to_string(), "window" => report.window);
+                if !std::mem::replace(&mut self.is_unaccepted, true) {
+                    warn!(self.relay.log, "usage report failed; sending it again";
+                        "error" => error.to_string(), "window" => report.window);
+                }
                 "failed"
             }
         };
