fix: streams of a worker that may run another version are not joined

Cause: the version of a stream was taken from the directory's entry. The new entry comes up to a heartbeat after the start, so streams that the worker began before that counted as streams of the version before.

Where the version is not certain, the stream is now not continued:

- A start is in doubt for 5 s after a refused connection, and after a broken stream if the worker takes no connection right after it.
It continues no stream, and the version of a stream that begins there is uncertain.
A worker that only breaks streams off takes the connection, so its streams continue as before.
- A stream that runs when the directory shows another start at the same address has an uncertain version, too.
- An uncertain origin is an ordinary message with a version that no worker has, so VMs of landed builds refuse the stream as well.

Why it works: a dead start is replaced or removed in the directory within the time of the doubt, and a process does not start again within the milliseconds in which a broken stream is checked.

--- a/crates/coordination/src/origins.rs
+++ b/crates/coordination/src/origins.rs
@@ -16,6 +16,7 @@
 
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::SoftwareVersion;
+use cranberryvalve_core::UNKNOWN_VERSION;
 use cranberryvalve_core::VmId;
 use cranberryvalve_core::stable_hash;
 use serde::Deserialize;
@@ -53,6 +54,19 @@
     pub software_version: SoftwareVersion,
 }
 
+impl StreamOrigin {
+    /// Returns the origin of a stream that `pool` began, at a software version that is not certain. A VM
+    /// of an earlier build finds no upstream of that version, and refuses to continue the stream.
+    pub fn uncertain(pool: PoolId) -> Self {
+        Self { pool, software_version: UNKNOWN_VERSION.into() }
+    }
+
+    /// Returns `true` if the software version is certain.
+    pub fn is_certain(&self) -> bool {
+        &*self.software_version != UNKNOWN_VERSION
+    }
+}
+
 /// The origins of streams that a VM began or coordinates, for [`STREAM_LIFETIME`].
 ///
 /// ```
@@ -84,9 +98,14 @@
 }
 
 impl OriginLog {
-    /// Records the origin of a stream. One that continues has the origin that it had.
+    /// Records the origin of a stream. One that continues has the origin that it had, and one whose
+    /// origin is not certain keeps that: messages may overtake each other.
     pub fn record(&mut self, now: Instant, stream: StreamKey, origin: StreamOrigin) {
         self.drop_expired(now);
+        let is_doubted = self.origin(now, stream).is_some_and(|it| !it.is_certain());
+        if is_doubted && origin.is_certain() {
+            return;
+        }
         self.entries.insert(stream, Entry { origin, recorded_at: now });
         self.order.push_back((now, stream));
     }
--- a/crates/coordination/tests/stream_origins.rs
+++ b/crates/coordination/tests/stream_origins.rs
@@ -87,6 +87,16 @@
     }
 }
 
+/// The origin was sent before the upstream turned out to have started again, and may arrive later.
+#[test]
+fn an_origin_in_doubt_is_not_replaced_by_an_earlier_one() {
+    let (now, key, mut log) = (Instant::now(), stream_key("request"), OriginLog::default());
+    for sent in [origin("v1"), StreamOrigin::uncertain(POOL.into()), origin("v1")] {
+        log.record(now, key, sent);
+    }
+    assert!(log.origin(now, key).is_some_and(|it| !it.is_certain()));
+}
+
 #[test]
 fn origins_fit_into_the_bytes_of_a_vm() {
     let message = PeerMessage::StreamOrigins {
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -17,6 +17,10 @@
 /// Version of the software that an upstream runs. Versions have no order.
 pub type SoftwareVersion = Arc<str>;
 
+/// Stands for the version of an upstream that is not known for certain. No upstream has it: what must
+/// continue at it is not continued.
+pub const UNKNOWN_VERSION: &str = "\0";
+
 /// Name of a pool: the model or plain service that a group of upstreams serves.
 pub type PoolId = Arc<str>;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -63,6 +63,7 @@
 pub use ids::RequestId;
 pub use ids::SoftwareVersion;
 pub use ids::Tier;
+pub use ids::UNKNOWN_VERSION;
 pub use ids::UpstreamId;
 pub use ids::VmId;
 pub use load::TierBacklog;
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -25,6 +25,7 @@
 mod queue;
 mod rate_limit;
 mod reading;
+mod restarts;
 mod sharing;
 mod snapshot;
 mod upstream;
@@ -41,7 +42,6 @@
 use cranberryvalve_core::PermitRequest;
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::RequestId;
-use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::Tier;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamRefusal;
@@ -75,6 +75,7 @@
 use self::lanes::RecentArrivals;
 use self::queue::CallQueue;
 use self::reading::PrefillRatio;
+use self::restarts::SentStart;
 use self::upstream::Upstream;
 use crate::execution::Execution;
 
@@ -149,8 +150,8 @@
     tried: Vec<UpstreamId>,
     /// Upstream that the current attempt was sent to; `None` while the call is queued.
     sent_to: Option<UpstreamId>,
-    /// Software version of the upstream that the last attempt was sent to.
-    sent_version: Option<SoftwareVersion>,
+    /// Start of the upstream that the last attempt was sent to.
+    sent_start: Option<SentStart>,
     execution: Execution,
     give_up_at: Instant,
 }
@@ -216,6 +217,9 @@
             SchedulerEvent::PeerRefusals(refusals) => {
                 refusals.iter().for_each(|it| self.on_peer_refusal(now, it));
             }
+            SchedulerEvent::StartDoubted { upstream, incarnation } => {
+                self.on_start_doubted(now, &upstream, incarnation);
+            }
             SchedulerEvent::AttemptEnded { id, attempt, end } => {
                 self.on_attempt_ended(now, id, attempt, end, &mut actions);
             }
@@ -286,7 +290,7 @@
             attempts: 0,
             tried: Vec::new(),
             sent_to: None,
-            sent_version: None,
+            sent_start: None,
             execution: Execution::default(),
             give_up_at,
         };
@@ -305,10 +309,8 @@
         let Some(tracked) = self.calls.get_mut(&id).filter(|it| it.attempts == attempt) else {
             return;
         };
-        if tracked.call.route.kind.is_stream() {
-            // The caller has a part of the stream, which no other version can continue.
-            tracked.call.software_version.clone_from(&tracked.sent_version);
-        }
+        let sent_to = tracked.sent_to.as_ref().and_then(|it| self.upstreams.get(it));
+        tracked.record_stream_version(sent_to.is_some_and(|it| it.start_doubt.is_active(now)));
         let (pool, tier) = (tracked.call.pool.clone(), tracked.call.tier);
         if let Some(upstream) = tracked.sent_to.as_ref().and_then(|it| self.upstreams.get_mut(it))
             && let Some(prediction) = upstream.record_response_start(now, id)
@@ -454,7 +456,10 @@
 fn record_health(now: Instant, upstream: &mut Upstream, end: AttemptEnd) {
     match end {
         AttemptEnd::Complete => upstream.circuit.record_whole_response(),
-        AttemptEnd::NotSent => upstream.circuit.record_unreachable(now),
+        AttemptEnd::NotSent => {
+            upstream.circuit.record_unreachable(now);
+            upstream.start_doubt.record(now);
+        }
         AttemptEnd::Refused { misdirected } => {
             upstream.is_gone |= misdirected;
             upstream.circuit.record_inconclusive();
--- a/crates/policy/src/scheduler/directory.rs
+++ b/crates/policy/src/scheduler/directory.rs
@@ -75,6 +75,7 @@
             self.upstreams.insert(upstream.record.id.clone(), upstream);
         }
         previous.values().for_each(|it| self.keep_pace(it.key(), it.pace));
+        self.check_starts();
         self.has_rate_limits =
             self.upstreams.values().any(|it| it.rate_limit.limit_per_s().is_some());
     }
--- a/crates/policy/src/scheduler/dispatch.rs
+++ b/crates/policy/src/scheduler/dispatch.rs
@@ -20,6 +20,7 @@
 use super::placement;
 use super::placement::Placement;
 use super::placement::PlacementContext;
+use super::restarts::SentStart;
 use super::upstream::Upstream;
 
 /// Minimum retry delay of a request that is refused for lack of room.
@@ -186,7 +187,7 @@
         tracked.attempts += 1;
         tracked.tried.push(choice.upstream.clone());
         tracked.sent_to = Some(choice.upstream.clone());
-        tracked.sent_version = Some(upstream.record.software_version.clone());
+        tracked.sent_start = Some(SentStart::new(&upstream.record));
         actions.push(SchedulerAction::Send(SendCommand {
             id,
             attempt: tracked.attempts,
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -69,6 +69,14 @@
     PeerDepartures(Vec<Departure>),
     /// Other VMs told that brittle upstreams refused requests for want of room.
     PeerRefusals(Vec<UpstreamRefusal>),
+    /// An upstream broke off a response and did not take a connection right after that, so it may have
+    /// crashed.
+    StartDoubted {
+        /// Upstream that may have crashed.
+        upstream: UpstreamId,
+        /// Start of the upstream that the attempt was sent to.
+        incarnation: u64,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Call that the attempt belongs to.
--- a/crates/policy/src/scheduler/placement.rs
+++ b/crates/policy/src/scheduler/placement.rs
@@ -176,7 +176,7 @@
     let in_service: Vec<&Upstream> = members
         .iter()
         .copied()
-        .filter(|it| it.is_in_service(context.now) && it.may_serve(call))
+        .filter(|it| it.is_in_service(context.now) && it.may_serve(context.now, call))
         .collect();
     let healthy: Vec<&Upstream> = filter_or_all(&in_service, |it| it.accepts_work(context.now));
     // A pause concerns one VM only, so that lanes without the paused upstreams would differ from
@@ -210,9 +210,9 @@
     call: &Call,
     upstreams: &[&Upstream],
 ) -> Option<Duration> {
-    let paused = upstreams
-        .iter()
-        .filter(|it| it.is_member() && it.may_serve(call) && !it.is_in_service(context.now));
+    let paused = upstreams.iter().filter(|it| {
+        it.is_member() && it.may_serve(context.now, call) && !it.is_in_service(context.now)
+    });
     paused.map(|it| it.wait(context.now).max(it.backlog(context.now, call.tier))).min()
 }
 
--- a/crates/policy/src/scheduler/upstream.rs
+++ b/crates/policy/src/scheduler/upstream.rs
@@ -29,6 +29,7 @@
 use super::decode_pace::DecodePace;
 use super::prefix_cache::PrefixCache;
 use super::rate_limit::RateLimit;
+use super::restarts::StartDoubt;
 use crate::upstream::CircuitBreaker;
 
 /// Age from which a load report of another VM is ignored. A report of the upstream itself counts
@@ -80,6 +81,7 @@
     pub(super) record: UpstreamRecord,
     /// Set when the upstream at this address refused a request as meant for another incarnation.
     pub(super) is_gone: bool,
+    pub(super) start_doubt: StartDoubt,
     /// Time during which the upstream asked for no requests.
     pub(super) pause: Pause,
     pub(super) rate_limit: RateLimit,
@@ -124,6 +126,7 @@
         Self {
             record,
             is_gone: false,
+            start_doubt: StartDoubt::default(),
             pause: Pause::default(),
             rate_limit: RateLimit::default(),
             brittleness: None,
@@ -157,9 +160,12 @@
         !self.record.is_leaving && !self.is_gone
     }
 
-    /// Returns `true` unless the call continues a stream of another software version.
-    pub(super) fn may_serve(&self, call: &Call) -> bool {
-        call.software_version.as_ref().is_none_or(|it| *it == self.record.software_version)
+    /// Returns `true` unless the call continues a stream, and the upstream has another software version
+    /// or may have.
+    pub(super) fn may_serve(&self, now: Instant, call: &Call) -> bool {
+        let is_certain = !self.start_doubt.is_active(now);
+        let is_of = |it: &SoftwareVersion| is_certain && *it == self.record.software_version;
+        call.software_version.as_ref().is_none_or(is_of)
     }
 
     /// Returns `true` if the upstream is a member of its pool and has not asked for a pause.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -14,6 +14,7 @@
 use cranberryvalve_core::Departure;
 use cranberryvalve_core::PermitRequest;
 use cranberryvalve_core::RequestId;
+use cranberryvalve_core::SoftwareVersion;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::UpstreamLoad;
 use cranberryvalve_core::UpstreamPace;
@@ -333,6 +334,11 @@
         self.dispatcher.handle(SchedulerEvent::ResponseStarted { id: self.id, attempt });
     }
 
+    /// Returns the software version that the call must continue at, if its response has begun.
+    pub(crate) fn required_version(&self) -> Option<SoftwareVersion> {
+        self.dispatcher.lock().scheduler.required_version(self.id).cloned()
+    }
+
     /// Reports how an attempt ended.
     pub(crate) fn attempt_ended(&mut self, attempt: Attempt, end: AttemptEnd) {
         self.is_finished = matches!(end, AttemptEnd::Complete | AttemptEnd::Abandoned);
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod delivery;
 mod forward;
+mod restart;
 mod upstream;
 
 use std::fmt::Write as _;
@@ -270,7 +271,7 @@
             return AttemptOutcome::Quarantined(refusal);
         }
         let request = RequestWriter::new(self.encode_request(command, delivery.last_event_id()));
-        let remote = ScheduledUpstream { exchange: self, command, call_guard };
+        let remote = ScheduledUpstream::new(self, command, call_guard);
         let mut attempt = Attempt {
             exchange: self,
             remote: &remote,
@@ -294,6 +295,9 @@
         }
         let _waiting = self.relay.forwarding.track_attempt();
         let (outcome, reusable) = attempt.run();
+        if matches!(outcome, AttemptOutcome::Incomplete) {
+            self.check_start(upstream);
+        }
         // A copy of a response to HEAD would state the length of a body that does not follow.
         if let Some((connection, head)) = reusable.filter(|_| &*self.head.method != "HEAD") {
             let idle_connections = &self.relay.idle_connections;
--- a/crates/relay/src/exchange/upstream.rs
+++ b/crates/relay/src/exchange/upstream.rs
@@ -1,5 +1,7 @@
 //! What an attempt at an upstream tells the scheduler and the other VMs.
 
+use std::cell::OnceCell;
+
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 use cranberryvalve_policy::scheduler::SendCommand;
 use cranberryvalve_policy::scheduler::UpstreamNotice;
@@ -12,12 +14,25 @@
 use crate::attribution::classify;
 use crate::dispatch::CallGuard;
 use crate::response::ResponseHead;
+use crate::streams::RunningStream;
 
 /// The upstream of a scheduled attempt.
 pub(super) struct ScheduledUpstream<'a> {
-    pub(super) exchange: &'a Exchange<'a>,
-    pub(super) command: &'a SendCommand,
-    pub(super) call_guard: &'a CallGuard,
+    exchange: &'a Exchange<'a>,
+    command: &'a SendCommand,
+    call_guard: &'a CallGuard,
+    /// The stream, from its first events to the end of the attempt.
+    running: OnceCell<RunningStream<'a>>,
+}
+
+impl<'a> ScheduledUpstream<'a> {
+    pub(super) const fn new(
+        exchange: &'a Exchange<'a>,
+        command: &'a SendCommand,
+        call_guard: &'a CallGuard,
+    ) -> Self {
+        Self { exchange, command, call_guard, running: OnceCell::new() }
+    }
 }
 
 impl Remote for ScheduledUpstream<'_> {
@@ -49,7 +64,10 @@
         self.call_guard.response_started(self.command.attempt);
         if let Some(stream) = self.exchange.stream_id {
             let is_split = self.exchange.is_route_split;
-            self.exchange.relay.record_stream(stream, &self.command.upstream, is_split);
+            let upstream = &self.command.upstream;
+            let version = || self.call_guard.required_version();
+            let running = self.exchange.relay.record_stream(stream, upstream, is_split, version);
+            self.running.get_or_init(|| running);
         }
         self.exchange.report_load(self.command);
     }
--- a/crates/relay/src/peers/origins.rs
+++ b/crates/relay/src/peers/origins.rs
@@ -89,8 +89,10 @@
         let is_known = |replies: &[Option<StreamOrigin>]| replies.iter().any(Option::is_some);
         let replies = self.origin_queries.wait(request_id, ORIGIN_QUERY_TIMEOUT, is_known);
         let has_all_replied = replies.len() == asked;
-        match replies.into_iter().flatten().next() {
-            Some(origin) => OriginReply::Known(origin),
+        let known: Vec<StreamOrigin> = replies.into_iter().flatten().collect();
+        let doubted = known.iter().find(|it| !it.is_certain());
+        match doubted.or(known.first()) {
+            Some(origin) => OriginReply::Known(origin.clone()),
             None if has_all_replied => OriginReply::Unknown,
             None => OriginReply::Unanswered,
         }
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -1,5 +1,7 @@
 //! Streams that callers take up again: at which software version they continue.
 
+mod running;
+
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -22,6 +24,9 @@
 use crate::peers::Peers;
 use crate::state::Relay;
 
+pub(crate) use self::running::RunningStream;
+use self::running::RunningStreams;
+
 /// Maximum time that a call waits for a read of the store's record: the store's response, after one to
 /// a read that began before.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -65,6 +70,7 @@
 #[derive(Debug)]
 struct State {
     origins: OriginLog,
+    running: RunningStreams,
     versions: VersionHistory,
     confirmation: Confirmation,
     /// Whether this VM was among a minority since the last confirmation. Members that are dead for
@@ -88,6 +94,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         let state = State {
             origins: OriginLog::default(),
+            running: RunningStreams::default(),
             versions: VersionHistory::new(now),
             confirmation: Confirmation::default(),
             was_minority: false,
@@ -123,22 +130,26 @@
     }
 
     /// Records that this VM began or continued a stream. Returns `true` if the coordinators of the
-    /// stream have to know, as several versions serve the pool.
+    /// stream have to know, as several versions serve the pool or may do.
     fn record_own(&self, stream: StreamKey, origin: StreamOrigin) -> bool {
         let (now, mut state) = (Instant::now(), self.lock());
-        let is_mixed = state.versions.is_mixed(now, &origin.pool);
+        let is_mixed = state.versions.is_mixed(now, &origin.pool) || !origin.is_certain();
         state.origins.record(now, stream, origin);
         is_mixed
     }
 
     /// Records the upstreams of the directory. Returns the streams whose coordinators have to know,
-    /// as several versions serve their pool from now on.
+    /// as several versions serve their pool from now on, or as their own version is in doubt.
     fn observe(&self, upstreams: &[UpstreamRecord]) -> Vec<(StreamKey, StreamOrigin)> {
         let (now, mut state) = (Instant::now(), self.lock());
         let versions = upstreams.iter().map(|it| (it.pool.clone(), it.software_version.clone()));
         let mixed = state.versions.observe(now, versions);
         self.versions_changed.notify_all();
-        state.streams_of(now, &mixed)
+        let doubted = state.running.doubted(upstreams);
+        for (stream, origin) in &doubted {
+            state.origins.record(now, *stream, origin.clone());
+        }
+        [state.streams_of(now, &mixed), doubted].concat()
     }
 
     fn merge(&self, records: &[VersionRecord]) -> Vec<(StreamKey, StreamOrigin)> {
@@ -256,21 +267,26 @@
     /// stream of request `request_id`. Called before the event leaves.
     ///
     /// Where the route leads to several pools (`is_split`), its coordinators have to know the pool even
-    /// if there is one version only.
+    /// if there is one version only. `version` returns the version of the stream, if it is known; it is
+    /// asked once the stream counts as running, so that no new directory is missed in between.
     pub(crate) fn record_stream(
         &self,
         request_id: &str,
         upstream: &UpstreamRecord,
         is_split: bool,
-    ) {
-        let origin = StreamOrigin {
-            pool: upstream.pool.clone(),
-            software_version: upstream.software_version.clone(),
-        };
+        version: impl FnOnce() -> Option<SoftwareVersion>,
+    ) -> RunningStream<'_> {
         let stream = stream_key(request_id);
+        let running = self.streams.begin(stream, upstream);
+        let pool = upstream.pool.clone();
+        let origin = match version() {
+            Some(software_version) => StreamOrigin { pool, software_version },
+            None => StreamOrigin::uncertain(pool),
+        };
         if self.streams.record_own(stream, origin.clone()) || is_split {
             self.send_origins(&[(stream, origin)]);
         }
+        running
     }
 
     fn send_origins(&self, streams: &[(StreamKey, StreamOrigin)]) {
@@ -290,7 +306,7 @@
         request_id: Option<&str>,
     ) -> Result<StreamOrigin, ContinuationError> {
         let origin = match self.find_origin(request_id) {
-            OriginReply::Known(origin) => Some(origin),
+            OriginReply::Known(origin) => Some(origin).filter(StreamOrigin::is_certain),
             OriginReply::Unknown => self.only_origin(route, true),
             OriginReply::Unanswered => self.only_origin(route, false),
         };
