--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -188,6 +188,10 @@
             self.lanes.extend(assigned.iter().map(|it| (it.record.id.clone(), lane)));
             unassigned = rest;
         }
+        // Rounding may leave engines over.
+        let used = Lane::ALL.into_iter().zip(self.rules.shares).rev().find(|(_, it)| *it > 0.0);
+        let last = used.map_or(Lane::Short, |(lane, _)| lane);
+        self.lanes.extend(unassigned.iter().map(|it| (it.record.id.clone(), last)));
     }
 
     /// Returns the number of the first engines that together have this capacity. The engine at the
@@ -218,14 +222,9 @@
         }
     }
 
-    /// Returns the lane of `upstream`. Engines at the end of the order that no share covers because
-    /// of rounding are in the last lane that has a share.
+    /// Returns the lane of `upstream`.
     pub(super) fn lane(&self, upstream: &Upstream) -> Lane {
-        let assigned = self.lanes.get(&upstream.record.id).copied();
-        assigned.unwrap_or_else(|| {
-            let used = Lane::ALL.into_iter().zip(self.rules.shares).filter(|(_, it)| *it > 0.0);
-            used.last().map_or(Lane::Short, |(lane, _)| lane)
-        })
+        self.lanes.get(&upstream.record.id).copied().unwrap_or(Lane::Short)
     }
 
     /// Returns the factor by which `upstream` is slower than the pool's fast engines; see
