--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -34,6 +34,9 @@
 /// Bytes written by e8a1500247f570c552469fe481de393159042019.
 const BUILDS: &str = include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt");
 
+/// Bytes written by dc0c85727ecae1a6e94e3d4541a4258e8913f969.
+const STOPS: &str = include_str!("data/landed/dc0c85727ecae1a6e94e3d4541a4258e8913f969.txt");
+
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
@@ -78,6 +81,11 @@
     check(BUILDS, &builds_samples());
 }
 
+#[test]
+fn reads_and_writes_bytes_of_dc0c857() {
+    check(STOPS, &builds_samples());
+}
+
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -66,6 +66,7 @@
 pub use event::SchedulerAction;
 pub use event::SchedulerEvent;
 pub use event::SendCommand;
+pub use lanes::Lane;
 pub use snapshot::SchedulerSnapshot;
 pub use snapshot::UpstreamState;
 pub use upstream::UpstreamRecord;
--- a/crates/policy/src/scheduler/lanes.rs
+++ b/crates/policy/src/scheduler/lanes.rs
@@ -17,6 +17,7 @@
 use cranberryvalve_core::PoolId;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::stable_hash;
+use serde::Serialize;
 
 use super::Prompt;
 use super::decode_pace;
@@ -46,7 +47,9 @@
 
 /// Kind of prompts that an engine takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(super) enum Lane {
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lane {
     /// Long prompts.
     Long,
     /// All other prompts, apart from those of [`Lane::Generation`].
--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 
 use super::Scheduler;
+use super::lanes::Lane;
+use super::lanes::Lanes;
 use super::queue::CallQueue;
 use super::upstream::Upstream;
 use crate::CircuitState;
@@ -70,6 +72,15 @@
     pub backlog_ms: u64,
     /// Age, in milliseconds, of the oldest report of another VM that is in use.
     pub peer_age_ms: u64,
+    /// Time, in milliseconds, by which responses are expected to start later than the backlog explains, as
+    /// lately observed. It counts if `is_measured`.
+    pub excess_delay_ms: u64,
+    /// Whether the upstreams of the pool report how long work takes at the moment.
+    pub is_measured: bool,
+    /// Shortest typical interval, in milliseconds, between two events of a stream, as far as is known.
+    pub event_gap_ms: Option<f64>,
+    /// Kind of prompts that the upstream takes first; `None` if it is no engine.
+    pub lane: Option<Lane>,
 }
 
 impl Scheduler {
@@ -80,9 +91,21 @@
             live_calls: self.calls.len(),
             waiting_calls: self.queues.values().flat_map(CallQueue::ids).count(),
             retries_left: self.budget.remaining(),
-            upstreams: self.upstreams.values().map(|it| it.state(now)).collect(),
+            upstreams: self.upstreams.values().map(|it| self.upstream_state(now, it)).collect(),
         }
     }
+
+    fn upstream_state(&self, now: Instant, upstream: &Upstream) -> UpstreamState {
+        let pool = &upstream.record.pool;
+        let is_measured = self.measured_pools.contains(pool);
+        let rules = self.recent_arrivals.lane_rules(now, pool, is_measured);
+        let lane = upstream.is_engine.then(|| {
+            let mut members = self.pool_upstreams(pool);
+            members.retain(|it| it.is_member());
+            Lanes::new(&members, rules).lane(upstream)
+        });
+        UpstreamState { is_measured, lane, ..upstream.state(now) }
+    }
 }
 
 impl Upstream {
@@ -102,6 +125,10 @@
             in_flight: self.in_flight(now),
             backlog_ms: millis(self.backlog(now, Tier::MAX)),
             peer_age_ms: millis(self.peer_age(now)),
+            excess_delay_ms: millis(self.performance.excess_delay(now)),
+            event_gap_ms: self.pace.gap().map(|it| it.as_secs_f64() * 1_000.0),
+            is_measured: false,
+            lane: None,
         }
     }
 }
