--- a/crates/relay/src/client/tests.rs
+++ b/crates/relay/src/client/tests.rs
@@ -49,3 +49,14 @@
         }
     }
 }
+
+/// A report under a lease that has expired while the connection was made must not be sent.
+#[test]
+fn request_that_may_not_be_sent_is_not_sent() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let client = HttpClient::new(listener.local_addr().expect("bound to an address"));
+    let result = client.post_if("/", &[], "{}", Duration::from_secs(1), &|| false);
+    assert!(matches!(result, Err(HttpError::Interrupted)));
+    let (mut connection, _) = listener.accept().expect("a connection");
+    assert_eq!(connection.read(&mut [0]).unwrap_or(0), 0);
+}
--- a/crates/relay/src/usage/duty.rs
+++ b/crates/relay/src/usage/duty.rs
@@ -406,6 +406,8 @@
                 }
                 "refused"
             }
+            // The lease did not last until the connection was there.
+            Err(HttpError::Interrupted) => return,
             Err(error) => {
                 self.failing_since.get_or_insert_with(Instant::now);
                 if !std::mem::replace(&mut self.is_unaccepted, true) {
