--- a/crates/coordination/src/usage/plan.rs
+++ b/crates/coordination/src/usage/plan.rs
@@ -13,7 +13,7 @@
 const MAX_INTENDED: usize = 3;
 
 /// Maximum size of a report in the row, in bytes, so that [`MAX_INTENDED`] of them fit into a row of
-/// 64 KiB. At 440 customers a report has 7 KB.
+/// 64 KiB. At 440 customers with 16 bytes each a report has 7 KB.
 const MAX_REPORT_BYTES: usize = 20_000;
 
 /// Maximum size of a customer's entry in a report besides its name, in bytes: quotes, separators and
--- a/crates/relay/src/usage/duty.rs
+++ b/crates/relay/src/usage/duty.rs
@@ -41,7 +41,7 @@
 /// That interval among few VMs, of which each counts a larger part of the requests.
 const SHORT_COUNT_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of VMs up to which they are few. A message without counts has 130 bytes.
+/// Number of VMs up to which they are few: far below those at which control traffic is near its limit.
 const FEW_VMS: usize = 16;
 
 /// Delay before a VM that cannot take part, or does not reach the store, checks again.
