fix(relay): responses that hold memory do not wait for each other

Cause: since one budget is shared, a response without room waits up to five seconds. Responses of unknown length hold memory while they wait, so all waited for each other: endless_bodies_do_not_exhaust_memory failed (5 of 24 calls got 504 at their deadlines, 502 or 503 is due).

Change: a response waits for the end of others only before it holds memory; after that only for bodies that are shed. The reservation of a response of known length includes what its segments leave unused, so that it does not fail halfway.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -143,6 +143,8 @@
     kind: MemoryKind,
     /// The request body that is being received, if it is one.
     own: Option<BodyId>,
+    /// Whether it may wait until others end.
+    may_wait: bool,
     wait_end: Option<Instant>,
 }
 
@@ -158,15 +160,14 @@
         needed_bytes: usize,
         mut take: impl FnMut(&mut MemoryLedger) -> bool,
     ) -> Result<(), OutOfMemory> {
-        let User { kind, own, wait_end } = user;
+        let User { kind, own, may_wait, wait_end } = user;
         let mut state = self.lock();
         let is_own_shed = |state: &State| own.is_some_and(|it| state.ledger.is_shed(it));
         if !is_own_shed(&state) && take(&mut state.ledger) {
             state.trim_spare_segments();
             return Ok(());
         }
-        let is_response = kind == MemoryKind::Response;
-        let timeout = if is_response { RESPONSE_TIMEOUT } else { SHED_TIMEOUT };
+        let timeout = if may_wait { RESPONSE_TIMEOUT } else { SHED_TIMEOUT };
         let deadline = Instant::now() + timeout;
         let deadline = wait_end.map_or(deadline, |it| it.min(deadline));
         state.waiting += 1;
@@ -187,7 +188,7 @@
                     self.changed.notify_all();
                     continue;
                 }
-                Shortage::Hopeless if !is_response => break Err(OutOfMemory),
+                Shortage::Hopeless if !may_wait => break Err(OutOfMemory),
                 Shortage::Releasing | Shortage::Hopeless => {}
             }
             let waited = self.changed.wait_timeout(state, deadline - now);
@@ -238,7 +239,9 @@
         let kind = if grows_large { MemoryKind::LargeBody } else { self.kind };
         let needed = if grows_large { bytes } else { added };
         let shared = &self.budget.0;
-        let user = User { kind, own: self.receiving, wait_end: self.wait_end };
+        // Responses that hold memory while they wait could wait for each other.
+        let may_wait = kind == MemoryKind::Response && held == 0;
+        let user = User { kind, own: self.receiving, may_wait, wait_end: self.wait_end };
         shared.wait_for(user, needed, |ledger| {
             let is_taken =
                 if grows_large { ledger.enlarge(held, added) } else { ledger.take(kind, added) };
--- a/crates/relay/src/memory/held_body.rs
+++ b/crates/relay/src/memory/held_body.rs
@@ -31,13 +31,16 @@
         &self.segments
     }
 
-    /// Reserves the memory of a body of known size before any of it is allocated.
+    /// Reserves the memory of a body of known size, with what its segments leave unused, before any of
+    /// it is allocated.
     ///
     /// # Errors
     ///
     /// Returns an error if the budget is exhausted.
     pub(crate) fn reserve(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
-        self.reservation.extend_to(bytes)
+        // A segment is left when the next read does not fit, which is at most a quarter of it.
+        let unused_bytes = bytes / 4 + bytes.min(SEGMENT_BYTES);
+        self.reservation.extend_to(bytes.saturating_add(unused_bytes))
     }
 
     /// Returns a buffer to which up to `added_bytes` of the body can be appended without allocation.
