--- a/crates/policy/src/scheduler/snapshot.rs
+++ b/crates/policy/src/scheduler/snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshots of the scheduler's state for operators.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
 use cranberryvalve_core::FailureDomainId;
@@ -86,25 +87,30 @@
 impl Scheduler {
     /// Returns a snapshot of the state at `now`.
     pub fn snapshot(&self, now: Instant) -> SchedulerSnapshot {
+        let mut lanes_by_pool: HashMap<&PoolId, Lanes> = HashMap::new();
+        let upstreams = self.upstreams.values().map(|it| {
+            let pool = &it.record.pool;
+            let lanes = lanes_by_pool.entry(pool).or_insert_with(|| self.lanes(now, pool));
+            UpstreamState {
+                is_measured: self.measured_pools.contains(pool),
+                lane: it.is_engine.then(|| lanes.lane(it)),
+                ..it.state(now)
+            }
+        });
         SchedulerSnapshot {
+            upstreams: upstreams.collect(),
             vms: self.vm_count,
             live_calls: self.calls.len(),
             waiting_calls: self.queues.values().flat_map(CallQueue::ids).count(),
             retries_left: self.budget.remaining(),
-            upstreams: self.upstreams.values().map(|it| self.upstream_state(now, it)).collect(),
         }
     }
 
-    fn upstream_state(&self, now: Instant, upstream: &Upstream) -> UpstreamState {
-        let pool = &upstream.record.pool;
+    fn lanes(&self, now: Instant, pool: &PoolId) -> Lanes {
         let is_measured = self.measured_pools.contains(pool);
-        let rules = self.recent_arrivals.lane_rules(now, pool, is_measured);
-        let lane = upstream.is_engine.then(|| {
-            let mut members = self.pool_upstreams(pool);
-            members.retain(|it| it.is_member());
-            Lanes::new(&members, rules).lane(upstream)
-        });
-        UpstreamState { is_measured, lane, ..upstream.state(now) }
+        let mut members = self.pool_upstreams(pool);
+        members.retain(|it| it.is_member());
+        Lanes::new(&members, self.recent_arrivals.lane_rules(now, pool, is_measured))
     }
 }
 
