--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/cranberryvalve-node ] && [ -x target/review-2/stage ] || exit 2
-exec target/review-2/stage watchers review/7
+exec target/review-2/stage outage review/7
--- a/review/stage-2/main.rs
+++ b/review/stage-2/main.rs
@@ -4,7 +4,9 @@
 //! the disruption is left out.
 
 mod case_outage;
+mod case_versions;
 mod case_watchers;
+mod engine;
 mod http;
 mod json;
 mod node;
@@ -17,6 +19,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let [first, id, version, address, record] = &arguments[..]
+        && first == "engine"
+    {
+        engine::serve(id, version, address, record);
+        return ExitCode::SUCCESS;
+    }
     let [case, folder] = &arguments[..] else {
         eprintln!("usage: stage CASE FOLDER");
         return ExitCode::from(2);
@@ -25,6 +33,7 @@
     let record = Path::new(folder).join("record.txt");
     let result = match &**case {
         "outage" => case_outage::play(has_trouble),
+        "versions" => case_versions::play(has_trouble),
         "watchers" => case_watchers::play(has_trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/stage-2/node.rs
+++ b/review/stage-2/node.rs
@@ -30,25 +30,25 @@
     metrics: u16,
 }
 
+/// Returns free addresses below the ephemeral ports, which the system gives to connections.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let start = 10_000 + std::process::id() % 150 * 100;
+    let is_free = |it: &u32| TcpListener::bind(("127.0.0.1", *it as u16)).is_ok();
+    let free = (start..start + 15_000).filter(is_free);
+    free.take(count).map(|it| SocketAddr::from(([127, 0, 0, 1], it as u16))).collect()
+}
+
 impl Ports {
-    /// Finds free ports below the ephemeral ones, which the system gives to connections.
     pub fn find(count: usize) -> Vec<Self> {
-        let start = 10_000 + std::process::id() % 150 * 100;
-        let is_free = |it: &u32| TcpListener::bind(("127.0.0.1", *it as u16)).is_ok();
-        let mut free = (start..start + 15_000).filter(is_free).map(|it| it as u16);
-        let mut next = || free.next().expect("a free port");
-        let mut ports = Vec::new();
-        for _ in 0..count {
-            let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-            ports.push(Self {
-                front: address(next()),
-                ready: address(next()),
-                control: address(next()),
-                first_of_range: next(),
-                metrics: next(),
-            });
-        }
-        ports
+        let addresses = free_addresses(5 * count);
+        let ports = addresses.chunks(5).map(|it| Self {
+            front: it[0],
+            ready: it[1],
+            control: it[2],
+            first_of_range: it[3].port(),
+            metrics: it[4].port(),
+        });
+        ports.collect()
     }
 }
 
--- a/review/stage-2/store.rs
+++ b/review/stage-2/store.rs
@@ -54,6 +54,8 @@
 #[derive(Default)]
 struct DoorState {
     is_silent: bool,
+    /// Whether each call is answered with 503.
+    is_busy: bool,
     /// Number of times that the door became silent.
     silences: u64,
     /// Paths of the calls that arrived, with the time.
@@ -70,6 +72,12 @@
         self.store.changed.notify_all();
     }
 
+    /// From now on each call is answered with 503, those that are pending too.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.state.lock().unwrap().is_busy = is_busy;
+        self.store.changed.notify_all();
+    }
+
     /// New connections are answered again.
     pub fn restore(&self) {
         self.state.lock().unwrap().is_silent = false;
@@ -125,7 +133,13 @@
                 let state = door.lock().unwrap();
                 state.is_silent || Some(state.silences) != silences
             };
-            let answer = if is_lost() { None } else { self.answer(&request, &is_lost) };
+            let is_busy = || door.lock().unwrap().is_busy;
+            let is_over = || is_lost() || is_busy();
+            let answer = if is_over() { None } else { self.answer(&request, &is_over) };
+            let answer = match answer {
+                _ if is_busy() => Some(("503 Service Unavailable", "{}".to_owned())),
+                other => other,
+            };
             let Some((status, body)) = answer.filter(|_| !is_lost()) else {
                 reader.ignore_rest();
                 return;
@@ -141,7 +155,7 @@
     fn answer(
         &self,
         request: &Message,
-        is_lost: &dyn Fn() -> bool,
+        is_over: &dyn Fn() -> bool,
     ) -> Option<(&'static str, String)> {
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let value = |name: &str| {
@@ -183,7 +197,7 @@
                         return Some(("200 OK", body));
                     }
                     state = self.changed.wait_timeout(state, remaining).unwrap().0;
-                    if is_lost() {
+                    if is_over() {
                         return None;
                     }
                 }
