--- a/review/stage-2/case_versions.rs
+++ b/review/stage-2/case_versions.rs
@@ -86,6 +86,7 @@
     let site = Site {
         zones: format!("{{{}}}", regions.join(", ")),
         seeds: ports.iter().take(3).map(|it| it.control).collect(),
+            is_first_start: true,
     };
     let doors: Vec<Door> = (0..machine_count).map(|_| store.open_door()).collect();
     let names = ZONES.iter().flat_map(|(zone, count)| (1..=*count).map(move |it| (*zone, it)));
--- a/review/stage-2/main.rs
+++ b/review/stage-2/main.rs
@@ -4,6 +4,7 @@
 //! the disruption is left out.
 
 mod case_outage;
+mod case_seeds;
 mod case_versions;
 mod case_watchers;
 mod engine;
@@ -33,6 +34,7 @@
     let record = Path::new(folder).join("record.txt");
     let result = match &**case {
         "outage" => case_outage::play(has_trouble),
+        "seeds" => case_seeds::play(has_trouble),
         "versions" => case_versions::play(has_trouble),
         "watchers" => case_watchers::play(has_trouble),
         _ => Err(format!("no case {case}")),
--- a/review/stage-2/node.rs
+++ b/review/stage-2/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -18,6 +19,7 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -57,6 +59,8 @@
     /// Zones as JSON, each with its region.
     pub zones: String,
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
 }
 
 impl Node {
@@ -71,7 +75,7 @@
     ) -> Self {
         let (front, ready, control) = (ports.front, ports.ready, ports.control);
         let first = ports.first_of_range;
-        let zones = &site.zones;
+        let (zones, is_first_start) = (&site.zones, site.is_first_start);
         let seeds: Vec<String> = site.seeds.iter().map(|it| format!("\"{it}\"")).collect();
         let seeds = seeds.join(",");
         let settings = format!(
@@ -79,7 +83,7 @@
   "node": "{name}", "role": "router", "machineClass": "front", "serves": ["front", "control"],
   "ip": "127.0.0.1", "zone": "{zone}", "region": "canterbury", "zones": {zones},
   "listen": {{"front": "{front}", "ready": "{ready}", "control": "{control}"}},
-  "portRange": [{first}, {first}], "seeds": [{seeds}], "bootstrap": true, "lossCounts": false,
+  "portRange": [{first}, {first}], "seeds": [{seeds}], "bootstrap": {is_first_start}, "lossCounts": false,
   "limits": {{"cpuShare": 0.25, "cores": 1, "memoryMb": 110, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}},
   "dataDir": null, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
   "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"],
@@ -101,7 +105,7 @@
             .stderr(errors)
             .spawn()
             .expect("the program of the deploy file is built");
-        Self { name: name.to_owned(), front, ready, child }
+        Self { name: name.to_owned(), front, ready, settings: path, child }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -112,6 +116,17 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Replaces the seeds in the settings file and tells the process, as the platform does.
+    pub fn change_seeds(&self, seeds: &[SocketAddr]) {
+        let text = fs::read_to_string(&self.settings).expect("the settings file");
+        let changed: Vec<String> = seeds.iter().map(|it| format!("\"{it}\"")).collect();
+        let start = text.find("\"seeds\": [").expect("the seeds") + "\"seeds\": [".len();
+        let end = start + text[start..].find(']').expect("the end of the seeds");
+        let text = format!("{}{}{}", &text[..start], changed.join(","), &text[end..]);
+        fs::write(&self.settings, text).expect("the settings file is writable");
+        self.signal("HUP");
+    }
+
     /// Sends a signal, for example `KILL`.
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
--- a/review/stage-2/stage.rs
+++ b/review/stage-2/stage.rs
@@ -21,6 +21,7 @@
 use crate::node::Site;
 use crate::store::Door;
 use crate::store::Store;
+use crate::worker::Notice;
 use crate::worker::Run;
 use crate::worker::Runs;
 use crate::worker::Worker;
@@ -92,7 +93,8 @@
         for service in [OLD_SERVICE, NEW_SERVICE] {
             for number in 0..zones.len().max(2) {
                 let zone = zones[number % zones.len()].0;
-                workers.push(Worker::start(&format!("i-{service}-{number}"), service, zone, &runs));
+                let id = format!("i-{service}-{number}");
+                workers.push(Worker::start(&id, service, zone, &runs, &Notice::default()));
             }
         }
         store.put("op", "config", &config(10, OLD_SERVICE, true, 800));
@@ -109,6 +111,7 @@
         let site = Site {
             zones: format!("{{{}}}", regions.join(", ")),
             seeds: ports.iter().take(3).map(|it| it.control).collect(),
+            is_first_start: true,
         };
         let doors: Vec<Door> = placed.iter().map(|_| store.open_door()).collect();
         let nodes: Vec<Node> = placed
--- a/review/stage-2/worker.rs
+++ b/review/stage-2/worker.rs
@@ -26,6 +26,9 @@
 /// Everything that the workers ran, in order.
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
+/// Header lines that a worker adds to its answers.
+pub type Notice = Arc<Mutex<String>>;
+
 pub struct Worker {
     pub id: String,
     pub service: String,
@@ -34,14 +37,16 @@
 }
 
 impl Worker {
-    pub fn start(id: &str, service: &str, zone: &str, runs: &Runs) -> Self {
+    pub fn start(id: &str, service: &str, zone: &str, runs: &Runs, notice: &Notice) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
-        let (name, pool, runs) = (id.to_owned(), service.to_owned(), runs.clone());
+        let (name, pool) = (id.to_owned(), service.to_owned());
+        let (runs, notice) = (runs.clone(), notice.clone());
         thread::spawn(move || {
             while let Ok((stream, _)) = listener.accept() {
-                let (name, pool, runs) = (name.clone(), pool.clone(), runs.clone());
-                thread::spawn(move || serve(stream, &name, &pool, &runs));
+                let (name, pool) = (name.clone(), pool.clone());
+                let (runs, notice) = (runs.clone(), notice.clone());
+                thread::spawn(move || serve(stream, &name, &pool, &runs, &notice));
             }
         });
         Self { id: id.to_owned(), service: service.to_owned(), zone: zone.to_owned(), address }
@@ -58,7 +63,7 @@
     }
 }
 
-fn serve(stream: TcpStream, id: &str, service: &str, runs: &Runs) {
+fn serve(stream: TcpStream, id: &str, service: &str, runs: &Runs, notice: &Notice) {
     let mut reader = Reader::new(stream);
     while let Some(request) = reader.read() {
         if request.target() == "/healthz" {
@@ -85,7 +90,9 @@
             };
             runs.lock().unwrap().push(run);
             thread::sleep(Duration::from_millis(15));
-            let headers = format!("Request-Id: {request_id}\r\nResponse-Seal: seal-{id}\r\n");
+            let notice = notice.lock().unwrap().clone();
+            let headers =
+                format!("Request-Id: {request_id}\r\nResponse-Seal: seal-{id}\r\n{notice}");
             response("200 OK", &headers, format!("{request_id} by {id}").as_bytes())
         };
         if !write(&reader.stream, &bytes) {
