fix: VMs whose seeds are gone find the others through the store

Cause: a VM found others through its seeds only. The added VMs stayed alone (`members` in their state has one name 20 s after the start), and a lone VM took itself for the only one and issued whole limits.

A row in the store now names a few living VMs. VMs read it when they start and then ever less often; the first ones by name keep it, and send heartbeats to VMs in it that they do not know. A VM that has met none of them counts them when it issues limits and claims its share of the retry budget.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 //! so each can be embedded anywhere and tested exhaustively.
 //!
 //! - [`builds`]: which build each VM runs.
+//! - [`contacts`]: addresses of a few VMs in the store, through which VMs find each other.
 //! - [`duties`]: a duty that one VM at a time carries out.
 //! - [`era`]: for how long a VM has known the era of a store that may be restored.
 //! - [`feed`]: tables that VMs pass on to each other as changes.
@@ -41,6 +42,7 @@
 //! ```
 
 pub mod builds;
+pub mod contacts;
 pub mod duties;
 pub mod era;
 pub mod feed;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -31,7 +31,7 @@
 const MAX_TICK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Time after which members that died or left are removed from the list.
-const REMOVE_AFTER: Duration = Duration::from_secs(60);
+pub const REMOVE_AFTER: Duration = Duration::from_secs(60);
 
 /// Number of heartbeats to each receiver that carry the update of a member that died or left: the
 /// members are used until it arrives, and heartbeats may be lost.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,6 +8,7 @@
 //! round trip.
 
 mod builds;
+mod contacts;
 mod directory;
 mod forwarding;
 mod gossip;
@@ -27,12 +28,14 @@
 use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_adapters::links::Links;
 use cranberryvalve_adapters::shared_key::SharedKey;
 use cranberryvalve_adapters::telemetry::unix_time_ms;
 use cranberryvalve_coordination::builds::ALL_CAPABILITIES;
 use cranberryvalve_coordination::builds::BuildExchange;
+use cranberryvalve_coordination::contacts::Discovery;
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::origins::StreamOrigin;
@@ -51,6 +54,7 @@
 use slog::warn;
 
 use self::queries::PendingQueries;
+use crate::sources::ContactStore;
 use crate::sources::SecretStore;
 use crate::state::Relay;
 
@@ -98,6 +102,9 @@
     links: Links,
     membership: Mutex<Membership>,
     seeds: Vec<SocketAddr>,
+    /// How this VM finds others that its seeds do not lead to.
+    discovery: Mutex<Discovery>,
+    contact_store: Arc<dyn ContactStore>,
     load_queries: PendingQueries<UpstreamLoad>,
     /// Each coordinator replies with one item.
     origin_queries: PendingQueries<Option<StreamOrigin>>,
@@ -119,11 +126,12 @@
     relay: &Arc<Relay>,
     settings: PeerSettings,
     secret: Arc<dyn SecretStore>,
+    contacts: Arc<dyn ContactStore>,
 ) -> io::Result<()> {
     let relay = relay.clone();
     thread::Builder::new().name("join".to_owned()).spawn(move || {
         let key = link_key::load(&relay, &*secret, &settings.vm, settings.is_first_start);
-        if let Err(error) = start(&relay, settings, key, secret) {
+        if let Err(error) = start(&relay, settings, key, secret, contacts) {
             warn!(relay.log, "failed to join the peers; serving without them";
                 "error" => error.to_string());
         }
@@ -136,6 +144,7 @@
     settings: PeerSettings,
     key: Vec<u8>,
     secret: Arc<dyn SecretStore>,
+    contact_store: Arc<dyn ContactStore>,
 ) -> io::Result<()> {
     let own_address = PeerAddress {
         vm: settings.vm,
@@ -148,6 +157,8 @@
             .map_err(io::Error::other)?,
         membership: Mutex::new(Membership::new(own_address, unix_time_ms())),
         seeds: settings.seeds.into_iter().filter(|it| *it != settings.address).collect(),
+        discovery: Mutex::new(Discovery::new(Instant::now())),
+        contact_store,
         load_queries: PendingQueries::default(),
         origin_queries: PendingQueries::default(),
         probe_queries: PendingQueries::default(),
@@ -163,6 +174,8 @@
     info!(relay.log, "joining the peers"; "seeds" => peers.seeds.len());
     let receiver = peers.clone();
     thread::Builder::new().name("peers".to_owned()).spawn(move || receiver.run_receiver())?;
+    let finder = peers.clone();
+    thread::Builder::new().name("discovery".to_owned()).spawn(move || finder.run_discovery())?;
     let reporter = peers.clone();
     thread::Builder::new().name("reports".to_owned()).spawn(move || reporter.run_load_reports())?;
     thread::Builder::new().name("heartbeats".to_owned()).spawn(move || peers.run_heartbeats())?;
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -28,10 +28,6 @@
 /// Minimum time between two replies to heartbeats of a VM that is not a neighbour.
 const MIN_REPLY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of VMs assumed until another one is known, so that a VM without peers claims only a small
-/// part of the limits that all VMs share.
-pub(super) const INITIAL_VM_COUNT: u32 = 8;
-
 impl Peers {
     /// Sends heartbeats periodically. Never returns.
     pub(super) fn run_heartbeats(&self) {
@@ -94,6 +90,8 @@
         if self.membership().alive_count() == 1 {
             self.seeds.iter().for_each(|it| self.send_heartbeat(&seed_address(*it)));
         }
+        // The address may be another VM's by now.
+        self.strangers().iter().for_each(|it| self.send_heartbeat(&seed_address(it.address)));
         for vm in self.links.close_timed_out(&receivers) {
             info!(self.relay.log, "peer link was silent; reconnecting"; "peer" => &*vm);
         }
@@ -103,10 +101,11 @@
     /// Updates the number of VMs, which includes members believed dead: VMs that are only
     /// partitioned from this one continue to use their share.
     fn update_vm_count(&self) {
-        let known = u32::try_from(self.membership().known_count()).unwrap_or(u32::MAX);
-        let vm_count = if known == 1 { INITIAL_VM_COUNT } else { known };
+        let possible = self.possible_vm_count();
+        let vm_count = u32::try_from(possible).unwrap_or(u32::MAX);
         self.relay.dispatcher.handle(SchedulerEvent::VmCountChanged(vm_count));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vm_count));
+        metrics::gauge!("cranberryvalve_members_alive").set(self.membership().alive_count() as f64);
     }
 
     fn send_heartbeat(&self, receiver: &PeerAddress) {
--- a/crates/relay/src/peers/permits.rs
+++ b/crates/relay/src/peers/permits.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Instant;
 
+use cranberryvalve_coordination::contacts::INITIAL_VM_COUNT;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::permits::PermitIssuer;
@@ -16,7 +17,6 @@
 use cranberryvalve_policy::scheduler::SchedulerEvent;
 
 use super::Peers;
-use super::gossip::INITIAL_VM_COUNT;
 use crate::state::Relay;
 
 /// Issues permits for the upstreams that this VM coordinates.
@@ -54,7 +54,7 @@
 
     fn request_permit(&self, request: PermitRequest) {
         let Some(peers) = self.peers() else {
-            let verdict = self.permits.decide(&request, 1.0 / f64::from(INITIAL_VM_COUNT));
+            let verdict = self.permits.decide(&request, 1.0 / INITIAL_VM_COUNT as f64);
             self.apply_permit_verdict(request.upstream, request.incarnation, verdict);
             return;
         };
@@ -92,9 +92,10 @@
     }
 
     /// Returns the part of a limit that this VM issues as a coordinator. VMs that are partitioned
-    /// from this one have a coordinator of their own, which issues the rest.
+    /// from this one, or that have not found it yet, have a coordinator of their own, which issues the
+    /// rest.
     fn issued_fraction(&self) -> f64 {
-        let membership = self.membership();
-        membership.alive_count() as f64 / membership.known_count() as f64
+        let alive = self.membership().alive_count();
+        alive as f64 / self.possible_vm_count() as f64
     }
 }
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -4,6 +4,7 @@
 //! a snapshot, follow the changes, and read a new snapshot if the feed's history no longer reaches
 //! back far enough. While a source is unreachable, the last known state stays in effect.
 
+mod contacts;
 mod directory;
 mod follow;
 mod follower;
@@ -20,6 +21,8 @@
 use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 
+pub use contacts::ContactStore;
+pub use cranberryvalve_coordination::contacts::ContactRecord;
 pub use cranberryvalve_coordination::feed::Changes;
 pub use cranberryvalve_coordination::feed::Row;
 pub use cranberryvalve_coordination::feed::RowChange;
