fix: long polls on dead connections do not hide configurations

The directory's first reader noticed the outage, but told only its own thread.

The first reader of a failure domain now polls the configuration at least every contactMs, and a VM that finds a source back, or hears that another one does, ends all polls that began before.

Before: silent_store fails in both tests, all VMs keep the old version.

--- a/crates/relay/src/peers/directory.rs
+++ b/crates/relay/src/peers/directory.rs
@@ -41,6 +41,9 @@
         let directory = &self.relay.shared_directory;
         let known = directory.position();
         let missing = directory.on_report(Instant::now(), &from.vm, report);
+        if let Some(recovered_at) = directory.recovered_at() {
+            self.relay.poll_interrupts.interrupt_begun_before(recovered_at);
+        }
         if let (Some(known), Some(position)) = (known, directory.position())
             && position.era > known.era
         {
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -39,7 +39,7 @@
                 self.relay.streams.record_minority();
             }
             self.relay.report_directory(None);
-            self.relay.check_long_poll();
+            self.relay.check_long_polls();
             self.repeat_suspects(round);
             self.spread_builds(round);
             let is_alone = self.membership().alive_count() == 1;
@@ -105,7 +105,6 @@
         let vm_count = u32::try_from(possible).unwrap_or(u32::MAX);
         self.relay.dispatcher.handle(SchedulerEvent::VmCountChanged(vm_count));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vm_count));
-        metrics::gauge!("cranberryvalve_members_alive").set(self.membership().alive_count() as f64);
     }
 
     fn send_heartbeat(&self, receiver: &PeerAddress) {
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -33,7 +33,8 @@
 /// Starts a thread that follows a source of routing tables.
 ///
 /// VMs that are not watchers of their failure domain read the source only when they start; their
-/// peers announce each new table.
+/// peers announce each new table. The first reader of a failure domain polls more often than the other
+/// watchers: a poll whose connection is silent and open ends only with its time.
 ///
 /// # Errors
 ///
@@ -49,7 +50,11 @@
                 continue;
             }
             follower.delay_after_change();
-            for row in follower.poll(MAX_POLL_WAIT).into_rows() {
+            // The time that a lost poll takes, and the next one, have to fit between a disturbance and
+            // the first change that must not be missed.
+            let is_first = relay.is_first_source_reader();
+            let wait = if is_first { relay.settings.contact_time } else { MAX_POLL_WAIT };
+            for row in follower.poll(wait.min(MAX_POLL_WAIT)).into_rows() {
                 relay.apply_row(&*feed, &row, feed.name());
             }
         }
@@ -136,11 +141,7 @@
         if self.relay.is_first_source_reader() {
             return self.follower.poll(self.relay.settings.contact_time / CONTACT_TIME_POLLS);
         }
-        let shared = &self.relay.shared_directory;
-        shared.set_long_poll(Some(self.follower.interrupt.clone()));
-        let update = self.follower.poll(MAX_POLL_WAIT);
-        shared.set_long_poll(None);
-        update
+        self.follower.poll(MAX_POLL_WAIT)
     }
 }
 
--- a/crates/relay/src/sources/follower.rs
+++ b/crates/relay/src/sources/follower.rs
@@ -21,7 +21,8 @@
 use crate::state::Relay;
 
 /// Maximum duration of a long poll. It is shorter than the time for which sources retain their
-/// history. Dead connections are detected earlier, by keepalive probes.
+/// history. Keepalive probes detect some dead connections earlier; others look alive to them, so that
+/// first readers poll more often, and all end their polls when one finds the source back.
 pub(super) const MAX_POLL_WAIT: Duration = Duration::from_secs(10);
 
 /// Delay after changes before the next poll, to batch further changes: most come in bursts, and
@@ -76,8 +77,9 @@
 pub(super) struct Follower<F: ?Sized> {
     relay: Arc<Relay>,
     feed: Arc<F>,
-    /// Ends a long poll, as it does not show by itself that the source was restored.
-    pub(super) interrupt: Arc<PollInterrupt>,
+    /// Ends a long poll, as it does not show by itself that the source was restored, or that its
+    /// connection is dead.
+    interrupt: Arc<PollInterrupt>,
     pub(super) position: Option<StorePosition>,
     /// Era of the last update; `None` before the first one.
     era: Option<StoreEra>,
@@ -124,7 +126,8 @@
         let wait = if std::mem::take(&mut self.was_paused) { Duration::ZERO } else { wait };
         // Another source of the same store or another VM may have noticed a restoration first, which is
         // checked from here on only.
-        self.interrupt.reset();
+        let interrupt = self.interrupt.clone();
+        let poll = interrupt.begin(wait);
         let is_outdated = self.position.is_some_and(|it| it.era < self.relay.store_era());
         let result = match self.position.filter(|_| !is_outdated) {
             None => self.feed.snapshot().map(|snapshot| {
@@ -132,10 +135,11 @@
                 (snapshot.position, FeedUpdate::Snapshot { snapshot, is_restored })
             }),
             Some(position) => {
-                let changes = self.feed.changes(position, wait, &self.interrupt);
+                let changes = self.feed.changes(position, wait, &interrupt);
                 changes.map(|it| (it.position, FeedUpdate::Changes(it)))
             }
         };
+        drop(poll);
         match result {
             Ok((position, update)) => {
                 self.count_call("well");
@@ -197,7 +201,9 @@
             info!(self.relay.log, "source is back"; "source" => self.feed.name(),
                 "failures" => self.consecutive_failures);
             self.consecutive_failures = 0;
-            self.recovered_at = Some(Instant::now());
+            let now = Instant::now();
+            self.recovered_at = Some(now);
+            self.relay.poll_interrupts.interrupt_begun_before(now);
         }
     }
 
--- a/crates/relay/src/sources/shared.rs
+++ b/crates/relay/src/sources/shared.rs
@@ -1,7 +1,6 @@
 //! The directory as the VMs of a failure domain pass it on to each other.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -17,7 +16,6 @@
 use cranberryvalve_core::StorePosition;
 use cranberryvalve_core::VmId;
 
-use super::PollInterrupt;
 use super::follower::FeedUpdate;
 
 /// What a VM needs to ask the sender of a report for.
@@ -45,8 +43,6 @@
     recovered_at: Option<Instant>,
     /// Whether the last read of this VM succeeded; `None` if it does not read the source.
     own_read: Option<bool>,
-    /// Ends the long poll of this VM, if it waits for one.
-    long_poll: Option<Arc<PollInterrupt>>,
 }
 
 impl SharedDirectory {
@@ -57,7 +53,6 @@
             updates: VecDeque::new(),
             recovered_at: None,
             own_read: None,
-            long_poll: None,
         };
         Self { state: Mutex::new(state), updated: Condvar::new(), reported: Condvar::new() }
     }
@@ -84,18 +79,6 @@
         self.lock().duty.is_first_reader(now, own, vms)
     }
 
-    /// Records the interrupt of the long poll that begins; `None` when it has ended.
-    pub(super) fn set_long_poll(&self, interrupt: Option<Arc<PollInterrupt>>) {
-        self.lock().long_poll = interrupt;
-    }
-
-    /// Ends the long poll of this VM, if it waits for one.
-    pub(crate) fn interrupt_long_poll(&self) {
-        if let Some(interrupt) = &self.lock().long_poll {
-            interrupt.interrupt();
-        }
-    }
-
     /// Returns the time after which a VM that does not read the source checks again whether it has to.
     pub(super) fn check_delay(&self, now: Instant) -> Duration {
         self.lock().duty.check_delay(now)
@@ -108,7 +91,7 @@
     }
 
     /// Returns when the source last came back after an outage, as far as is known.
-    pub(super) fn recovered_at(&self) -> Option<Instant> {
+    pub(crate) fn recovered_at(&self) -> Option<Instant> {
         self.lock().recovered_at
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -344,10 +344,10 @@
         self.settings.scheduler.failure_domain.as_ref() == Some(&vm.failure_domain)
     }
 
-    /// Ends a long poll if this VM has become the first reader of its failure domain.
-    pub(crate) fn check_long_poll(&self) {
+    /// Ends long polls if this VM has become the first reader of its failure domain.
+    pub(crate) fn check_long_polls(&self) {
         if self.is_first_source_reader() {
-            self.shared_directory.interrupt_long_poll();
+            self.poll_interrupts.interrupt_longer_than(self.settings.contact_time);
         }
     }
 
