fix: other VMs keep the origins of a VM's streams while one version serves

A worker of a second version had started right after the VM stopped.

Cause: origins were sent to the coordinators only while several versions served. When the second one appeared, each VM had to send those of its streams; a VM that stood still, or was gone, did not.

Two other VMs now keep copies of the origins of running streams, sent in batches, and tell the coordinators when another version appears. Streams are not continued by the copies themselves, which may be older than what the coordinators know; an origin that becomes uncertain is copied again. The message is new and goes to VMs that announce `origin_copies` only.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -45,12 +45,23 @@
 pub const UNANNOUNCED_PROTOCOL: u32 = 0;
 
 /// Names of the capabilities that builds announce, by their bit. Names are only appended.
-pub const CAPABILITIES: [&str; 6] =
-    ["permits", "quarantine", "stream_origins", "forwarding", "refusals", "usage_reports"];
+pub const CAPABILITIES: [&str; 7] = [
+    "permits",
+    "quarantine",
+    "stream_origins",
+    "forwarding",
+    "refusals",
+    "usage_reports",
+    "origin_copies",
+];
 
 /// Bit of the capability to exchange [`UsageMessage`](crate::usage::UsageMessage)s.
 pub const USAGE_REPORTS_BIT: u64 = 1 << 5;
 
+/// Bit of the capability to keep copies of the origins of streams
+/// ([`PeerMessage::OriginCopies`](crate::peer::PeerMessage::OriginCopies)).
+pub const ORIGIN_COPIES_BIT: u64 = 1 << 6;
+
 /// Bits of all capabilities that this build knows.
 pub const ALL_CAPABILITIES: u64 = (1 << CAPABILITIES.len()) - 1;
 
--- a/crates/coordination/src/origins.rs
+++ b/crates/coordination/src/origins.rs
@@ -6,6 +6,10 @@
 //! first event leaves. A caller that takes the stream up at another VM names the request that began
 //! it, and the coordinators tell the origin.
 //!
+//! While one version serves, coordinators need not know the origins. A VM then sends those of streams
+//! that run for a while to two VMs that keep copies ([`copy_holders_of`]). Once a further version
+//! appears, these tell the coordinators, as the VM itself may stand still or be gone by then.
+//!
 //! Coordinators change as VMs leave and join. A VM that stops therefore sends all origins that it
 //! keeps to the coordinators among the remaining VMs ([`OriginLog::recent`]).
 
@@ -32,6 +36,9 @@
 /// Number of VMs that keep the origin of a stream besides the one that began it.
 pub const ORIGIN_COORDINATORS: usize = 3;
 
+/// Number of VMs that keep copies of the origins of the streams of a VM.
+const COPY_HOLDERS: usize = 2;
+
 /// Maximum number of streams whose origins a VM keeps. Among 340 VMs that begin 2,700 streams a
 /// second, each gets 1,900 in [`STREAM_LIFETIME`].
 const MAX_STREAMS: usize = 16_384;
@@ -140,6 +147,12 @@
     }
 }
 
+/// Returns those of `others` that keep copies of the origins of the streams of `vm`, in different
+/// failure domains as far as there are enough.
+pub fn copy_holders_of<'a>(vm: &VmId, others: &'a [PeerAddress]) -> Vec<&'a PeerAddress> {
+    coordinators_of(stable_hash(("origin copies", vm)), others, COPY_HOLDERS)
+}
+
 /// Returns the streams that each of `vms` coordinates, for those that coordinate any.
 pub fn streams_by_coordinator<'a>(
     streams: &[(StreamKey, StreamOrigin)],
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -249,6 +249,14 @@
         /// The message.
         message: UsageMessage,
     },
+    /// Origins of streams that run at the sender, for VMs that keep copies of them. Sent to VMs with
+    /// the capability `origin_copies` only.
+    OriginCopies {
+        /// Name and address of the sender.
+        from: PeerAddress,
+        /// The streams.
+        streams: Vec<(StreamKey, StreamOrigin)>,
+    },
 }
 
 /// What a VM that reads the source of the directory tells the others.
@@ -334,7 +342,8 @@
             | Self::ProbeResponse { from, .. }
             | Self::Refusals { from, .. }
             | Self::Builds { from, .. }
-            | Self::Usage { from, .. } => from,
+            | Self::Usage { from, .. }
+            | Self::OriginCopies { from, .. } => from,
         }
     }
 }
--- a/crates/coordination/tests/damaged_messages.rs
+++ b/crates/coordination/tests/damaged_messages.rs
@@ -35,6 +35,7 @@
 
 use landed::Sample;
 use landed::builds;
+use landed::copies;
 use landed::first;
 use landed::origins;
 use landed::usage;
@@ -114,7 +115,8 @@
             PeerMessage::Suspects { suspects, .. } => {
                 self.quarantine.merge(now, &suspects);
             }
-            PeerMessage::StreamOrigins { streams, .. } => {
+            PeerMessage::StreamOrigins { streams, .. }
+            | PeerMessage::OriginCopies { streams, .. } => {
                 streams.into_iter().for_each(|(key, origin)| self.origins.record(now, key, origin));
             }
             PeerMessage::LimitReport { from, demands } => {
@@ -152,7 +154,7 @@
 
 fn messages() -> Vec<Sample> {
     let landed = first::messages().into_iter().chain(origins::messages());
-    landed.chain(builds::messages()).chain(usage::messages()).collect()
+    landed.chain(builds::messages()).chain(usage::messages()).chain(copies::messages()).collect()
 }
 
 fn check(property: fn(Vec<u8>, usize, u8, u8) -> bool) {
@@ -214,6 +216,7 @@
         first::operator_messages(),
         origins::rows(),
         usage::rows(),
+        copies::rows(),
     ];
     for sample in samples.into_iter().flatten() {
         for end in 0..sample.bytes.len() {
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -16,6 +16,7 @@
 
 use landed::Sample;
 use landed::builds;
+use landed::copies;
 use landed::first;
 use landed::origins;
 use landed::text;
@@ -50,9 +51,13 @@
     origins_samples().into_iter().chain(builds::messages()).collect()
 }
 
+fn usage_samples() -> Vec<Sample> {
+    builds_samples().into_iter().chain(usage::messages()).chain(usage::rows()).collect()
+}
+
 /// Returns what this build writes. Its file is added by the landing after it.
 fn samples() -> Vec<Sample> {
-    builds_samples().into_iter().chain(usage::messages()).chain(usage::rows()).collect()
+    usage_samples().into_iter().chain(copies::messages()).chain(copies::rows()).collect()
 }
 
 /// Checks that a file has the bytes of exactly these samples, and that this build reads them.
@@ -90,6 +95,7 @@
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
     let messages = messages.chain(builds::messages()).chain(usage::messages());
+    let messages = messages.chain(copies::messages());
     let covered: BTreeSet<u8> = messages.map(|it| it.bytes[0]).collect();
     // Zeros stand for empty texts and lists, absent values and the first variant of an enum.
     let exists = |it: &u8| {
@@ -115,7 +121,7 @@
     let later = |name, bytes| Sample { name, bytes, ..text("", "") };
     changed.push(later("later-row", b"{}".to_vec()));
     changed.push(later("later-message", known[1].bytes.clone()));
-    let names = [known[0].name, known[1].name, "later-message", "usage-duty"];
+    let names = [known[0].name, known[1].name, "later-message", "contacts"];
     assert_eq!(misread(&to_file(&changed), &known), names);
     let unread_names = [known[0].name, known[1].name, "later-row", "later-message"];
     assert_eq!(unread(&to_file(&changed), &known), unread_names);
--- a/crates/coordination/tests/stream_origins.rs
+++ b/crates/coordination/tests/stream_origins.rs
@@ -12,6 +12,7 @@
 use cranberryvalve_coordination::origins::OriginLog;
 use cranberryvalve_coordination::origins::STREAM_LIFETIME;
 use cranberryvalve_coordination::origins::StreamOrigin;
+use cranberryvalve_coordination::origins::copy_holders_of;
 use cranberryvalve_coordination::origins::stream_key;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -144,6 +145,20 @@
     assert!(bytes_per_s < 8_000, "{bytes_per_s} bytes a second");
 }
 
+/// VMs send what is new twice a second to two others, while one version serves.
+#[test]
+fn copies_fit_into_the_bytes_of_a_vm() {
+    let streams = (0..STREAMS / VMS / 2 + 1).map(|it| (it as u64, origin("v1.12.3"))).collect();
+    let message = PeerMessage::OriginCopies { from: vms()[0].clone(), streams };
+    let bytes = postcard::to_stdvec(&message).expect("a message").len();
+    let own = &vms()[0].vm;
+    let holders = copy_holders_of(own, &vms()[1..]).len();
+    // Sent and received, with what a frame and its signature take.
+    let bytes_per_s = 2 * 2 * (bytes + 64) * holders;
+    // A quarter of what the target gives control on a VM, since this goes on all the time.
+    assert!(bytes_per_s < 2_000, "{bytes_per_s} bytes a second");
+}
+
 #[test]
 fn forgets_streams_that_are_over() {
     let (now, mut log) = (Instant::now(), OriginLog::default());
--- a/crates/coordination/tests/support/landed/all.rs
+++ b/crates/coordination/tests/support/landed/all.rs
@@ -5,6 +5,7 @@
 //! is how its bytes are written: see `docs/design/upgrades.md`.
 
 pub(crate) mod builds;
+pub(crate) mod copies;
 pub(crate) mod first;
 pub(crate) mod origins;
 pub(crate) mod usage;
--- a/crates/daemon/src/control/heartbeats.rs
+++ b/crates/daemon/src/control/heartbeats.rs
@@ -162,7 +162,8 @@
                 | PeerMessage::ProbeRequest { .. }
                 | PeerMessage::ProbeResponse { .. }
                 | PeerMessage::Refusals { .. }
-                | PeerMessage::Usage { .. },
+                | PeerMessage::Usage { .. }
+                | PeerMessage::OriginCopies { .. },
             ) => {}
             Received::Dropped(report) => log_dropped(node, report),
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -213,6 +213,7 @@
             thread::sleep(LOAD_REPORT_INTERVAL);
             self.continue_table_fetch();
             self.send_paces();
+            self.send_origin_copies();
             let loads = self.relay.dispatcher.loads_for_peers();
             if loads.is_empty() {
                 continue;
--- a/crates/relay/src/peers/builds.rs
+++ b/crates/relay/src/peers/builds.rs
@@ -9,6 +9,7 @@
 use cranberryvalve_coordination::builds::BuildExchange;
 use cranberryvalve_coordination::builds::MemberBuild;
 use cranberryvalve_coordination::builds::VmBuild;
+use cranberryvalve_coordination::membership::MemberState;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 
@@ -58,6 +59,19 @@
         self.builds().members(&membership)
     }
 
+    /// Returns those of some VMs that live and have announced a capability.
+    pub(super) fn able(&self, mut vms: Vec<PeerAddress>, capability: u64) -> Vec<PeerAddress> {
+        let membership = self.membership();
+        let builds = self.builds();
+        let mut members = membership.list();
+        members.retain(|it| it.state == MemberState::Alive);
+        vms.retain(|vm| {
+            let member = members.iter().find(|it| it.member.vm == vm.vm);
+            member.is_some_and(|it| builds.is_able(&vm.vm, it.incarnation, capability))
+        });
+        vms
+    }
+
     /// Returns the number of living VMs by protocol version.
     pub(crate) fn members_by_protocol(&self) -> BTreeMap<u32, usize> {
         let membership = self.membership();
--- a/crates/relay/src/peers/origins.rs
+++ b/crates/relay/src/peers/origins.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use cranberryvalve_coordination::builds::ORIGIN_COPIES_BIT;
 use cranberryvalve_coordination::home::coordinators_of;
 use cranberryvalve_coordination::origins::ORIGIN_COORDINATORS;
 use cranberryvalve_coordination::origins::StreamKey;
 use cranberryvalve_coordination::origins::StreamOrigin;
+use cranberryvalve_coordination::origins::copy_holders_of;
 use cranberryvalve_coordination::origins::streams_by_coordinator;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -59,6 +61,24 @@
         self.send_origins(&self.relay.streams.recent_origins());
     }
 
+    /// Sends the origins of running streams to the VMs that keep copies, unless these have them.
+    pub(super) fn send_origin_copies(&self) {
+        let streams = self.relay.streams.take_uncopied();
+        if streams.is_empty() {
+            return;
+        }
+        let (own, mut others) = self.own_and_alive();
+        others.retain(|it| it.vm != own.vm);
+        let others = self.able(others, ORIGIN_COPIES_BIT);
+        for holder in copy_holders_of(&own.vm, &others) {
+            for part in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
+                let message =
+                    PeerMessage::OriginCopies { from: own.clone(), streams: part.to_vec() };
+                self.links.send(holder, &message);
+            }
+        }
+    }
+
     /// Asks the coordinators of a stream for its origin, again if some do not reply.
     pub(crate) fn query_origin(&self, stream: StreamKey) -> OriginReply {
         for _ in 1..MAX_ORIGIN_QUERIES {
--- a/crates/relay/src/peers/usage.rs
+++ b/crates/relay/src/peers/usage.rs
@@ -1,7 +1,6 @@
 //! Exchange of usage counts between VMs.
 
 use cranberryvalve_coordination::builds::USAGE_REPORTS_BIT;
-use cranberryvalve_coordination::membership::MemberState;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::usage::UsageHolder;
@@ -81,7 +80,7 @@
     pub(crate) fn request_usage(&self, vms: &[VmId]) {
         for vm in vms.iter().take(MAX_REQUESTS) {
             let address = self.membership().address_of(vm);
-            for receiver in self.able(address.into_iter().collect()) {
+            for receiver in self.able(address.into_iter().collect(), USAGE_REPORTS_BIT) {
                 self.send_usage(&receiver, UsageMessage::Request);
             }
         }
@@ -133,20 +132,7 @@
     /// Returns the neighbours that understand messages about usage.
     fn able_neighbours(&self) -> Vec<PeerAddress> {
         let neighbours = self.membership().neighbours();
-        self.able(neighbours)
-    }
-
-    /// Returns those of some VMs that live and understand messages about usage.
-    fn able(&self, mut vms: Vec<PeerAddress>) -> Vec<PeerAddress> {
-        let membership = self.membership();
-        let builds = self.builds();
-        let mut members = membership.list();
-        members.retain(|it| it.state == MemberState::Alive);
-        vms.retain(|vm| {
-            let member = members.iter().find(|it| it.member.vm == vm.vm);
-            member.is_some_and(|it| builds.is_able(&vm.vm, it.incarnation, USAGE_REPORTS_BIT))
-        });
-        vms
+        self.able(neighbours, USAGE_REPORTS_BIT)
     }
 
     fn send_usage(&self, receiver: &PeerAddress, message: UsageMessage) {
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -70,6 +70,9 @@
 #[derive(Debug)]
 struct State {
     origins: OriginLog,
+    /// Origins that this VM keeps for the VMs that began the streams. They may have changed since, so
+    /// that no stream is continued by them until its coordinators know them.
+    copies: OriginLog,
     running: RunningStreams,
     versions: VersionHistory,
     confirmation: Confirmation,
@@ -94,6 +97,7 @@
     pub(crate) fn new(now: Instant) -> Self {
         let state = State {
             origins: OriginLog::default(),
+            copies: OriginLog::default(),
             running: RunningStreams::default(),
             versions: VersionHistory::new(now),
             confirmation: Confirmation::default(),
@@ -118,7 +122,35 @@
 
     /// Returns the origins of all streams that this VM knows.
     pub(crate) fn recent_origins(&self) -> Vec<(StreamKey, StreamOrigin)> {
-        self.lock().origins.recent(Instant::now())
+        let (now, state) = (Instant::now(), self.lock());
+        [state.origins.recent(now), state.copies.recent(now)].concat()
+    }
+
+    /// Returns the origins of running streams that no other VM keeps yet, and takes them for copied.
+    pub(crate) fn take_uncopied(&self) -> Vec<(StreamKey, StreamOrigin)> {
+        let (now, mut state) = (Instant::now(), self.lock());
+        let uncopied = state.running.take_uncopied();
+        let origin = |stream| Some((stream, state.origins.origin(now, stream)?.clone()));
+        let mut uncopied: Vec<(StreamKey, StreamOrigin)> =
+            uncopied.into_iter().filter_map(origin).collect();
+        // The coordinators of the others were told when these began, or when the versions were mixed.
+        uncopied.retain(|(_, it)| !state.versions.is_mixed(now, &it.pool));
+        uncopied
+    }
+
+    /// Keeps copies of origins for another VM. Returns those whose coordinators have to know, as several
+    /// versions serve their pool.
+    fn record_copies(
+        &self,
+        streams: Vec<(StreamKey, StreamOrigin)>,
+    ) -> Vec<(StreamKey, StreamOrigin)> {
+        let (now, mut state) = (Instant::now(), self.lock());
+        let mut mixed = streams.clone();
+        mixed.retain(|(_, origin)| state.versions.is_mixed(now, &origin.pool));
+        for (stream, origin) in streams {
+            state.copies.record(now, stream, origin);
+        }
+        mixed
     }
 
     /// Records the origins of streams that other VMs began.
@@ -260,7 +292,11 @@
 
 impl State {
     fn streams_of(&self, now: Instant, pools: &[PoolId]) -> Vec<(StreamKey, StreamOrigin)> {
-        pools.iter().flat_map(|it| self.origins.streams_of(now, it)).collect()
+        let logs = [&self.origins, &self.copies];
+        let streams = |log: &OriginLog| {
+            pools.iter().flat_map(|it| log.streams_of(now, it)).collect::<Vec<_>>()
+        };
+        logs.into_iter().flat_map(streams).collect()
     }
 }
 
@@ -303,6 +339,12 @@
         running
     }
 
+    /// Keeps copies of the origins of streams that another VM began.
+    pub(crate) fn keep_origin_copies(&self, streams: Vec<(StreamKey, StreamOrigin)>) {
+        let mixed = self.streams.record_copies(streams);
+        self.send_origins(&mixed);
+    }
+
     fn send_origins(&self, streams: &[(StreamKey, StreamOrigin)]) {
         if let Some(peers) = self.peers().filter(|_| !streams.is_empty()) {
             peers.send_origins(streams);
--- a/crates/relay/src/streams/running.rs
+++ b/crates/relay/src/streams/running.rs
@@ -28,6 +28,8 @@
     upstream: UpstreamId,
     address: SocketAddr,
     incarnation: u64,
+    /// Whether other VMs keep the stream's present origin.
+    is_copied: bool,
 }
 
 impl RunningStreams {
@@ -39,25 +41,43 @@
             upstream: upstream.id.clone(),
             address: upstream.address,
             incarnation: upstream.incarnation,
+            is_copied: false,
         };
         self.by_id.insert(self.last_id, run);
         self.last_id
     }
 
+    /// Returns the streams whose origins no other VM keeps yet, and takes them for copied.
+    pub(super) fn take_uncopied(&mut self) -> Vec<StreamKey> {
+        let uncopied = self.by_id.values_mut().filter(|it| !it.is_copied);
+        let take = |run: &mut Run| {
+            run.is_copied = true;
+            run.stream
+        };
+        uncopied.map(take).collect()
+    }
+
     /// Returns the streams whose upstream has started again at its address, as a new directory shows.
     /// It may have generated them before or after that.
-    pub(super) fn doubted(&self, upstreams: &[UpstreamRecord]) -> Vec<(StreamKey, StreamOrigin)> {
+    pub(super) fn doubted(
+        &mut self,
+        upstreams: &[UpstreamRecord],
+    ) -> Vec<(StreamKey, StreamOrigin)> {
         if self.by_id.is_empty() {
             return Vec::new();
         }
         let by_id: HashMap<&UpstreamId, &UpstreamRecord> =
             upstreams.iter().map(|it| (&it.id, it)).collect();
-        let is_replaced = |run: &&Run| {
+        let is_replaced = |run: &&mut Run| {
             let current = by_id.get(&run.upstream);
             current.is_some_and(|it| it.address == run.address && it.incarnation != run.incarnation)
         };
-        let doubted = self.by_id.values().filter(is_replaced);
-        doubted.map(|it| (it.stream, StreamOrigin::uncertain(it.pool.clone()))).collect()
+        let doubted = self.by_id.values_mut().filter(is_replaced);
+        let doubt = |run: &mut Run| {
+            run.is_copied = false;
+            (run.stream, StreamOrigin::uncertain(run.pool.clone()))
+        };
+        doubted.map(doubt).collect()
     }
 }
 
--- a/crates/relay/src/streams/tests.rs
+++ b/crates/relay/src/streams/tests.rs
@@ -1,4 +1,4 @@
-//! Reads of the store's record that prove a sole version.
+//! Reads of the store's record that prove a sole version, and copies of origins.
 
 use std::sync::Arc;
 use std::thread;
@@ -6,8 +6,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::origins::StreamKey;
+use cranberryvalve_coordination::origins::StreamOrigin;
 use cranberryvalve_coordination::versions::VersionRecord;
 use cranberryvalve_core::SoftwareVersion;
+use cranberryvalve_policy::scheduler::UpstreamRecord;
 
 use super::ReadId;
 use super::Streams;
@@ -69,3 +72,49 @@
     streams.end_confirmation(read, vec![record(&["v1"])]);
     assert!(!streams.was_minority());
 }
+
+const STREAM: StreamKey = 7;
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { pool: POOL.into(), software_version: version.into() }
+}
+
+fn engine(incarnation: u64, version: &str) -> UpstreamRecord {
+    UpstreamRecord {
+        id: "engine-1".into(),
+        pool: POOL.into(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        failure_domain: "a".into(),
+        slots: 8,
+        is_leaving: false,
+        incarnation,
+        software_version: version.into(),
+    }
+}
+
+/// A copy that was not told of a restart of the upstream named the version of before.
+#[test]
+fn doubted_copies_change() {
+    let streams = streams();
+    streams.observe(&[engine(1, "v1")]);
+    let running = streams.begin(STREAM, &engine(1, "v1"));
+    streams.record_own(STREAM, origin("v1"));
+    assert_eq!(streams.take_uncopied(), [(STREAM, origin("v1"))]);
+    assert_eq!(streams.take_uncopied(), []);
+    streams.observe(&[engine(2, "v1")]);
+    assert_eq!(streams.take_uncopied(), [(STREAM, StreamOrigin::uncertain(POOL.into()))]);
+    drop(running);
+}
+
+/// Copies were kept to themselves, so that the coordinators did not know the streams.
+#[test]
+fn mixed_copies_are_told() {
+    let streams = streams();
+    streams.observe(&[engine(1, "v1")]);
+    assert_eq!(streams.record_copies(vec![(STREAM, origin("v1"))]), []);
+    assert_eq!(streams.origin(STREAM), None);
+    let told = streams
+        .observe(&[engine(1, "v1"), UpstreamRecord { id: "engine-2".into(), ..engine(1, "v2") }]);
+    assert_eq!(told, [(STREAM, origin("v1"))]);
+    assert_eq!(streams.record_copies(vec![(8, origin("v1"))]), [(8, origin("v1"))]);
+}
