--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -38,6 +38,9 @@
 /// Bytes written by dc0c85727ecae1a6e94e3d4541a4258e8913f969.
 const STOPS: &str = include_str!("data/landed/dc0c85727ecae1a6e94e3d4541a4258e8913f969.txt");
 
+/// Bytes written by 3428ec8c1c364e30e3e3d512abac72c3a8ad08cb.
+const USAGE: &str = include_str!("data/landed/3428ec8c1c364e30e3e3d512abac72c3a8ad08cb.txt");
+
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
@@ -91,6 +94,11 @@
     check(STOPS, &builds_samples());
 }
 
+#[test]
+fn reads_and_writes_bytes_of_3428ec8() {
+    check(USAGE, &usage_samples());
+}
+
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
