fix: responses with an invalid status are not relayed

Callers got status 600 and 999 of a worker in trouble as its answer (invalid_statuses failed: 600 instead of 502). Nothing checked that a status is one of HTTP; those below 100 were skipped as interim responses.

The parser of response heads refuses statuses outside 100 to 599, for upstreams, other VMs and the store; the daemon's client does the same (invalid_status_is_an_unknown_outcome failed: status 600 was an answer).

Ruled out: an early response without a length whose reset is reported to a write is not taken for complete, since the next write fails before anything is read (reset_shows_again passed at once).

--- a/crates/adapters/src/upstream/call.rs
+++ b/crates/adapters/src/upstream/call.rs
@@ -24,6 +24,9 @@
 /// Maximum size of a plain service's response body, in bytes.
 const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Highest status code that is valid (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
+
 /// Why an attempt got no complete response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallError {
@@ -121,6 +124,10 @@
         agent.run(Request::from_parts(parts, body))
     };
     let response = result.map_err(|error| call_error(&error, cancel))?;
+    // The client library has refused those below 100.
+    if response.status().as_u16() > MAX_STATUS {
+        return Err(CallError::Broken);
+    }
     if header(&response, NOT_RUN_HEADER) == Some("true") {
         let leaving = header(&response, LEAVING_HEADER) == Some("true");
         return Err(CallError::Refused { leaving });
--- a/crates/adapters/tests/cut_heads.rs
+++ b/crates/adapters/tests/cut_heads.rs
@@ -208,3 +208,13 @@
         }
     }
 }
+
+/// A status that HTTP does not have was passed on as the answer of the service.
+#[test]
+fn invalid_status_is_an_unknown_outcome() {
+    for status in ["000", "099", "600", "999"] {
+        let response = WITH_LENGTH.replace("200 OK", &format!("{status} Odd"));
+        let result = call_service(&response, End::Closed, plain_call);
+        assert_eq!(result, Err(CallError::Broken), "{status}");
+    }
+}
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -394,7 +394,8 @@
 
     /// Writes the first bytes. Returns `false` if the connection accepts none.
     fn start(&mut self, connection: &Connection) -> bool {
-        // An error after the first bytes shows again with the next ones.
+        // An error after the first bytes shows again with the next ones, which are written before
+        // anything is read.
         let _ = self.write_available(connection);
         self.is_started
     }
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -1,5 +1,6 @@
 //! Heads of upstream responses.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use cranberryvalve_adapters::caller::HeadError;
@@ -112,6 +113,9 @@
     }
 }
 
+/// Status codes that are valid (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Beginning of a status line, in which a 0 stands for any digit.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.0 000";
 
@@ -131,8 +135,12 @@
     if windows.filter(|it| begins_status_line(it)).nth(1).is_some() {
         return Err(HeadError::Malformed("a head holds two status lines".into()));
     }
+    let status = response.code.unwrap_or_default();
+    if !STATUS_CODES.contains(&status) {
+        return Err(HeadError::Malformed(format!("the status is {status:03}").into()));
+    }
     let head = ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         reason: response.reason.unwrap_or_default().into(),
         headers: copy_headers(response.headers),
         is_http_1_1: response.version == Some(1),
