--- a/crates/relay/src/client/tests.rs
+++ b/crates/relay/src/client/tests.rs
@@ -8,6 +8,10 @@
 
 use super::HttpClient;
 use super::HttpError;
+use super::MAX_HEAD_BYTES;
+
+/// More than one read from a connection, in bytes.
+const READ_BYTES: usize = 64 * 1024;
 
 /// Returns the result of a request to a service that sends `response` and closes the connection.
 fn get(response: &str) -> Result<Vec<u8>, HttpError> {
@@ -69,3 +73,11 @@
     let (mut connection, _) = listener.accept().expect("a connection");
     assert_eq!(connection.read(&mut [0]).unwrap_or(0), 0);
 }
+
+/// A head without end was kept until the timeout, however much arrived.
+#[test]
+fn endless_head_is_an_error() {
+    let line = "x".repeat(MAX_HEAD_BYTES + READ_BYTES);
+    let result = get(&format!("HTTP/1.1 200 OK\r\nX-Filler: {line}"));
+    assert!(matches!(result, Err(HttpError::Malformed)), "{result:?}");
+}
