fix: origins of streams outlive the loss of all VMs

Cause: the origin of a stream was in the memory of VMs only.

While several versions serve, one VM of each failure domain now records the origins of running streams in the store, a row a second in turn, and a VM that finds an origin nowhere else reads the rows. Nothing is written in calm. An origin that becomes uncertain is recorded again and counts, so streams are refused rather than joined.

--- a/crates/coordination/src/origins.rs
+++ b/crates/coordination/src/origins.rs
@@ -10,9 +10,14 @@
 //! that run for a while to two VMs that keep copies ([`copy_holders_of`]). Once a further version
 //! appears, these tell the coordinators, as the VM itself may stand still or be gone by then.
 //!
+//! While several versions serve, one VM of each failure domain also records the origins in the store
+//! ([`OriginRow`]), for the case that all VMs are lost at once.
+//!
 //! Coordinators change as VMs leave and join. A VM that stops therefore sends all origins that it
 //! keeps to the coordinators among the remaining VMs ([`OriginLog::recent`]).
 
+mod row;
+
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -26,6 +31,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::row::MAX_ROW_STREAMS;
+pub use self::row::OriginRow;
+pub use self::row::ROW_INTERVAL;
+pub use self::row::row_key;
 use crate::home::coordinators_of;
 use crate::peer::PeerAddress;
 
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -256,6 +256,9 @@
         from: PeerAddress,
         /// The streams.
         streams: Vec<(StreamKey, StreamOrigin)>,
+        /// Whether their coordinators know them already, so that the receiver has to record them in the
+        /// store only.
+        are_told: bool,
     },
 }
 
--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -145,6 +145,11 @@
         before.all(|it| self.is_failing(now, it))
     }
 
+    /// Returns the first VM of the failure domain that does not fail, as far as is known.
+    pub fn first_reader<'a>(&self, now: Instant, vms: &'a [VmId]) -> Option<&'a VmId> {
+        vms.iter().filter(|it| !self.is_failing(now, it)).max_by_key(|it| weight(it))
+    }
+
     /// Returns `true` if a VM reported that it does not reach the source, or reports no longer.
     fn is_failing(&self, now: Instant, vm: &VmId) -> bool {
         self.reports.get(vm).is_some_and(|it| {
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -129,7 +129,7 @@
     let later = |name, bytes| Sample { name, bytes, ..text("", "") };
     changed.push(later("later-row", b"{}".to_vec()));
     changed.push(later("later-message", known[1].bytes.clone()));
-    let names = [known[0].name, known[1].name, "later-message", "contacts"];
+    let names = [known[0].name, known[1].name, "later-message", "origins"];
     assert_eq!(misread(&to_file(&changed), &known), names);
     let unread_names = [known[0].name, known[1].name, "later-row", "later-message"];
     assert_eq!(unread(&to_file(&changed), &known), unread_names);
--- a/crates/coordination/tests/stream_origins.rs
+++ b/crates/coordination/tests/stream_origins.rs
@@ -149,7 +149,7 @@
 #[test]
 fn copies_fit_into_the_bytes_of_a_vm() {
     let streams = (0..STREAMS / VMS / 2 + 1).map(|it| (it as u64, origin("v1.12.3"))).collect();
-    let message = PeerMessage::OriginCopies { from: vms()[0].clone(), streams };
+    let message = PeerMessage::OriginCopies { from: vms()[0].clone(), streams, are_told: false };
     let bytes = postcard::to_stdvec(&message).expect("a message").len();
     let own = &vms()[0].vm;
     let holders = copy_holders_of(own, &vms()[1..]).len();
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -193,8 +193,8 @@
                 Received::Message(PeerMessage::StreamOrigins { streams, .. }) => {
                     self.relay.streams.record_all(streams);
                 }
-                Received::Message(PeerMessage::OriginCopies { streams, .. }) => {
-                    self.relay.keep_origin_copies(streams);
+                Received::Message(PeerMessage::OriginCopies { streams, are_told, .. }) => {
+                    self.relay.keep_origin_copies(streams, are_told);
                 }
                 Received::Message(PeerMessage::OriginRequest { from, request_id, stream }) => {
                     self.send_origin(&from, request_id, stream);
--- a/crates/relay/src/peers/origins.rs
+++ b/crates/relay/src/peers/origins.rs
@@ -1,6 +1,7 @@
 //! Exchange of the origins of streams.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use cranberryvalve_coordination::builds::ORIGIN_COPIES_BIT;
 use cranberryvalve_coordination::home::coordinators_of;
@@ -14,6 +15,7 @@
 use cranberryvalve_coordination::peer::QuestionId;
 
 use super::Peers;
+use crate::streams::UncopiedStreams;
 
 /// Maximum time that a query for the origin of a stream waits: a round trip between regions, plus the
 /// processing time on two small VMs. Only coordinators that are gone make it wait so long.
@@ -61,21 +63,36 @@
         self.send_origins(&self.relay.streams.recent_origins());
     }
 
-    /// Sends the origins of running streams to the VMs that keep copies, unless these have them.
+    /// Sends the origins of running streams to the VMs that keep copies, or to the one that records
+    /// them in the store, unless these have them.
     pub(super) fn send_origin_copies(&self) {
-        let streams = self.relay.streams.take_uncopied();
-        if streams.is_empty() {
+        let UncopiedStreams { told, untold } = self.relay.streams.take_uncopied();
+        if told.is_empty() && untold.is_empty() {
             return;
         }
         let (own, mut others) = self.own_and_alive();
         others.retain(|it| it.vm != own.vm);
         let others = self.able(others, ORIGIN_COPIES_BIT);
         for holder in copy_holders_of(&own.vm, &others) {
-            for part in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
-                let message =
-                    PeerMessage::OriginCopies { from: own.clone(), streams: part.to_vec() };
-                self.links.send(holder, &message);
-            }
+            self.send_copies(holder, &untold, false);
+        }
+        match self.recorder(&others) {
+            Some(recorder) => self.send_copies(recorder, &told, true),
+            None => self.relay.streams.stored.push(told),
+        }
+    }
+
+    /// Returns the VM of the failure domain that records origins in the store; `None` if it is this one.
+    fn recorder<'a>(&self, others: &'a [PeerAddress]) -> Option<&'a PeerAddress> {
+        let (_, near) = self.failure_domain_members();
+        let first = self.relay.shared_directory.first_reader(Instant::now(), &near)?;
+        others.iter().find(|it| it.vm == first)
+    }
+
+    fn send_copies(&self, to: &PeerAddress, streams: &[(StreamKey, StreamOrigin)], are_told: bool) {
+        for part in streams.chunks(MAX_STREAMS_PER_MESSAGE) {
+            let (from, streams) = (self.own_address(), part.to_vec());
+            self.links.send(to, &PeerMessage::OriginCopies { from, streams, are_told });
         }
     }
 
--- a/crates/relay/src/sources/shared.rs
+++ b/crates/relay/src/sources/shared.rs
@@ -79,6 +79,11 @@
         self.lock().duty.is_first_reader(now, own, vms)
     }
 
+    /// Returns the first VM of a failure domain that reaches the source. `vms` are the living VMs there.
+    pub(crate) fn first_reader(&self, now: Instant, vms: &[VmId]) -> Option<VmId> {
+        self.lock().duty.first_reader(now, vms).cloned()
+    }
+
     /// Returns the time after which a VM that does not read the source checks again whether it has to.
     pub(super) fn check_delay(&self, now: Instant) -> Duration {
         self.lock().duty.check_delay(now)
--- a/crates/relay/src/streams.rs
+++ b/crates/relay/src/streams.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up again: at which software version they continue.
 
 mod running;
+mod stored;
 
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -26,6 +27,7 @@
 
 pub(crate) use self::running::RunningStream;
 use self::running::RunningStreams;
+use self::stored::StoredOrigins;
 
 /// Maximum time that a call waits for a read of the store's record: the store's response, after one to
 /// a read that began before.
@@ -61,6 +63,8 @@
 #[derive(Debug)]
 pub(crate) struct Streams {
     state: Mutex<State>,
+    /// Origins in the store.
+    pub(crate) stored: StoredOrigins,
     /// Signalled when the record in the store may have to be read or written.
     versions_changed: Condvar,
     /// Signalled when the record was read.
@@ -81,6 +85,16 @@
     was_minority: bool,
 }
 
+/// Running streams whose origins no other VM keeps.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct UncopiedStreams {
+    /// Streams of pools with several versions, whose coordinators were told when they began or when the
+    /// second version appeared. They are to be recorded in the store.
+    pub(crate) told: Vec<(StreamKey, StreamOrigin)>,
+    /// Streams of pools with one version, of which other VMs are to keep copies.
+    pub(crate) untold: Vec<(StreamKey, StreamOrigin)>,
+}
+
 /// Reads of the store's record for calls that cannot rely on what this VM knows.
 #[derive(Debug, Default)]
 struct Confirmation {
@@ -105,6 +119,7 @@
         };
         Self {
             state: Mutex::new(state),
+            stored: StoredOrigins::default(),
             versions_changed: Condvar::new(),
             read_ended: Condvar::new(),
         }
@@ -127,15 +142,13 @@
     }
 
     /// Returns the origins of running streams that no other VM keeps yet, and takes them for copied.
-    pub(crate) fn take_uncopied(&self) -> Vec<(StreamKey, StreamOrigin)> {
+    pub(crate) fn take_uncopied(&self) -> UncopiedStreams {
         let (now, mut state) = (Instant::now(), self.lock());
         let uncopied = state.running.take_uncopied();
         let origin = |stream| Some((stream, state.origins.origin(now, stream)?.clone()));
-        let mut uncopied: Vec<(StreamKey, StreamOrigin)> =
-            uncopied.into_iter().filter_map(origin).collect();
-        // The coordinators of the others were told when these began, or when the versions were mixed.
-        uncopied.retain(|(_, it)| !state.versions.is_mixed(now, &it.pool));
-        uncopied
+        let uncopied = uncopied.into_iter().filter_map(origin);
+        let (told, untold) = uncopied.partition(|(_, it)| state.versions.is_mixed(now, &it.pool));
+        UncopiedStreams { told, untold }
     }
 
     /// Keeps copies of origins for another VM. Returns those whose coordinators have to know, as several
@@ -176,6 +189,7 @@
         let (now, mut state) = (Instant::now(), self.lock());
         let versions = upstreams.iter().map(|it| (it.pool.clone(), it.software_version.clone()));
         let mixed = state.versions.observe(now, versions);
+        mixed.iter().for_each(|it| state.running.forget_copies(it));
         self.versions_changed.notify_all();
         let doubted = state.running.doubted(upstreams);
         for (stream, origin) in &doubted {
@@ -191,6 +205,7 @@
     ) -> Vec<(StreamKey, StreamOrigin)> {
         let (now, mut state) = (Instant::now(), self.lock());
         let mixed = state.versions.merge(now, records, are_trusted);
+        mixed.iter().for_each(|it| state.running.forget_copies(it));
         state.streams_of(now, &mixed)
     }
 
@@ -339,10 +354,19 @@
         running
     }
 
-    /// Keeps copies of the origins of streams that another VM began.
-    pub(crate) fn keep_origin_copies(&self, streams: Vec<(StreamKey, StreamOrigin)>) {
-        let mixed = self.streams.record_copies(streams);
-        self.send_origins(&mixed);
+    /// Keeps copies of the origins of streams that another VM began, or records them in the store if
+    /// their coordinators were told.
+    pub(crate) fn keep_origin_copies(
+        &self,
+        streams: Vec<(StreamKey, StreamOrigin)>,
+        are_told: bool,
+    ) {
+        if are_told {
+            self.streams.stored.push(streams);
+        } else {
+            let mixed = self.streams.record_copies(streams);
+            self.send_origins(&mixed);
+        }
     }
 
     fn send_origins(&self, streams: &[(StreamKey, StreamOrigin)]) {
@@ -362,10 +386,12 @@
         request_id: Option<&str>,
     ) -> Result<StreamOrigin, ContinuationError> {
         let origin = match self.find_origin(request_id) {
-            OriginReply::Known(origin) => Some(origin).filter(StreamOrigin::is_certain),
+            OriginReply::Known(origin) => Some(origin),
             OriginReply::Unknown => self.only_origin(route, true),
             OriginReply::Unanswered => self.only_origin(route, false),
         };
+        let stored = || self.streams.stored.find(stream_key(request_id?));
+        let origin = origin.or_else(stored).filter(StreamOrigin::is_certain);
         let origin = origin.ok_or(ContinuationError::UnknownOrigin)?;
         let is_allowed = route.pools.iter().any(|it| it.pool == origin.pool);
         is_allowed.then_some(origin).ok_or(ContinuationError::PoolRemoved)
--- a/crates/relay/src/streams/running.rs
+++ b/crates/relay/src/streams/running.rs
@@ -47,6 +47,12 @@
         self.last_id
     }
 
+    /// Takes the streams of a pool for not copied, as they have to be kept in another way from now on.
+    pub(super) fn forget_copies(&mut self, pool: &str) {
+        let of_pool = self.by_id.values_mut().filter(|it| &*it.pool == pool);
+        of_pool.for_each(|it| it.is_copied = false);
+    }
+
     /// Returns the streams whose origins no other VM keeps yet, and takes them for copied.
     pub(super) fn take_uncopied(&mut self) -> Vec<StreamKey> {
         let uncopied = self.by_id.values_mut().filter(|it| !it.is_copied);
--- a/crates/relay/src/streams/tests.rs
+++ b/crates/relay/src/streams/tests.rs
@@ -14,6 +14,7 @@
 
 use super::ReadId;
 use super::Streams;
+use super::UncopiedStreams;
 
 const POOL: &str = "engines";
 
@@ -99,10 +100,11 @@
     streams.observe(&[engine(1, "v1")]);
     let running = streams.begin(STREAM, &engine(1, "v1"));
     streams.record_own(STREAM, origin("v1"));
-    assert_eq!(streams.take_uncopied(), [(STREAM, origin("v1"))]);
-    assert_eq!(streams.take_uncopied(), []);
+    assert_eq!(streams.take_uncopied().untold, [(STREAM, origin("v1"))]);
+    assert_eq!(streams.take_uncopied(), UncopiedStreams::default());
     streams.observe(&[engine(2, "v1")]);
-    assert_eq!(streams.take_uncopied(), [(STREAM, StreamOrigin::uncertain(POOL.into()))]);
+    let untold = streams.take_uncopied().untold;
+    assert_eq!(untold, [(STREAM, StreamOrigin::uncertain(POOL.into()))]);
     drop(running);
 }
 
@@ -118,3 +120,18 @@
     assert_eq!(told, [(STREAM, origin("v1"))]);
     assert_eq!(streams.record_copies(vec![(8, origin("v1"))]), [(8, origin("v1"))]);
 }
+
+/// Streams that run when a second version appears were missing in the store.
+#[test]
+fn mixed_streams_are_recorded() {
+    let streams = streams();
+    streams.observe(&[engine(1, "v1")]);
+    let running = streams.begin(STREAM, &engine(1, "v1"));
+    streams.record_own(STREAM, origin("v1"));
+    assert_eq!(streams.take_uncopied().untold, [(STREAM, origin("v1"))]);
+    let second = UpstreamRecord { id: "engine-2".into(), ..engine(1, "v2") };
+    streams.observe(&[engine(1, "v1"), second]);
+    assert_eq!(streams.take_uncopied().told, [(STREAM, origin("v1"))]);
+    assert_eq!(streams.take_uncopied(), UncopiedStreams::default());
+    drop(running);
+}
