fix: doubts about a start of an upstream last through an outage of the store

Cause: a start that may have ended is in doubt for 5 s, within which its entry is replaced; while the store is away it is not, and the doubt ended by the clock. The scheduler is now told whether changes of the directory reach the VM, and a doubt lasts until 5 s after their return.

--- a/crates/coordination/src/watch.rs
+++ b/crates/coordination/src/watch.rs
@@ -102,6 +102,13 @@
         now < self.covered_until
     }
 
+    /// Returns `true` if another VM recently reported that it does not reach the source. Others may not have
+    /// noticed, as they wait for changes.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        let age = |it: &Report| now.saturating_duration_since(it.received_at);
+        self.reports.values().any(|it| !it.reaches_source && age(it) < REPORT_TIMEOUT)
+    }
+
     /// Returns the time after which a VM that does not read the source checks again whether it has to.
     pub fn check_delay(&self, now: Instant) -> Duration {
         let time_to_join = (self.started_at + JOIN_TIME).saturating_duration_since(now);
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -227,6 +227,9 @@
             SchedulerEvent::StartDoubted { upstream, incarnation } => {
                 self.on_start_doubted(now, &upstream, incarnation);
             }
+            SchedulerEvent::DirectorySource { is_reached } => {
+                self.on_directory_source(now, is_reached);
+            }
             SchedulerEvent::AttemptEnded { id, attempt, end } => {
                 self.on_attempt_ended(now, id, attempt, end, &mut actions);
             }
--- a/crates/policy/src/scheduler/event.rs
+++ b/crates/policy/src/scheduler/event.rs
@@ -85,6 +85,12 @@
         /// Start of the upstream that the attempt was sent to.
         incarnation: u64,
     },
+    /// The source of the directory was lost or is back. While it is lost, starts of upstreams are not
+    /// replaced in the directory.
+    DirectorySource {
+        /// Whether this VM learns of changes of the directory.
+        is_reached: bool,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Call that the attempt belongs to.
--- a/crates/policy/src/scheduler/restarts.rs
+++ b/crates/policy/src/scheduler/restarts.rs
@@ -3,7 +3,8 @@
 //! An upstream may crash and start again under its name and address with another software version.
 //! Nothing in its responses names the version, and its new entry comes up to a heartbeat later. Until
 //! then the version of the entry is not certain, once there is evidence that the start it describes has
-//! ended.
+//! ended. While the source of the directory is lost, no entry comes, and the doubt lasts until some time
+//! after its return.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 #[derive(Debug, Default)]
 pub(super) struct StartDoubt {
     until: Option<Instant>,
+    /// Whether the doubt does not end, as the source of the directory is lost.
+    is_held: bool,
 }
 
 impl StartDoubt {
@@ -36,7 +39,17 @@
     }
 
     pub(super) fn is_active(&self, now: Instant) -> bool {
-        self.until.is_some_and(|it| now < it)
+        self.until.is_some_and(|it| now < it || self.is_held)
+    }
+
+    /// Forgets a doubt that has ended, and holds the others while the source of the directory is lost.
+    fn on_source(&mut self, now: Instant, is_reached: bool) {
+        if !self.is_active(now) {
+            self.until = None;
+        } else if self.is_held && is_reached {
+            self.record(now);
+        }
+        self.is_held = !is_reached;
     }
 }
 
@@ -107,6 +120,11 @@
         }
     }
 
+    /// Records whether this VM learns of changes of the directory.
+    pub(super) fn on_directory_source(&mut self, now: Instant, is_reached: bool) {
+        self.upstreams.values_mut().for_each(|it| it.start_doubt.on_source(now, is_reached));
+    }
+
     /// Finds the attempts in flight whose upstream has started again meanwhile.
     pub(super) fn check_starts(&mut self) {
         for tracked in self.calls.values_mut() {
--- a/crates/policy/tests/restarted_upstreams.rs
+++ b/crates/policy/tests/restarted_upstreams.rs
@@ -135,3 +135,29 @@
     assert_eq!(required_version(&harness), Some("v1"));
     assert_eq!(harness.end(harness.next_id, 1, AttemptEnd::Interrupted), sent_to("e-2"));
 }
+
+/// The doubt ended by the clock while no entry could come, so that streams were joined.
+#[test]
+fn outage_holds_doubts() {
+    let mut harness = harness();
+    let set_source = |harness: &mut Harness, is_reached| {
+        let event = SchedulerEvent::DirectorySource { is_reached };
+        harness.scheduler.handle(harness.now, event);
+    };
+    doubt(&mut harness, "e-1", 1);
+    harness.advance(DOUBT_TIME / 2);
+    set_source(&mut harness, false);
+    harness.advance(DOUBT_TIME * 2);
+    assert_eq!(continue_stream(&mut harness, "v1"), NO_SUCH_VERSION);
+    set_source(&mut harness, true);
+    harness.advance(DOUBT_TIME - Duration::from_millis(1));
+    assert_eq!(continue_stream(&mut harness, "v1"), NO_SUCH_VERSION);
+    harness.advance(Duration::from_millis(1));
+    assert_eq!(continue_stream(&mut harness, "v1"), sent_to("e-1"));
+    // Doubts that had ended before the outage do not come back.
+    set_source(&mut harness, false);
+    assert_eq!(continue_stream(&mut harness, "v1"), sent_to("e-1"));
+    doubt(&mut harness, "e-1", 1);
+    harness.advance(DOUBT_TIME * 2);
+    assert_eq!(continue_stream(&mut harness, "v1"), NO_SUCH_VERSION);
+}
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -40,6 +40,7 @@
             }
             self.relay.report_directory(None);
             self.relay.check_long_polls();
+            self.relay.check_directory_source();
             self.repeat_suspects(round);
             self.spread_builds(round);
             let is_alone = self.membership().alive_count() == 1;
--- a/crates/relay/src/sources/shared.rs
+++ b/crates/relay/src/sources/shared.rs
@@ -95,6 +95,11 @@
         state.own_read.unwrap_or_else(|| state.duty.is_covered(now))
     }
 
+    /// Returns `true` if nothing shows that changes of the source do not reach this VM.
+    pub(crate) fn is_source_certain(&self, now: Instant) -> bool {
+        self.is_source_healthy(now) && !self.lock().duty.is_doubted(now)
+    }
+
     /// Returns when the source last came back after an outage, as far as is known.
     pub(crate) fn recovered_at(&self) -> Option<Instant> {
         self.lock().recovered_at
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -351,6 +351,12 @@
         }
     }
 
+    /// Tells the scheduler whether changes of the directory reach this VM.
+    pub(crate) fn check_directory_source(&self) {
+        let is_reached = self.shared_directory.is_source_certain(Instant::now());
+        self.dispatcher.handle(SchedulerEvent::DirectorySource { is_reached });
+    }
+
     fn failure_domain_members(&self) -> (VmId, Vec<VmId>) {
         let members = self.peers().map(Peers::failure_domain_members);
         members.unwrap_or_else(|| ("".into(), Vec::new()))
