fix(coordination): a VM that forgot the others does not claim whole limits

A VM that is cut off from all others for over 60 s forgets them. Found by reading the change.

VMs of the row that are not known count until they were looked for in vain for 60 s.

Before: forgotten_vms_count fails, 0 instead of 3. After: it passes.

--- a/crates/coordination/src/contacts.rs
+++ b/crates/coordination/src/contacts.rs
@@ -169,9 +169,9 @@
         if self.has_met(membership) {
             return 0;
         }
-        let is_possible = |since: &&Instant| now.saturating_duration_since(**since) < REMOVE_AFTER;
-        let unmet = self.greeted_since.iter().filter(|(vm, _)| !is_known(membership, vm));
-        unmet.filter(|(_, since)| is_possible(since)).count()
+        // A VM that was known at the last read, and was forgotten since, was never looked for.
+        let unmet = self.contacts().iter().filter(|it| !is_known(membership, &it.vm));
+        unmet.filter(|it| !self.is_gone(now, &it.vm)).count()
     }
 
     /// Returns the row to write on condition that it has the revision that was read, or `None` if it
@@ -183,10 +183,7 @@
         }
         let alive = membership.alive_addresses();
         let listed = alive.iter().filter(|it| record.contacts.contains(it)).count();
-        let is_gone = |vm: &VmId| {
-            let since = self.greeted_since.get(vm).filter(|_| !is_known(membership, vm));
-            since.is_some_and(|it| now.saturating_duration_since(*it) >= REMOVE_AFTER)
-        };
+        let is_gone = |vm: &VmId| !is_known(membership, vm) && self.is_gone(now, vm);
         let is_sufficient = listed >= MIN_CONTACTS.min(alive.len());
         if is_sufficient && !record.contacts.iter().any(|it| is_gone(&it.vm)) {
             return None;
@@ -200,6 +197,12 @@
         Some(ContactRecord { contacts, revision: record.revision })
     }
 
+    /// Returns whether a VM that is not known has been sent heartbeats in vain for long enough.
+    fn is_gone(&self, now: Instant, vm: &VmId) -> bool {
+        let since = self.greeted_since.get(vm);
+        since.is_some_and(|it| now.saturating_duration_since(*it) >= REMOVE_AFTER)
+    }
+
     /// Returns whether this VM knows a living VM of the row, or the row names no other VM.
     fn has_met(&self, membership: &Membership) -> bool {
         let own = &membership.local().vm;
--- a/crates/coordination/tests/contact_discovery.rs
+++ b/crates/coordination/tests/contact_discovery.rs
@@ -89,6 +89,16 @@
     assert_eq!(discovery.unseen_count(joined_at + REMOVE_AFTER, &alone), 0);
 }
 
+/// A VM that was cut off for so long that it forgot the others took itself for the only one.
+#[test]
+fn forgotten_vms_count() {
+    let start = Instant::now();
+    let mut discovery = Discovery::new(start);
+    discovery.on_read(start, &membership(start, 9, [1, 2, 3]), record([1, 2, 3, 9]));
+    let later = start + REMOVE_AFTER * 2;
+    assert_eq!(discovery.unseen_count(later, &membership(start, 9, [])), 3);
+}
+
 /// A group whose row was overwritten by another one was not found by anybody.
 #[test]
 fn groups_keep_each_other() {
