--- a/crates/coordination/src/contacts.rs
+++ b/crates/coordination/src/contacts.rs
@@ -26,7 +26,7 @@
 //! assert!(discovery.is_read_due(now, &membership));
 //! let contacts = vec![address("vm-2", 7002)];
 //! discovery.on_read(now, &membership, ContactRecord { contacts, revision: 4 });
-//! assert_eq!(discovery.strangers(now, &membership), [address("vm-2", 7002)]);
+//! assert_eq!(discovery.unknown_contacts(now, &membership), [address("vm-2", 7002)]);
 //! ```
 
 use std::collections::BTreeMap;
@@ -71,7 +71,7 @@
 const MAX_RANK: u32 = 10;
 
 /// Time after a read in which VMs that are not known are sent heartbeats.
-const GREETING_TIME: Duration = Duration::from_secs(5);
+const PROBE_TIME: Duration = Duration::from_secs(5);
 
 /// The row in the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -95,7 +95,7 @@
     /// Number of reads that succeeded.
     reads: u32,
     /// Since when VMs in the row that are not known have been sent heartbeats.
-    greeted_since: BTreeMap<VmId, Instant>,
+    probed_since: BTreeMap<VmId, Instant>,
 }
 
 impl Discovery {
@@ -107,7 +107,7 @@
             tried_at: None,
             read_at: now,
             reads: 0,
-            greeted_since: BTreeMap::new(),
+            probed_since: BTreeMap::new(),
         }
     }
 
@@ -135,9 +135,9 @@
             .map(|it| &it.vm)
             .filter(|it| !is_known(membership, it))
             .collect();
-        self.greeted_since.retain(|vm, _| unknown.contains(vm));
+        self.probed_since.retain(|vm, _| unknown.contains(vm));
         for vm in unknown {
-            self.greeted_since.entry(vm.clone()).or_insert(now);
+            self.probed_since.entry(vm.clone()).or_insert(now);
         }
         self.record = Some(record);
     }
@@ -148,8 +148,8 @@
     }
 
     /// Returns the VMs in the row that are not known, to which heartbeats are sent now.
-    pub fn strangers(&self, now: Instant, membership: &Membership) -> Vec<PeerAddress> {
-        if now.saturating_duration_since(self.read_at) >= GREETING_TIME {
+    pub fn unknown_contacts(&self, now: Instant, membership: &Membership) -> Vec<PeerAddress> {
+        if now.saturating_duration_since(self.read_at) >= PROBE_TIME {
             return Vec::new();
         }
         let unknown = self.contacts().iter().filter(|it| !is_known(membership, &it.vm));
@@ -166,12 +166,12 @@
         if is_alone && (self.record.is_none() || is_joining) {
             return INITIAL_VM_COUNT - 1;
         }
-        if self.has_met(membership) {
+        if self.is_joined(membership) {
             return 0;
         }
         // A VM that was known at the last read, and was forgotten since, was never looked for.
-        let unmet = self.contacts().iter().filter(|it| !is_known(membership, &it.vm));
-        unmet.filter(|it| !self.is_gone(now, &it.vm)).count()
+        let unknown = self.contacts().iter().filter(|it| !is_known(membership, &it.vm));
+        unknown.filter(|it| !self.is_gone(now, &it.vm)).count()
     }
 
     /// Returns the row to write on condition that it has the revision that was read, or `None` if it
@@ -199,12 +199,12 @@
 
     /// Returns whether a VM that is not known has been sent heartbeats in vain for long enough.
     fn is_gone(&self, now: Instant, vm: &VmId) -> bool {
-        let since = self.greeted_since.get(vm);
+        let since = self.probed_since.get(vm);
         since.is_some_and(|it| now.saturating_duration_since(*it) >= REMOVE_AFTER)
     }
 
     /// Returns whether this VM knows a living VM of the row, or the row names no other VM.
-    fn has_met(&self, membership: &Membership) -> bool {
+    fn is_joined(&self, membership: &Membership) -> bool {
         let own = &membership.local().vm;
         let alive = membership.alive_names();
         let mut others = self.contacts().iter().filter(|it| it.vm != *own).peekable();
--- a/crates/coordination/tests/contact_discovery.rs
+++ b/crates/coordination/tests/contact_discovery.rs
@@ -67,9 +67,9 @@
     let mut discovery = Discovery::new(now);
     assert!(discovery.is_read_due(now, &alone));
     discovery.on_read(now, &alone, record([1, 2]));
-    assert_eq!(discovery.strangers(now, &alone), [address(1), address(2)]);
+    assert_eq!(discovery.unknown_contacts(now, &alone), [address(1), address(2)]);
     let joined = membership(now, 9, [1]);
-    assert_eq!(discovery.strangers(now, &joined), [address(2)]);
+    assert_eq!(discovery.unknown_contacts(now, &joined), [address(2)]);
     assert_eq!(discovery.unseen_count(now, &joined), 0);
 }
 
--- a/crates/relay/src/peers/contacts.rs
+++ b/crates/relay/src/peers/contacts.rs
@@ -45,7 +45,7 @@
 
     fn refresh_contacts(&self) -> Result<(), FeedError> {
         let read = self.contact_store.read();
-        let (due, unmet) = {
+        let (due, unknown) = {
             let (now, membership, mut discovery) =
                 (Instant::now(), self.membership(), self.discovery());
             match read {
@@ -55,11 +55,11 @@
                     return Err(error);
                 }
             }
-            let unmet = discovery.strangers(now, &membership);
-            (discovery.due_record(now, &membership), unmet)
+            let unknown = discovery.unknown_contacts(now, &membership);
+            (discovery.due_record(now, &membership), unknown)
         };
-        if !unmet.is_empty() {
-            let names: Vec<&str> = unmet.iter().map(|it| &*it.vm).collect();
+        if !unknown.is_empty() {
+            let names: Vec<&str> = unknown.iter().map(|it| &*it.vm).collect();
             info!(self.relay.log, "looking for VMs that the store names"; "vms" => names.join(" "));
         }
         if let Some(record) = due
@@ -72,9 +72,9 @@
     }
 
     /// Returns the VMs that the store names and this VM does not know.
-    pub(super) fn strangers(&self) -> Vec<PeerAddress> {
+    pub(super) fn unknown_contacts(&self) -> Vec<PeerAddress> {
         let membership = self.membership();
-        self.discovery().strangers(Instant::now(), &membership)
+        self.discovery().unknown_contacts(Instant::now(), &membership)
     }
 
     /// Returns the number of VMs that may run, this one and those believed dead included.
--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -92,7 +92,9 @@
             self.seeds.iter().for_each(|it| self.send_heartbeat(&seed_address(*it)));
         }
         // The address may be another VM's by now.
-        self.strangers().iter().for_each(|it| self.send_heartbeat(&seed_address(it.address)));
+        self.unknown_contacts()
+            .iter()
+            .for_each(|it| self.send_heartbeat(&seed_address(it.address)));
         for vm in self.links.close_timed_out(&receivers) {
             info!(self.relay.log, "peer link was silent; reconnecting"; "peer" => &*vm);
         }
