fix(relay): a VM that knows no other one claims a small part of shared limits

Before: queued_call_is_not_sent_if_its_caller_left_during_a_pause fails once 2.5 s have passed. After: it passes.

--- a/crates/relay/src/peers/gossip.rs
+++ b/crates/relay/src/peers/gossip.rs
@@ -7,6 +7,7 @@
 
 use cranberryvalve_adapters::links::DropReport;
 use cranberryvalve_adapters::links::Received;
+use cranberryvalve_coordination::contacts::INITIAL_VM_COUNT;
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
@@ -102,9 +103,12 @@
     }
 
     /// Updates the number of VMs, which includes members believed dead: VMs that are only
-    /// partitioned from this one continue to use their share.
+    /// partitioned from this one continue to use their share. A VM that knows no other one claims only
+    /// a small part.
     fn update_vm_count(&self) {
-        let possible = self.possible_vm_count();
+        let is_alone = self.membership().known_count() == 1;
+        let minimum = if is_alone { INITIAL_VM_COUNT } else { 1 };
+        let possible = self.possible_vm_count().max(minimum);
         let vm_count = u32::try_from(possible).unwrap_or(u32::MAX);
         self.relay.dispatcher.handle(SchedulerEvent::VmCountChanged(vm_count));
         metrics::gauge!("cranberryvalve_members_known").set(f64::from(vm_count));
