refactor: the parser of response heads limits their size

The limit of 64 KiB stood in the loop of upstream attempts and, since, in that of the store's client. parse_response_head refuses a longer head for both now; callers see the same as before.

--- a/crates/coordination/src/contacts.rs
+++ b/crates/coordination/src/contacts.rs
@@ -42,10 +42,7 @@
 use crate::membership::Membership;
 use crate::membership::REMOVE_AFTER;
 use crate::peer::PeerAddress;
-
-/// Time after the start of a VM in which it finds its peers before it writes the row or takes it for
-/// proven that there are none.
-pub const JOIN_TIME: Duration = Duration::from_millis(2_500);
+use crate::watch::JOIN_TIME;
 
 /// Number of VMs assumed until another one is known or the store names none, so that a VM without
 /// peers claims only a small part of the limits that all VMs share.
--- a/crates/coordination/tests/contact_discovery.rs
+++ b/crates/coordination/tests/contact_discovery.rs
@@ -6,10 +6,10 @@
 use cranberryvalve_coordination::contacts::ContactRecord;
 use cranberryvalve_coordination::contacts::Discovery;
 use cranberryvalve_coordination::contacts::INITIAL_VM_COUNT;
-use cranberryvalve_coordination::contacts::JOIN_TIME;
 use cranberryvalve_coordination::membership::Membership;
 use cranberryvalve_coordination::membership::REMOVE_AFTER;
 use cranberryvalve_coordination::peer::PeerAddress;
+use cranberryvalve_coordination::watch::JOIN_TIME;
 
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -31,9 +31,6 @@
 /// as a snapshot, in pages of 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
-/// Maximum size of a response head, in bytes, as for upstreams.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Maximum number of interim responses before the response, as for upstreams.
 const MAX_INTERIM_RESPONSES: usize = 8;
 
@@ -277,9 +274,6 @@
             }
             continue;
         }
-        if connection.input.len() > MAX_HEAD_BYTES {
-            return Err(HttpError::Malformed);
-        }
         if wait_and_read(connection, limit)? == ReadOutcome::Closed {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
--- a/crates/relay/src/client/tests.rs
+++ b/crates/relay/src/client/tests.rs
@@ -8,7 +8,7 @@
 
 use super::HttpClient;
 use super::HttpError;
-use super::MAX_HEAD_BYTES;
+use crate::response::MAX_HEAD_BYTES;
 
 /// More than one read from a connection, in bytes.
 const READ_BYTES: usize = 64 * 1024;
--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -28,9 +28,6 @@
 /// Maximum size of a response body that is not an event stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Maximum size of a response head, in bytes.
-const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
-
 /// Maximum size of the body of a refusal that is read to reuse the connection, in bytes.
 const MAX_DROPPED_BYTES: usize = 64 * 1024;
 
@@ -176,9 +173,6 @@
                     self.check_skipped_responses()?;
                     continue;
                 }
-                Ok(None) if self.connection.input.len() > MAX_RESPONSE_HEAD_BYTES => {
-                    return Err(AttemptError::Incomplete);
-                }
                 Ok(None) => {}
                 Err(_) => return Err(AttemptError::Incomplete),
             }
--- a/crates/relay/src/exchange/attempt/tests.rs
+++ b/crates/relay/src/exchange/attempt/tests.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,15 +22,20 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-fn closed_by_peer() -> Connection {
+/// Returns both ends of a connection.
+fn connected() -> (Connection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let connection = Connection::connect(listener.local_addr().expect("bound")).expect("a socket");
     let deadline = Instant::now() + TIMEOUT;
     let interest =
         Interest { upstream: Some(&connection), upstream_output: true, ..Interest::default() };
     wait(interest, deadline).expect("a connection");
-    drop(listener.accept().expect("a connection"));
-    connection
+    let (peer, _) = listener.accept().expect("a connection");
+    (connection, peer)
+}
+
+fn closed_by_peer() -> Connection {
+    connected().0
 }
 
 #[test]
@@ -48,13 +54,7 @@
 /// was closed; a response without a length would look whole.
 #[test]
 fn reset_shows_again() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let connection = Connection::connect(listener.local_addr().expect("bound")).expect("a socket");
-    let deadline = Instant::now() + TIMEOUT;
-    let output =
-        Interest { upstream: Some(&connection), upstream_output: true, ..Interest::default() };
-    wait(output, deadline).expect("a connection");
-    let (mut peer, _) = listener.accept().expect("a connection");
+    let (connection, mut peer) = connected();
     let segments = [vec![b'x'; LONG_REQUEST_BYTES]];
     let mut request = RequestWriter::new(b"head".to_vec(), &segments);
     assert!(request.start(&connection) && !request.is_complete());
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -113,6 +113,9 @@
     }
 }
 
+/// Maximum size of a response head, in bytes.
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Status codes that are valid (RFC 9110, section 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
@@ -129,7 +132,13 @@
 ) -> Result<Option<(ResponseHead, usize)>, HeadError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
-    let Some(len) = parsed_head_len(response.parse(bytes))? else { return Ok(None) };
+    let Some(len) = parsed_head_len(response.parse(bytes))? else {
+        return if bytes.len() > MAX_HEAD_BYTES {
+            Err(HeadError::Malformed("the head is too long".into()))
+        } else {
+            Ok(None)
+        };
+    };
     let windows = bytes[..len].windows(STATUS_LINE_START.len());
     // The head before a second status line was cut off.
     if windows.filter(|it| begins_status_line(it)).nth(1).is_some() {
