--- a/review/stage-3/main.rs
+++ b/review/stage-3/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the third review: `stage CASE RECORD`. Exits with 1 if the rule was broken, with 0 if it held,
 //! and with 2 if the case could not run. Without trouble if the variable `TROUBLE` is `0`.
 
+mod case_crowd;
 mod case_keys;
 mod case_unread;
 mod case_usage;
@@ -35,10 +36,14 @@
         eprintln!("usage: stage CASE RECORD");
         process::exit(2);
     };
+    if case == "crowd-clients" {
+        return case_crowd::play_crowd(path);
+    }
     let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     let record = Record::create(path);
     record.line(if has_trouble { "with trouble" } else { "without trouble" });
     let played = panic::catch_unwind(panic::AssertUnwindSafe(|| match &**case {
+        "crowd" => case_crowd::play(&record, has_trouble),
         "keys" => case_keys::play(&record, has_trouble),
         "unread" => case_unread::play(&record, has_trouble),
         "usage" => case_usage::play(&record, has_trouble),
--- a/review/stage-3/node.rs
+++ b/review/stage-3/node.rs
@@ -61,11 +61,16 @@
         Self { name: place.name.to_owned(), front, control, ready, child, settings, log }
     }
 
+    /// Returns whether the process says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        client::get_status(self.ready, "/-/readyz") == 200
+    }
+
     /// Waits until the process says that it is ready.
     pub fn wait_ready(&self) {
         let end = Instant::now() + READY_TIMEOUT;
         while Instant::now() < end {
-            if client::get_status(self.ready, "/-/readyz") == 200 {
+            if self.is_ready() {
                 return;
             }
             thread::sleep(Duration::from_millis(50));
