feat(relay): logs tell why a caller may send a request

A request without an API key that ran could not be told from one with a key: `call ended` had `customer="-"` for a public route and for a configuration that requires no keys, and `configuration in force` did not say which of the two holds. With both in the log, the hypotheses for the requests that run after the last key is taken away can be told apart.

`call ended` has `admission`, `configuration in force` has `requires_keys`, `customers` and `keys`, and two metrics count the same. Nothing else changes; the decision moved to a file of its own.

--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -135,6 +135,16 @@
         !self.customers.is_empty()
     }
 
+    /// Returns all customers.
+    pub fn customers(&self) -> &[CustomerKeys] {
+        &self.customers
+    }
+
+    /// Returns the number of accepted API keys.
+    pub fn key_count(&self) -> usize {
+        self.customers_by_key.len()
+    }
+
     /// Returns the declared properties of a pool, or `None` if it is unknown.
     pub fn pool(&self, id: &str) -> Option<&PoolSpec> {
         self.pools.get(id)
--- a/crates/relay/src/call_log.rs
+++ b/crates/relay/src/call_log.rs
@@ -68,6 +68,7 @@
         "late" => is_late,
         "config_version" => context.config_version,
         "tier" => context.tier,
+        "admission" => context.admission.name(),
         "customer" => context.customer.as_deref().unwrap_or("-"),
         "route" => &*context.route.id,
         "execution" => progress.execution.name(),
@@ -133,6 +134,8 @@
     let route = context.route.id.to_string();
     metrics::counter!("cranberryvalve_calls_total", "route" => route.clone(), "outcome" => outcome)
         .increment(1);
+    metrics::counter!("cranberryvalve_calls_admitted_total", "admission" => context.admission.name())
+        .increment(1);
     metrics::counter!("cranberryvalve_attempts_total", "route" => route.clone())
         .increment(u64::from(progress.attempts));
     metrics::histogram!("cranberryvalve_call_seconds", "route" => route.clone())
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod call_log;
 mod caller;
 pub mod client;
+mod config_log;
 mod connections;
 mod crashes;
 mod dialect;
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod conclusion;
+mod context;
 mod forward;
 mod progress;
 
@@ -10,14 +11,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cranberryvalve_core::ConfigVersion;
-use cranberryvalve_core::CustomerId;
-use cranberryvalve_core::PoolId;
 use cranberryvalve_core::SuspectKey;
-use cranberryvalve_core::Tier;
-use cranberryvalve_core::stable_hash;
 use cranberryvalve_core::table::RouteRule;
-use cranberryvalve_core::table::RoutingTable;
 use cranberryvalve_policy::execution::NotRun;
 use cranberryvalve_policy::scheduler::AttemptEnd;
 use cranberryvalve_policy::scheduler::Call;
@@ -44,7 +39,6 @@
 use crate::exchange::Delivery;
 use crate::exchange::Exchange;
 use crate::exchange::is_unsent;
-use crate::refusal::InvalidRequest;
 use crate::refusal::Refusal;
 use crate::socket::Connection;
 use crate::socket::Interest;
@@ -54,6 +48,8 @@
 use self::call::scheduler_call;
 use self::call::suspect_keys;
 use self::conclusion::CallConclusion;
+pub(crate) use self::context::RequestContext;
+use self::context::resolve_context;
 pub(crate) use self::progress::CallOutcome;
 pub(crate) use self::progress::CallProgress;
 
@@ -94,15 +90,6 @@
     caller: CallerConnection,
 }
 
-/// Route, customer and priority that apply to a request.
-pub(crate) struct RequestContext {
-    pub(crate) route: Arc<RouteRule>,
-    pub(crate) customer: Option<CustomerId>,
-    pub(crate) tier: Tier,
-    pub(crate) config_version: ConfigVersion,
-    pool: PoolId,
-}
-
 impl ConnectionHandler<'_> {
     /// Serves one request. Returns `false` if the connection must be closed.
     fn serve_request(&mut self) -> bool {
@@ -428,40 +415,6 @@
     ShuttingDown,
 }
 
-/// Resolves the route, pool and customer of a request.
-fn resolve_context(
-    table: &RoutingTable,
-    request: &CallerRequest,
-    metadata: &CallMetadata,
-) -> Result<RequestContext, Refusal> {
-    let host = request.head.header("host").unwrap_or_default();
-    let Some(route) = table.route(host, request.head.path()) else {
-        return Err(Refusal::invalid(
-            InvalidRequest::NoRoute,
-            "no route matches the host and path",
-        ));
-    };
-    let key = metadata.api_key.as_deref();
-    let customer = key.and_then(|it| table.customer(it));
-    if customer.is_none() && table.has_customers() && !route.is_public {
-        return Err(Refusal::invalid(
-            InvalidRequest::Unauthorized,
-            "the API key is missing or unknown",
-        ));
-    }
-    let hash = stable_hash(metadata.request_id.as_deref().unwrap_or_else(|| request.head.path()));
-    let Some(pool) = route.choose_pool(hash) else {
-        return Err(not_yet_sent("the route has no upstreams"));
-    };
-    Ok(RequestContext {
-        customer: customer.map(|it| it.id.clone()),
-        tier: table.tier(route, customer),
-        config_version: table.version(),
-        pool: pool.clone(),
-        route: route.clone(),
-    })
-}
-
 /// Returns the refusal of a request before it is sent to an upstream.
 fn not_yet_sent(message: impl Into<Box<str>>) -> Refusal {
     Refusal::not_run(NotRun::before_sending(), DEFAULT_RETRY_AFTER, message)
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -33,10 +33,10 @@
 use cranberryvalve_policy::scheduler::UpstreamNotice;
 use cranberryvalve_policy::scheduler::UpstreamRecord;
 use slog::Logger;
-use slog::info;
 use slog::warn;
 use socket2::SockRef;
 
+use crate::config_log::log_activation;
 use crate::connections::IdleConnections;
 use crate::crashes::CrashGuard;
 use crate::dialect::Dialect;
@@ -228,9 +228,7 @@
         *current = Some(table.clone());
         self.tables.record(&table);
         drop(current);
-        info!(self.log, "configuration in force"; "source" => source, "config_version" => version,
-            "routes" => table.routes().len());
-        metrics::gauge!("cranberryvalve_config_version").set(version as f64);
+        log_activation(&self.log, &table, source);
         self.dispatcher.activate_table(table);
         if let Some(peers) = self.peers.get() {
             peers.announce();
