fix: an empty list of customers locks callers out

Callers saw: once the operator had taken the last key away and with it the last customer (`"tenants":[]`), every request ran, with a key that no configuration ever held, a key that was taken away, or none.

Cause: the absent list, which requires no keys, and the empty one, which gives none out, were one value. It is lost three times: the decoder of the platform's document has an empty list as its default, the routing table asks for a key only if its list has an entry, and a table that travels from VM to VM is built anew from that list.

Why it works: `Authentication` has both cases, from the document on, and `null` is neither. In messages, whose fields stay, an empty list is sent as one customer without API keys. Builds that have landed require keys if the list has an entry, so VMs of these builds lock the routes too when they learn of the table from this build, and the checksum tells the two tables apart. What landed is written as before (landed_bytes). The default of the type is the closed one.

--- a/crates/coordination/tests/support/landed/first.rs
+++ b/crates/coordination/tests/support/landed/first.rs
@@ -350,7 +350,8 @@
         idle_timeout: Duration::new(30, 1),
     };
     let table = |version, routes| {
-        RoutingTable::new(version, routes, pools.clone(), customers.clone(), limits.clone())
+        let customers = customers.clone().into();
+        RoutingTable::new(version, routes, pools.clone(), customers, limits.clone())
     };
     let base = table(76, routes[..3].to_vec());
     let next = table(77, routes);
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -3,6 +3,7 @@
 //! A configuration source delivers a complete table each time. Routes are looked up by host and the
 //! longest matching path prefix, customers by API key.
 
+mod authentication;
 mod customer;
 mod delta;
 mod limits;
@@ -13,6 +14,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+pub use authentication::Authentication;
 pub use customer::ApiKey;
 pub use customer::CustomerKeys;
 pub use delta::DeltaError;
@@ -44,12 +46,12 @@
     version: ConfigVersion,
     routes: Vec<Arc<RouteRule>>,
     pools: HashMap<PoolId, PoolSpec>,
-    customers: Vec<CustomerKeys>,
+    authentication: Authentication,
     limits: CallerLimits,
     tiers: TierRanks,
     /// Indexes into `routes` for each host, longest prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<usize>>,
-    /// Index into `customers` for each API key.
+    /// Index into the customers for each API key.
     customers_by_key: HashMap<ApiKey, usize>,
 }
 
@@ -59,11 +61,11 @@
         version: ConfigVersion,
         routes: Vec<RouteRule>,
         pools: Vec<PoolSpec>,
-        customers: Vec<CustomerKeys>,
+        authentication: Authentication,
         limits: CallerLimits,
     ) -> Self {
         let routes = routes.into_iter().map(Arc::new).collect();
-        Self::from_shared_routes(version, routes, pools, customers, limits)
+        Self::from_shared_routes(version, routes, pools, authentication, limits)
     }
 
     /// Creates a table of routes that other versions of it may share.
@@ -71,7 +73,7 @@
         version: ConfigVersion,
         routes: Vec<Arc<RouteRule>>,
         pools: Vec<PoolSpec>,
-        customers: Vec<CustomerKeys>,
+        authentication: Authentication,
         limits: CallerLimits,
     ) -> Self {
         let mut routes_by_host: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
@@ -81,10 +83,11 @@
         for indexes in routes_by_host.values_mut() {
             indexes.sort_by_key(|it| std::cmp::Reverse(routes[*it].prefix.len()));
         }
+        let customers = authentication.customers();
         let customers_by_key = customers.iter().enumerate().flat_map(|(index, customer)| {
             customer.api_keys.iter().map(move |key| (key.clone(), index))
         });
-        let tiers = TierRanks::new(&routes, &customers);
+        let tiers = TierRanks::new(&routes, customers);
         Self {
             version,
             tiers,
@@ -92,7 +95,7 @@
             routes_by_host,
             routes,
             pools: pools.into_iter().map(|it| (it.id.clone(), it)).collect(),
-            customers,
+            authentication,
             limits,
         }
     }
@@ -119,7 +122,7 @@
 
     /// Returns the customer that owns `key`, or `None` if the key is unknown.
     pub fn customer(&self, key: &str) -> Option<&CustomerKeys> {
-        self.customers_by_key.get(key).map(|it| &self.customers[*it])
+        self.customers_by_key.get(key).map(|it| &self.customers()[*it])
     }
 
     /// Returns the tier of a customer's requests on a route.
@@ -130,14 +133,19 @@
         self.tiers.tier(route, customer)
     }
 
-    /// Returns whether there are customers, so that routes that are not public require an API key.
-    pub fn has_customers(&self) -> bool {
-        !self.customers.is_empty()
+    /// Returns who may send requests on routes that are not public.
+    pub const fn authentication(&self) -> &Authentication {
+        &self.authentication
+    }
+
+    /// Returns whether routes that are not public require an API key.
+    pub const fn requires_keys(&self) -> bool {
+        matches!(self.authentication, Authentication::ApiKeys(_))
     }
 
     /// Returns all customers.
     pub fn customers(&self) -> &[CustomerKeys] {
-        &self.customers
+        self.authentication.customers()
     }
 
     /// Returns the number of accepted API keys.
@@ -162,7 +170,8 @@
     pub fn checksum(&self) -> u64 {
         let mut pools: Vec<&PoolSpec> = self.pools.values().collect();
         pools.sort_by_key(|it| &it.id);
-        stable_hash((self.version, &self.routes, pools, &self.customers, &self.limits))
+        let customers = self.authentication.to_list();
+        stable_hash((self.version, &self.routes, pools, customers, &self.limits))
     }
 
     /// Returns all routes, in the order in which they were given.
--- a/crates/core/src/table/delta.rs
+++ b/crates/core/src/table/delta.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Authentication;
 use super::CallerLimits;
 use super::CustomerKeys;
 use super::PoolSpec;
@@ -42,6 +43,7 @@
     base: Option<BaseTable>,
     routes: Vec<RouteRun>,
     pools: Vec<PoolSpec>,
+    /// See [`Authentication::to_list`].
     customers: Vec<CustomerKeys>,
     limits: CallerLimits,
 }
@@ -121,7 +123,7 @@
             base: base.map(|it| BaseTable { version: it.version, checksum: it.checksum() }),
             routes,
             pools,
-            customers: table.customers.clone(),
+            customers: table.authentication.to_list().into_owned(),
             limits: table.limits.clone(),
         }
     }
@@ -181,7 +183,7 @@
             self.version,
             routes,
             self.pools.clone(),
-            self.customers.clone(),
+            Authentication::from_list(self.customers.clone()),
             self.limits.clone(),
         ))
     }
--- a/crates/model/src/simulation/deployment.rs
+++ b/crates/model/src/simulation/deployment.rs
@@ -6,6 +6,7 @@
 use cranberryvalve_coordination::home::coordinator_of;
 use cranberryvalve_core::UpstreamId;
 use cranberryvalve_core::VmId;
+use cranberryvalve_core::table::Authentication;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::EngineSpec;
@@ -87,7 +88,7 @@
     let engine = EngineSpec { slots: SLOTS as u32, memory_tokens: fleet.memory_tokens };
     let pool = PoolSpec { id: POOL.into(), max_connections: 4_000, engine: Some(engine) };
     let routes = routes.iter().map(|it| (**it).clone()).collect();
-    RoutingTable::new(1, routes, vec![pool], Vec::new(), CallerLimits::default())
+    RoutingTable::new(1, routes, vec![pool], Authentication::Anonymous, CallerLimits::default())
 }
 
 pub(super) fn vm(
--- a/crates/policy/tests/call_scheduling.rs
+++ b/crates/policy/tests/call_scheduling.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cranberryvalve_core::table::Authentication;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::PoolSpec;
@@ -239,7 +240,8 @@
 fn pool_without_engine_profile_becomes_a_plain_service() {
     let mut harness = Harness::new(vec![upstream("e-0", ENGINES, "near")]);
     let pools = vec![PoolSpec { id: ENGINES.into(), max_connections: 100, engine: None }];
-    let table = RoutingTable::new(2, Vec::new(), pools, Vec::new(), CallerLimits::default());
+    let table =
+        RoutingTable::new(2, Vec::new(), pools, Authentication::Anonymous, CallerLimits::default());
     harness.scheduler.set_table(Arc::new(table));
     harness.report_other_vms_backlog("e-0", 900);
     let sent = harness.submit(CallKind::Stream, ENGINES, 2, prompt(6_000, 1));
--- a/crates/policy/tests/removed_pools.rs
+++ b/crates/policy/tests/removed_pools.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use cranberryvalve_core::table::Authentication;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::RoutingTable;
@@ -27,7 +28,13 @@
 
 /// Returns a routing table that declares no pool.
 fn empty_table() -> Arc<RoutingTable> {
-    Arc::new(RoutingTable::new(2, Vec::new(), Vec::new(), Vec::new(), CallerLimits::default()))
+    Arc::new(RoutingTable::new(
+        2,
+        Vec::new(),
+        Vec::new(),
+        Authentication::Anonymous,
+        CallerLimits::default(),
+    ))
 }
 
 #[test]
--- a/crates/policy/tests/support/calls.rs
+++ b/crates/policy/tests/support/calls.rs
@@ -8,6 +8,7 @@
 
 use cranberryvalve_core::TierBacklog;
 use cranberryvalve_core::UpstreamLoad;
+use cranberryvalve_core::table::Authentication;
 use cranberryvalve_core::table::CallKind;
 use cranberryvalve_core::table::CallerLimits;
 use cranberryvalve_core::table::EngineSpec;
@@ -95,7 +96,7 @@
         PoolSpec { id: ENGINES.into(), max_connections: 100, engine: Some(engine) },
         PoolSpec { id: SERVICES.into(), max_connections: 100, engine: None },
     ];
-    RoutingTable::new(1, Vec::new(), pools, Vec::new(), CallerLimits::default())
+    RoutingTable::new(1, Vec::new(), pools, Authentication::Anonymous, CallerLimits::default())
 }
 
 pub(crate) fn call_state(actions: &[SchedulerAction]) -> CallState {
--- a/crates/relay/src/service/context.rs
+++ b/crates/relay/src/service/context.rs
@@ -66,7 +66,7 @@
     let admission = match customer {
         Some(_) => Admission::ApiKey,
         None if route.is_public => Admission::PublicRoute,
-        None if !table.has_customers() => Admission::NoKeysRequired,
+        None if !table.requires_keys() => Admission::NoKeysRequired,
         None => {
             return Err(Refusal::invalid(
                 InvalidRequest::Unauthorized,
