fix: a table without customers from an earlier build opens no routes

Callers saw, beside a VM of an earlier build: requests with any key, or none, run at a VM of this build after the last customer was removed.

Cause: a landed build decodes an empty list of customers as an absent one and sends it on as such. The receiver, which does not read the store itself, cannot tell the two apart, as the message takes no new field.

Why it works: VMs announce the capability empty_customer_lists. A table without customers is believed if its sender announces it. Else the receiver reads the store, which it does without being a watcher, keeps its table until then, and asks that VM no more for the version. VMs of this build are believed, also while the store is away.

--- a/crates/coordination/src/builds.rs
+++ b/crates/coordination/src/builds.rs
@@ -45,7 +45,7 @@
 pub const UNANNOUNCED_PROTOCOL: u32 = 0;
 
 /// Names of the capabilities that builds announce, by their bit. Names are only appended.
-pub const CAPABILITIES: [&str; 7] = [
+pub const CAPABILITIES: [&str; 8] = [
     "permits",
     "quarantine",
     "stream_origins",
@@ -53,6 +53,7 @@
     "refusals",
     "usage_reports",
     "origin_copies",
+    "empty_customer_lists",
 ];
 
 /// Bit of the capability to exchange [`UsageMessage`](crate::usage::UsageMessage)s.
@@ -62,6 +63,9 @@
 /// ([`PeerMessage::OriginCopies`](crate::peer::PeerMessage::OriginCopies)).
 pub const ORIGIN_COPIES_BIT: u64 = 1 << 6;
 
+/// Bit of the capability to tell an empty list of customers in a routing table from an absent one.
+pub const EMPTY_CUSTOMER_LISTS_BIT: u64 = 1 << 7;
+
 /// Bits of all capabilities that this build knows.
 pub const ALL_CAPABILITIES: u64 = (1 << CAPABILITIES.len()) - 1;
 
--- a/crates/coordination/src/transfer.rs
+++ b/crates/coordination/src/transfer.rs
@@ -253,6 +253,13 @@
         self.on_tick(now)
     }
 
+    /// Ends the transfer and drops the announcements of versions up to `version`, which this VM gets
+    /// from elsewhere. A peer that announces one again is asked for it.
+    pub fn drop_announced(&mut self, version: ConfigVersion) {
+        self.pending = None;
+        self.announcements.retain(|_, it| it.version > version);
+    }
+
     fn next_request(&self) -> Option<(PeerAddress, PartRequest)> {
         let pending = self.pending.as_ref()?;
         let base = (self.version > 0 && !self.wants_whole).then_some(self.version);
--- a/crates/coordination/tests/table_transfer.rs
+++ b/crates/coordination/tests/table_transfer.rs
@@ -307,3 +307,16 @@
         true
     }
 }
+
+/// Guards against peers that are asked again and again for a version that is read elsewhere.
+#[test]
+fn dropped_announcements() {
+    let (now, peer) = (Instant::now(), address(1));
+    let mut fetch = Fetch::default();
+    assert!(fetch.on_announced(now, &peer, 7).is_some());
+    fetch.drop_announced(7);
+    let later = now + PART_TIMEOUT;
+    assert_eq!(fetch.on_tick(later), None);
+    let request = fetch.on_announced(later, &peer, 7);
+    assert_eq!(request.map(|(to, it)| (to, it.offset)), Some((peer, 0)));
+}
--- a/crates/relay/src/peers/tables.rs
+++ b/crates/relay/src/peers/tables.rs
@@ -3,14 +3,20 @@
 //! Heartbeats announce the version of the active table. A VM that is behind fetches the difference
 //! to its own table from one of the VMs that announced a later version; see
 //! [`transfer`](cranberryvalve_coordination::transfer).
+//!
+//! Builds without the capability `empty_customer_lists` send an empty list of customers for an absent
+//! one, and the other way round. This VM reads a table without customers from the store then.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
+use cranberryvalve_coordination::builds::EMPTY_CUSTOMER_LISTS_BIT;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
 use cranberryvalve_coordination::transfer::Fetch;
@@ -42,6 +48,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct TableExchange {
     state: Mutex<State>,
+    source_needed: Condvar,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +58,8 @@
     tables: VecDeque<Arc<RoutingTable>>,
     /// Recently sent differences, the newest first.
     differences: VecDeque<Difference>,
+    /// Latest version that a VM sent without being able to tell whether it requires keys; 0 if none.
+    ambiguous_version: ConfigVersion,
 }
 
 #[derive(Debug)]
@@ -81,6 +90,28 @@
         state.tables.truncate(KEPT_TABLES);
     }
 
+    /// Waits at most `timeout` for a table that this VM has to read from the source. Returns `true` if
+    /// there is one.
+    pub(crate) fn wait_until_source_needed(&self, timeout: Duration) -> bool {
+        let waited =
+            self.source_needed.wait_timeout_while(self.lock(), timeout, |it| !it.needs_source());
+        waited.unwrap_or_else(PoisonError::into_inner).0.needs_source()
+    }
+
+    /// Records that a VM sent this version without being able to tell whether it requires keys.
+    fn record_ambiguous(&self, version: ConfigVersion) {
+        let mut state = self.lock();
+        state.ambiguous_version = state.ambiguous_version.max(version);
+        state.fetch.drop_announced(version);
+        drop(state);
+        self.source_needed.notify_all();
+    }
+
+    /// Returns whether a VM sent this version without being able to tell whether it requires keys.
+    fn is_ambiguous(&self, version: ConfigVersion) -> bool {
+        version <= self.lock().ambiguous_version
+    }
+
     fn on_announced(
         &self,
         now: Instant,
@@ -139,6 +170,10 @@
 }
 
 impl State {
+    fn needs_source(&self) -> bool {
+        self.ambiguous_version > self.tables.front().map_or(0, |it| it.version())
+    }
+
     fn table(&self, version: ConfigVersion) -> Option<&Arc<RoutingTable>> {
         self.tables.iter().find(|it| it.version() == version)
     }
@@ -178,6 +213,9 @@
 impl Peers {
     /// Requests the table that a peer announced, unless it is known or being fetched.
     pub(super) fn handle_announced_table(&self, from: &PeerAddress, version: ConfigVersion) {
+        if self.relay.tables.is_ambiguous(version) && !self.tells_empty_customer_lists(from) {
+            return;
+        }
         let request = self.relay.tables.on_announced(Instant::now(), from, version);
         self.send_table_request(request);
     }
@@ -204,7 +242,14 @@
                 info!(self.relay.log, "routing table received"; "peer" => &*from.vm,
                     "config_version" => id.version, "base_version" => id.base,
                     "bytes" => size_bytes);
-                self.relay.activate_table(Arc::new(*table), "peer");
+                if table.requires_keys() || self.tells_empty_customer_lists(from) {
+                    self.relay.activate_table(Arc::new(*table), "peer");
+                } else {
+                    info!(self.relay.log, "routing table without customers is read from the store";
+                        "peer" => &*from.vm, "config_version" => id.version);
+                    metrics::counter!("cranberryvalve_tables_ambiguous_total").increment(1);
+                    self.relay.tables.record_ambiguous(id.version);
+                }
             }
             Received::Unusable { error, request } => {
                 warn!(self.relay.log, "received routing table cannot be used";
@@ -214,6 +259,11 @@
         }
     }
 
+    /// Returns whether a VM tells an empty list of customers from an absent one.
+    fn tells_empty_customer_lists(&self, vm: &PeerAddress) -> bool {
+        !self.able(vec![vm.clone()], EMPTY_CUSTOMER_LISTS_BIT).is_empty()
+    }
+
     fn send_table_request(&self, request: Option<OutgoingRequest>) {
         let Some((to, request)) = request else { return };
         let from = self.own_address();
--- a/crates/relay/src/sources/follow.rs
+++ b/crates/relay/src/sources/follow.rs
@@ -32,8 +32,8 @@
 
 /// Starts a thread that follows a source of routing tables.
 ///
-/// VMs that are not watchers of their failure domain read the source only when they start; their
-/// peers announce each new table. The first reader of a failure domain polls more often than the other
+/// VMs that are not watchers of their failure domain read the source only when they start, and when
+/// a table that a peer has sent is ambiguous; their peers announce each new table. The first reader of a failure domain polls more often than the other
 /// watchers: a poll whose connection is silent and open ends only with its time.
 ///
 /// # Errors
@@ -45,9 +45,11 @@
     thread::Builder::new().name("tables".to_owned()).spawn(move || {
         loop {
             if follower.position.is_some() && !relay.is_source_reader() {
-                follower.pause();
-                thread::sleep(relay.shared_directory.check_delay(Instant::now()));
-                continue;
+                let check_delay = relay.shared_directory.check_delay(Instant::now());
+                if !relay.tables.wait_until_source_needed(check_delay) {
+                    follower.pause();
+                    continue;
+                }
             }
             follower.delay_after_change();
             // The time that a lost poll takes, and the next one, have to fit between a disturbance and
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -18,7 +18,11 @@
 use cranberryvalve_coordination::peer::Heartbeat;
 use cranberryvalve_coordination::peer::PeerAddress;
 use cranberryvalve_coordination::peer::PeerMessage;
+use cranberryvalve_coordination::transfer::TransferId;
+use cranberryvalve_coordination::transfer::part_of;
 use cranberryvalve_core::PressureDigest;
+use cranberryvalve_core::table::RoutingTable;
+use cranberryvalve_core::table::TableDelta;
 use serde_json::Value;
 use serde_json::json;
 
@@ -52,6 +56,21 @@
         key: &[u8],
         (other_vm, other): (&str, SocketAddr),
         announced: Option<(u32, &str)>,
+    ) -> Self {
+        Self::start_with_table(vm, key, (other_vm, other), announced, RoutingTable::default())
+    }
+
+    /// Like [`Self::start`], with a routing table that the VM announces and sends.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot listen.
+    pub fn start_with_table(
+        vm: &str,
+        key: &[u8],
+        (other_vm, other): (&str, SocketAddr),
+        announced: Option<(u32, &str)>,
+        table: RoutingTable,
     ) -> Self {
         let at = |vm: &str, address| PeerAddress {
             vm: vm.into(),
@@ -71,10 +90,11 @@
         let links = Arc::new(links);
         let is_stopped = Arc::new(AtomicBool::new(false));
         let (receiver, sender, end) = (links.clone(), links.clone(), is_stopped.clone());
-        let receiving = thread::spawn(move || acknowledge(&receiver));
+        let (from, config_version) = (own.clone(), table.version());
+        let receiving = thread::spawn(move || respond(&receiver, &from, &table));
         let sending = thread::spawn(move || {
             while !end.load(Ordering::SeqCst) {
-                send(&sender, &own, &other, incarnation, build.as_ref());
+                send(&sender, &own, &other, (incarnation, config_version), build.as_ref());
                 thread::sleep(HEARTBEAT_INTERVAL);
             }
         });
@@ -135,11 +155,21 @@
     }
 }
 
-/// Acknowledges heartbeats until the links are closed, so that they are kept.
-fn acknowledge(links: &Links) {
+/// Acknowledges heartbeats until the links are closed, so that they are kept, and sends the table.
+fn respond(links: &Links, own: &PeerAddress, table: &RoutingTable) {
+    let delta = TableDelta::between(None, table);
+    let bytes = postcard::to_stdvec(&delta).expect("a table can be encoded");
+    let id = TransferId { version: table.version(), base: None, checksum: 0 };
     while let Ok(received) = links.receive() {
-        if let Received::Message(PeerMessage::Heartbeat(it)) = received {
-            links.on_heartbeat(&it.from, it.sequence, it.acknowledged);
+        match received {
+            Received::Message(PeerMessage::Heartbeat(it)) => {
+                links.on_heartbeat(&it.from, it.sequence, it.acknowledged);
+            }
+            Received::Message(PeerMessage::TableRequest { from, request }) => {
+                let Some(part) = part_of(id, &bytes, request.offset) else { continue };
+                links.send(&from, &PeerMessage::TablePart { from: own.clone(), part });
+            }
+            _ => {}
         }
     }
 }
@@ -148,7 +178,7 @@
     links: &Links,
     from: &PeerAddress,
     to: &PeerAddress,
-    incarnation: u64,
+    (incarnation, config_version): (u64, u64),
     build: Option<&VmBuild>,
 ) {
     let sequence = links.next_heartbeat(to);
@@ -157,7 +187,7 @@
         incarnation,
         sequence: sequence.sequence,
         acknowledged: sequence.acknowledged,
-        config_version: 0,
+        config_version,
         config_fresh: false,
         pressure: PressureDigest::default(),
         members: Vec::new(),
