fix: a customer with a limit of no requests gets none

Callers of a customer with `max_in_flight = 0` had one request at a time admitted by each VM that had no share from the coordinator: for the first report interval, and all the time while there was no coordinator.

Cause: the share that applies without a coordinator is one at least, so that a small limit admits something at each VM; a limit of zero was rounded up with it. An absent limit, which means no limit, was not involved. Found while looking for fields whose zero or empty value is taken for another one.

--- a/crates/coordination/src/limits/client.rs
+++ b/crates/coordination/src/limits/client.rs
@@ -153,9 +153,13 @@
 
     /// Returns the limit of requests in flight that applies without a valid share.
     ///
-    /// It is the even share, except that only one request is allowed during the first report
-    /// interval, since the other VMs may have been assigned the whole limit.
+    /// It is the even share, and one request at least unless the limit is none at all. Only one is
+    /// allowed during the first report interval, since the other VMs may have been assigned the whole
+    /// limit.
     fn in_flight_without_share(&self, now: Instant, limit: u32, vms_known: usize) -> u32 {
+        if limit == 0 {
+            return 0;
+        }
         if now.saturating_duration_since(self.created_at) < MIN_REPORT_INTERVAL {
             return 1;
         }
--- a/crates/coordination/tests/shared_limits.rs
+++ b/crates/coordination/tests/shared_limits.rs
@@ -241,3 +241,16 @@
     let retry_after = refused.expect_err("above the share").retry_after;
     assert!(retry_after <= Duration::from_secs(1), "{retry_after:?}");
 }
+
+/// Guards against requests of a customer whose limit is none at a time, which each VM admitted until
+/// the coordinator assigned it a share.
+#[test]
+fn limit_of_none() {
+    let mut deployment = Deployment::new(3, None, Some(0));
+    let admitted =
+        |deployment: &mut Deployment| deployment.send_requests(0..3, 10.0, Duration::from_secs(3));
+    assert_eq!(admitted(&mut deployment), 0);
+    deployment.coordinator = None;
+    deployment.now += Duration::from_secs(60);
+    assert_eq!(admitted(&mut deployment), 0, "without a coordinator");
+}
