fix(relay): connections that stand still give way to new ones

Callers saw: while a thousand clients stopped short of the end of a small body, no ordinary caller was served for 17.5 to 18.5 of 20 s (503 "too many connections", or a reset), and the VM said that it was ready.

Cause: a connection beyond the limit was refused, whatever the others did. One that stands still held its place until its time-out: 15 s for a body, the configured times for heads and for connections without a request.

Evidence: `refused for lack of memory` had the reason `connection` with 10.6 of 40 MB in use and 200 connections, the limit there.

Why it works: the decision who gives way is a pure table (policy::connections). Whoever waits for a request or for the rest of one for 0.4 s gives way, the longest first, and those that never brought a whole request before the others. A whole request keeps its connection until it ends, so no call that an upstream may run is cut off. At most 32 connections are in excess while others are being closed. A thread that is woken while input is there looks again, so no eviction is missed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 //! assert!(matches!(&actions[..], [Action::Send(order)] if &*order.upstream == "engine-1"));
 //! ```
 
+pub mod connections;
 mod event;
 pub mod execution;
 pub mod memory;
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -29,6 +29,8 @@
 use crate::refusal::Refusal;
 use crate::response::Framing;
 use crate::response::ResponseHead;
+use crate::slots::ConnectionSlot;
+use crate::slots::RequestSlot;
 use crate::socket::Connection;
 use crate::socket::Interest;
 use crate::socket::ReadOutcome;
@@ -53,6 +55,9 @@
 /// memory.
 const CONNECTION_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Size of the parts in which the progress of a request body is recorded, in bytes.
+const PROGRESS_BYTES: usize = 16 * 1024;
+
 /// `Retry-After` for requests that are refused for lack of memory: by then, bodies that make no progress
 /// give way.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -64,8 +69,9 @@
     /// Ends the wait for input.
     pub(crate) calls_ended: &'a Waker,
     pub(crate) memory: &'a MemoryBudget,
-    /// Wakes this thread if the body has to make room for others.
+    /// Wakes this thread if the body or the connection has to make room for others.
     pub(crate) waker: &'a Arc<Waker>,
+    pub(crate) slot: &'a RequestSlot,
 }
 
 /// A request with its complete body.
@@ -82,6 +88,8 @@
 pub(crate) enum ReadError {
     /// The caller closed the connection or was idle for too long.
     Disconnected,
+    /// The connection is closed for another one, with this response if the caller reads it.
+    Evicted(UnsentResponse),
     /// The request is rejected with this response, and the connection is closed.
     Rejected(UnsentResponse, Refusal),
 }
@@ -161,11 +169,13 @@
         UnsentResponse::new().reject(&mut self, refusal);
     }
 
-    /// Waits for the first byte of the next request. `closed` ends the wait.
+    /// Waits for the first byte of the next request. `closed` ends the wait, and so does the eviction of
+    /// the connection from its slot, after which `waker` is woken.
     pub(crate) fn wait_for_request(
         &mut self,
         limits: LimitsInForce<'_>,
         closed: &Waker,
+        (slot, waker): (&ConnectionSlot, &Waker),
     ) -> Result<(), ReadError> {
         let started_at = Instant::now();
         let idle_timeout = || limits().unwrap_or_default().idle_timeout;
@@ -175,6 +185,7 @@
             let interest = Interest {
                 caller: Some(&self.connection),
                 caller_input: true,
+                waker: Some(waker),
                 broadcast: Some(closed),
                 ..Interest::default()
             };
@@ -183,9 +194,13 @@
             // The timeout may have been raised meanwhile.
             let is_over = ready.timed_out && Instant::now() >= started_at + idle_timeout();
             deadline = deadline.max(started_at + idle_timeout());
-            let should_stop = is_over || ready.broadcast;
+            let is_evicted = ready.woken && slot.is_evicted();
+            let should_stop = is_over || ready.broadcast || is_evicted;
             if outcome == ReadOutcome::Closed || (outcome == ReadOutcome::WouldBlock && should_stop)
             {
+                if outcome == ReadOutcome::WouldBlock && is_evicted {
+                    slot.record_eviction("nothing");
+                }
                 return Err(ReadError::Disconnected);
             }
         }
@@ -251,7 +266,7 @@
                     .extend_to(2 * received_bytes)
                     .map_err(|OutOfMemory| ReadError::out_of_memory(intake.memory, "head"))?;
             }
-            if self.fill(deadline, Some(intake.calls_ended), None)? == ReadOutcome::WouldBlock
+            if self.fill(deadline, Some(intake))? == ReadOutcome::WouldBlock
                 && Instant::now() >= deadline
             {
                 return Err(ReadError::too_slow("the request head took too long"));
@@ -263,6 +278,7 @@
         let deadline = Instant::now() + BODY_TIMEOUT;
         let mut decoder = BodyDecoder::new(framing);
         let mut body = HeldBody::new(intake.memory.reserve(MemoryKind::SmallBody));
+        let mut recorded_parts = 0;
         while !decoder.is_complete() {
             let input = &mut self.connection.input;
             if !input.is_empty() {
@@ -279,8 +295,13 @@
             if decoder.is_complete() {
                 break;
             }
+            let received_parts = body.len() / PROGRESS_BYTES;
+            if received_parts > recorded_parts {
+                recorded_parts = received_parts;
+                intake.slot.record_progress();
+            }
             body.begin_receiving(intake.waker);
-            let outcome = self.fill(deadline, Some(intake.calls_ended), Some(intake.waker))?;
+            let outcome = self.fill(deadline, Some(intake))?;
             if outcome == ReadOutcome::WouldBlock && body.is_shed() {
                 break;
             }
@@ -292,23 +313,35 @@
         is_kept.then_some(body).ok_or_else(|| ReadError::out_of_memory(intake.memory, "shed"))
     }
 
+    /// Waits for input until `deadline` and reads it. The wait ends before for what ends the `intake`.
     fn fill(
         &mut self,
         deadline: Instant,
-        calls_ended: Option<&Waker>,
-        waker: Option<&Waker>,
+        intake: Option<Intake<'_>>,
     ) -> Result<ReadOutcome, ReadError> {
         let interest = Interest {
             caller: Some(&self.connection),
             caller_input: true,
-            waker,
-            broadcast: calls_ended,
+            waker: intake.map(|it| &**it.waker),
+            broadcast: intake.map(|it| it.calls_ended),
             ..Interest::default()
         };
         let ready = wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
         match self.connection.fill() {
             Ok(ReadOutcome::Closed) | Err(_) => Err(ReadError::Disconnected),
             Ok(ReadOutcome::WouldBlock) if ready.broadcast => Err(ReadError::shutting_down()),
+            Ok(ReadOutcome::WouldBlock)
+                if ready.woken && intake.is_some_and(|it| it.slot.is_evicted()) =>
+            {
+                Err(ReadError::Evicted(UnsentResponse::new()))
+            }
+            Ok(ReadOutcome::Data) if ready.woken => {
+                // What this thread was woken for counts once no more input is there.
+                if let Some(intake) = intake {
+                    intake.waker.wake();
+                }
+                Ok(ReadOutcome::Data)
+            }
             Ok(outcome) => Ok(outcome),
         }
     }
@@ -386,7 +419,7 @@
     fn drain_input(&mut self) {
         self.connection.shutdown_write();
         let deadline = Instant::now() + LINGER_TIMEOUT;
-        while Instant::now() < deadline && self.fill(deadline, None, None).is_ok() {
+        while Instant::now() < deadline && self.fill(deadline, None).is_ok() {
             self.connection.input.clear();
         }
     }
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -40,6 +40,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::is_unsent;
 use crate::refusal::Refusal;
+use crate::slots::ConnectionSlot;
 use crate::socket::Connection;
 use crate::socket::Interest;
 use crate::socket::wait;
@@ -66,19 +67,23 @@
     Vm,
 }
 
-/// Serves a connection until it is closed.
-pub(crate) fn serve_connection(relay: &Arc<Relay>, stream: TcpStream, sender: Sender) {
+/// Serves a connection until it is closed, or refuses it if it has no slot.
+pub(crate) fn serve_connection(
+    relay: &Arc<Relay>,
+    stream: TcpStream,
+    sender: Sender,
+    mailbox: Arc<Mailbox>,
+    slot: Option<ConnectionSlot>,
+) {
     let Ok(connection) = Connection::from_accepted(stream) else { return };
     let caller = CallerConnection::new(connection, sender == Sender::Vm);
-    let has_room = relay.caller_connections() <= relay.max_connections;
-    let Some(_memory) = has_room.then(|| relay.memory.reserve_connection().ok()).flatten() else {
+    let memory = slot.is_some().then(|| relay.memory.reserve_connection().ok()).flatten();
+    let (Some(slot), Some(_memory)) = (slot, memory) else {
         relay.memory.record_refusal("connection");
         caller.refuse_connection(&not_yet_sent("too many connections"));
         return;
     };
-    // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
-    let Ok(mailbox) = Mailbox::new() else { return };
-    let mut handler = ConnectionHandler { relay, sender, mailbox: Arc::new(mailbox), caller };
+    let mut handler = ConnectionHandler { relay, sender, mailbox, caller, slot };
     while handler.serve_request() {}
 }
 
@@ -88,6 +93,7 @@
     sender: Sender,
     mailbox: Arc<Mailbox>,
     caller: CallerConnection,
+    slot: ConnectionSlot,
 }
 
 impl ConnectionHandler<'_> {
@@ -95,20 +101,30 @@
     fn serve_request(&mut self) -> bool {
         let relay = self.relay;
         let limits_in_force = || relay.routing_table().map(|it| it.limits().clone());
-        if self.caller.wait_for_request(&limits_in_force, relay.lifecycle.closed()).is_err() {
+        let eviction = (&self.slot, &**self.mailbox.waker());
+        let closed = relay.lifecycle.closed();
+        if self.caller.wait_for_request(&limits_in_force, closed, eviction).is_err() {
             return false;
         }
         let limits = RequestLimits::at_arrival(&limits_in_force);
         let _active_request = self.relay.track_request();
+        let slot = self.slot.begin_request();
         let intake = Intake {
             limits: &limits,
             calls_ended: self.relay.lifecycle.calls_ended(),
             memory: &self.relay.memory,
             waker: self.mailbox.waker(),
+            slot: &slot,
         };
         let (request, response) = match self.caller.read_request(intake) {
             Ok(request) => request,
             Err(ReadError::Disconnected) => return false,
+            Err(ReadError::Evicted(response)) => {
+                self.slot.record_eviction("part");
+                // The caller may not read it, and others wait for the slot.
+                let _ = response.refuse(&mut self.caller, &not_yet_sent("too many connections"));
+                return false;
+            }
             Err(ReadError::Rejected(response, refusal)) => {
                 response.reject(&mut self.caller, &refusal);
                 return false;
@@ -117,6 +133,7 @@
         if self.relay.is_draining() {
             self.caller.keeps_alive = false;
         }
+        slot.begin_response();
         let conclusion = match self.prepare(&request) {
             Ok((metadata, context)) => self.run_call(&request, response, metadata, &context),
             Err(refusal) => {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -38,9 +38,11 @@
 
 use crate::config_log::log_activation;
 use crate::connections::IdleConnections;
+use crate::count_guard::CountGuard;
 use crate::crashes::CrashGuard;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::Mailbox;
 use crate::forwarding::Forwarding;
 use crate::lifecycle::Lifecycle;
 use crate::memory::MemoryBudget;
@@ -50,6 +52,7 @@
 use crate::peers::TableExchange;
 use crate::service::Sender;
 use crate::service::serve_connection;
+use crate::slots::ConnectionSlots;
 use crate::sources::PollInterrupts;
 use crate::sources::RoutingTableFeed;
 use crate::sources::Row;
@@ -88,6 +91,7 @@
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) idle_connections: IdleConnections,
     pub(crate) memory: MemoryBudget,
+    slots: ConnectionSlots,
     /// Limits the log lines of routine calls.
     pub(crate) call_log_limiter: LogRateLimiter,
     pub(crate) lifecycle: Lifecycle,
@@ -127,9 +131,11 @@
     ) -> io::Result<Arc<Self>> {
         let failure_domain = settings.scheduler.failure_domain.clone().unwrap_or_default();
         let dispatcher = Arc::new(Dispatcher::new(settings.scheduler.clone(), log.clone()));
+        let max_connections = settings.max_connections.min(max_connections(settings.memory_bytes));
         Ok(Arc::new(Self {
             memory: MemoryBudget::new(settings.memory_bytes, log.clone()),
-            max_connections: settings.max_connections.min(max_connections(settings.memory_bytes)),
+            slots: ConnectionSlots::new(max_connections, log.clone()),
+            max_connections,
             settings,
             dialect,
             dispatcher,
@@ -453,7 +459,10 @@
     fn spawn_handler(self: &Arc<Self>, stream: TcpStream, sender: Sender) {
         let connections = self.caller_connections.fetch_add(1, Ordering::SeqCst);
         let guard = ConnectionGuard(self.clone());
-        if connections >= self.max_connections + REFUSED_CONNECTIONS {
+        // A mailbox needs a file descriptor; when none is left, the connection cannot be served.
+        let Ok(mailbox) = Mailbox::new().map(Arc::new) else { return };
+        let slot = self.slots.admit(mailbox.waker().clone());
+        if slot.is_none() && connections >= self.max_connections + REFUSED_CONNECTIONS {
             self.memory.record_refusal("connection");
             return;
         }
@@ -462,7 +471,7 @@
             thread::Builder::new().name("caller".to_owned()).stack_size(HANDLER_STACK_BYTES);
         // If no thread can be spawned, dropping the stream closes the connection.
         let _ = builder.spawn(move || {
-            serve_connection(&guard.0, stream, sender);
+            serve_connection(&guard.0, stream, sender, mailbox, slot);
             drop(guard);
             drop(work);
         });
@@ -477,19 +486,3 @@
         self.0.caller_connections.fetch_sub(1, Ordering::SeqCst);
     }
 }
-
-/// Keeps a counter incremented until it is dropped.
-pub(crate) struct CountGuard<'a>(&'a AtomicUsize);
-
-impl<'a> CountGuard<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::SeqCst);
-        Self(count)
-    }
-}
-
-impl Drop for CountGuard<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
