fix(relay): complete responses wait for callers that do not read

Callers saw: clients with small windows that did not read for 3.5 s, well within their deadline, got a part of the response and a reset. Calls that may not be repeated had run, and nobody learned of their result.

Cause: TCP_USER_TIMEOUT (2.5 s), set against peers that vanish. Linux also ends connections by it whose peer acknowledges all probes and has no room. The limit of 5 s for writes did the same to large responses.

Why it works: once a response is complete at the VM, no upstream works for the caller any more, and the time-out is set to what is left of the call's deadline: when a write has to wait, one second after the response if no request has come, and before the connection is closed. With the first byte of the next request it is 2.5 s again, so vanished callers are detected during calls and streams as before. The connection may be evicted like any idle one. Callers that read at once cost no further system call.

--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -44,6 +44,10 @@
 /// Maximum time to write a response that is not streamed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after a response from which the connection is kept for a caller that has not read it, well
+/// below that after which the system ends it. Most callers read the response and send a request before.
+const UNREAD_CHECK_DELAY: Duration = Duration::from_secs(1);
+
 /// Maximum time to drain the input of a caller whose request was rejected.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -149,12 +153,28 @@
     method: Box<str>,
     /// Whether refusals state for another VM that the call was not run.
     attests_refusals: bool,
+    /// When the caller stops waiting for the response to its last call.
+    call_deadline: Option<Instant>,
+    /// Whether the system keeps the connection until then while the caller does not read.
+    waits_for_reader: bool,
 }
 
 impl CallerConnection {
     /// `attests_refusals` tells whether refusals state for another VM that the call was not run.
     pub(crate) fn new(connection: Connection, attests_refusals: bool) -> Self {
-        Self { connection, keeps_alive: true, method: Box::default(), attests_refusals }
+        Self {
+            connection,
+            keeps_alive: true,
+            method: Box::default(),
+            attests_refusals,
+            call_deadline: None,
+            waits_for_reader: false,
+        }
+    }
+
+    /// Records until when the caller waits for the response to a call.
+    pub(crate) const fn begin_call(&mut self, deadline: Instant) {
+        self.call_deadline = Some(deadline);
     }
 
     /// Sends `refusal` before any request was read, and closes the connection.
@@ -176,8 +196,13 @@
         let started_at = Instant::now();
         let idle_timeout = || limits().unwrap_or_default().idle_timeout;
         let mut deadline = started_at + idle_timeout();
+        let unread_check_at = started_at + UNREAD_CHECK_DELAY;
         self.connection.shrink_input();
         while self.connection.input.is_empty() {
+            let now = Instant::now();
+            if now >= unread_check_at {
+                self.wait_for_reader(now);
+            }
             let interest = Interest {
                 caller: Some(&self.connection),
                 caller_input: true,
@@ -185,7 +210,9 @@
                 broadcast: Some(closed),
                 ..Interest::default()
             };
-            let ready = wait(interest, deadline).map_err(|_| ReadError::Disconnected)?;
+            let is_check_due = now < unread_check_at;
+            let wait_end = if is_check_due { deadline.min(unread_check_at) } else { deadline };
+            let ready = wait(interest, wait_end).map_err(|_| ReadError::Disconnected)?;
             let outcome = self.connection.fill().map_err(|_| ReadError::Disconnected)?;
             // The timeout may have been raised meanwhile.
             let is_over = ready.timed_out && Instant::now() >= started_at + idle_timeout();
@@ -200,6 +227,7 @@
                 return Err(ReadError::Disconnected);
             }
         }
+        self.expect_acknowledgements();
         Ok(())
     }
 
@@ -352,6 +380,12 @@
     }
 }
 
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.wait_for_reader(Instant::now());
+    }
+}
+
 /// Rejects line feeds without a carriage return, which other HTTP implementations may interpret
 /// differently.
 fn check_line_endings(head: &[u8]) -> Result<(), ReadError> {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -188,6 +188,7 @@
             ..CallProgress::default()
         };
         let mut call = scheduler_call(request, metadata.timeout, metadata.prompt, context);
+        self.caller.begin_call(call.deadline);
         if self.sender == Sender::Vm {
             call.max_attempts = call.max_attempts.saturating_sub(metadata.upstream_attempts).max(1);
         }
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -29,7 +29,9 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Time for which sent data may stay unacknowledged before the connection is considered lost.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+///
+/// Linux ends a connection after it, too, if the peer acknowledges everything but does not read.
+pub(crate) const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Idle time after which keepalive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -126,6 +128,13 @@
         }
     }
 
+    /// Sets the time for which sent data may stay unacknowledged or unread before the connection is
+    /// considered lost.
+    pub(crate) fn set_user_timeout(&self, timeout: Duration) {
+        // An error means that the connection is lost already.
+        let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout));
+    }
+
     /// Makes the system discard what it has not sent yet when the connection is closed, also by the end
     /// of the process, instead of sending it later.
     pub(crate) fn discard_on_close(&self) -> io::Result<()> {
