fix(relay): connections of abandoned calls are reset

Cause: the connection of an attempt that is given up was closed. The system then sends what it still holds of the request as soon as the link lets it.

Why it works: with a linger time of zero the system discards what it has not sent and resets the connection. A caller gets nothing of such an attempt, so nothing of use is lost.

--- a/crates/relay/src/exchange/attempt.rs
+++ b/crates/relay/src/exchange/attempt.rs
@@ -85,7 +85,12 @@
                 let head = head.filter(|_| is_in_step);
                 (outcome, head.map(|it| (self.connection, it)))
             }
-            Err(error) => (error.into(), None),
+            Err(error) => {
+                // The system would still send what it holds of the request, when the upstream may have
+                // left its service. An error means that the connection is lost already.
+                let _ = self.connection.discard_on_close();
+                (error.into(), None)
+            }
         }
     }
 
