fix(relay): calls that may not be sent again wait for their upstream

Cause: the limits by which the system notices vanished peers ended the attempt. That helps a call which can be sent to another upstream; one that cannot only loses the response that may still come, and the program does not get to reset its connection at the deadline.

Why it works: connections of such calls have no limit of the system. The deadline ends the call, with a reset. They are kept for 3 s at most while idle, the time after which the system would have noticed their loss, and only such calls use them as they are. Calls that may be sent again go on as early as before.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -11,6 +11,7 @@
 
 use crate::response::ResponseHead;
 use crate::socket::Connection;
+use crate::socket::LossDetection;
 
 /// Idle timeout when the upstream does not announce one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -23,6 +24,9 @@
 /// sum of a time and this one stays within its type.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
+/// Maximum idle time of a connection whose loss the system does not notice: that after which it would.
+const MAX_UNWATCHED_TIME: Duration = Duration::from_secs(3);
+
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -38,16 +42,22 @@
 }
 
 impl IdleConnections {
-    /// Takes an idle connection that is still open and has no unexpected input. Returns `None` if
-    /// there is none for this incarnation of the upstream.
-    pub(crate) fn take(&self, upstream: &UpstreamId, incarnation: u64) -> Option<Connection> {
+    /// Takes an idle connection that is still open and has no unexpected input, with this loss detection.
+    /// Returns `None` if there is none for this incarnation of the upstream.
+    pub(crate) fn take(
+        &self,
+        upstream: &UpstreamId,
+        incarnation: u64,
+        loss_detection: LossDetection,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(upstream)?;
         connections.retain(|it| it.incarnation == incarnation && now < it.expires_at);
-        while let Some(it) = connections.pop() {
-            if it.connection.is_idle() {
-                return Some(it.connection);
+        while let Some(index) = best_index(connections, loss_detection) {
+            let mut connection = connections.remove(index).connection;
+            if connection.is_idle() && connection.set_loss_detection(loss_detection).is_ok() {
+                return Some(connection);
             }
         }
         None
@@ -64,7 +74,11 @@
         if !head.keeps_alive() || !connection.is_idle() {
             return;
         }
-        let expires_at = Instant::now() + idle_timeout(head);
+        let max_idle_time = match connection.loss_detection() {
+            LossDetection::System => MAX_IDLE_TIMEOUT,
+            LossDetection::Deadline => MAX_UNWATCHED_TIME,
+        };
+        let expires_at = Instant::now() + idle_timeout(head).min(max_idle_time);
         let mut idle = self.lock();
         let connections = idle.entry(upstream.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_UPSTREAM {
@@ -97,6 +111,18 @@
     }
 }
 
+/// Returns the index of the latest connection that has this loss detection, or else of one that may be
+/// given it. The system may be about to consider a connection lost that it watches.
+fn best_index(connections: &[IdleConnection], loss_detection: LossDetection) -> Option<usize> {
+    let with = |wanted| connections.iter().rposition(|it| it.connection.loss_detection() == wanted);
+    match loss_detection {
+        LossDetection::System => {
+            with(LossDetection::System).or_else(|| with(LossDetection::Deadline))
+        }
+        LossDetection::Deadline => with(LossDetection::Deadline),
+    }
+}
+
 /// Returns the idle timeout that a response announces in its `Keep-Alive` header, less
 /// [`IDLE_MARGIN`], or [`DEFAULT_IDLE_TIMEOUT`] if it announces none; [`MAX_IDLE_TIMEOUT`] at most.
 fn idle_timeout(head: &ResponseHead) -> Duration {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -33,6 +33,7 @@
 use crate::response::ResponseHead;
 use crate::socket::Connection;
 use crate::socket::Interest;
+use crate::socket::LossDetection;
 use crate::socket::check;
 use crate::socket::wait;
 use crate::state::Relay;
@@ -74,6 +75,8 @@
     /// Whether the route leads to several pools.
     pub(crate) is_route_split: bool,
     pub(crate) deadline: Instant,
+    /// Whether the call may be sent again after an attempt to which no response came.
+    pub(crate) is_retryable: bool,
     /// Whether upstreams may have got the call through other VMs.
     pub(crate) may_have_been_sent: bool,
     /// Whether the upstream's load coordinator is notified of the load.
@@ -314,7 +317,18 @@
         let is_repeat = command.is_repeat || self.may_have_been_sent;
         self.caller_id.filter(|_| !is_repeat)?;
         let upstream = &command.upstream;
-        self.relay.idle_connections.take(&upstream.id, upstream.incarnation)
+        let idle_connections = &self.relay.idle_connections;
+        idle_connections.take(&upstream.id, upstream.incarnation, self.loss_detection())
+    }
+
+    /// Returns who notices that an upstream has vanished.
+    ///
+    /// A call that may be sent again goes to another upstream as soon as the system considers the
+    /// connection lost. One that may not gains nothing by that: it may have run, and the network may still
+    /// deliver it. It waits for a link that comes back, until its deadline; then the connection is
+    /// reset, so that the call does nothing afterwards.
+    const fn loss_detection(&self) -> LossDetection {
+        if self.is_retryable { LossDetection::System } else { LossDetection::Deadline }
     }
 
     /// Returns the fingerprint of the call's content, if it is among the keys.
@@ -372,7 +386,10 @@
         address: SocketAddr,
         caller: &CallerConnection,
     ) -> Result<Option<Connection>, AttemptError> {
-        let Ok(connection) = Connection::connect(address) else { return Ok(None) };
+        let Ok(mut connection) = Connection::connect(address) else { return Ok(None) };
+        if connection.set_loss_detection(self.loss_detection()).is_err() {
+            return Ok(None);
+        }
         let connect_deadline = (Instant::now() + CONNECT_TIMEOUT).min(self.deadline);
         loop {
             let interest = Interest {
--- a/crates/relay/src/service.rs
+++ b/crates/relay/src/service.rs
@@ -264,6 +264,7 @@
             stream_id: stream_id.as_deref(),
             is_route_split: context.route.pools.len() > 1,
             deadline,
+            is_retryable: context.route.kind.is_retryable(),
             may_have_been_sent: self.sender == Sender::Vm && !is_unsent(&request.head),
             reports_load: false,
             suspect_keys,
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -56,11 +56,21 @@
     Closed,
 }
 
+/// Who notices that the peer of a connection has vanished.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LossDetection {
+    /// The system, by unacknowledged data and probes.
+    System,
+    /// The user of the connection, by a deadline.
+    Deadline,
+}
+
 /// A non-blocking connection with its buffer of unprocessed input.
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
     pub(crate) input: Vec<u8>,
+    loss_detection: LossDetection,
 }
 
 impl Connection {
@@ -68,7 +78,7 @@
     pub(crate) fn from_accepted(stream: TcpStream) -> io::Result<Self> {
         set_socket_options(&SockRef::from(&stream))?;
         stream.set_nonblocking(true)?;
-        Ok(Self { stream, input: Vec::new() })
+        Ok(Self { stream, input: Vec::new(), loss_detection: LossDetection::System })
     }
 
     /// Starts to connect to `address`. The attempt is finished once the socket becomes writable;
@@ -84,7 +94,7 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
         }
-        Ok(Self { stream: socket.into(), input: Vec::new() })
+        Ok(Self { stream: socket.into(), input: Vec::new(), loss_detection: LossDetection::System })
     }
 
     /// Returns the error of a failed connection attempt, or `None` if it succeeded.
@@ -135,6 +145,20 @@
         let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout));
     }
 
+    /// Returns who notices that the peer has vanished.
+    pub(crate) const fn loss_detection(&self) -> LossDetection {
+        self.loss_detection
+    }
+
+    /// Sets who notices that the peer has vanished.
+    pub(crate) fn set_loss_detection(&mut self, loss_detection: LossDetection) -> io::Result<()> {
+        if self.loss_detection != loss_detection {
+            set_loss_detection(&SockRef::from(&self.stream), loss_detection)?;
+            self.loss_detection = loss_detection;
+        }
+        Ok(())
+    }
+
     /// Makes the system discard what it has not sent yet when the connection is closed, also by the end
     /// of the process, instead of sending it later.
     pub(crate) fn discard_on_close(&self) -> io::Result<()> {
@@ -161,12 +185,24 @@
 
 fn set_socket_options(socket: &SockRef<'_>) -> io::Result<()> {
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)
+    set_loss_detection(socket, LossDetection::System)
+}
+
+fn set_loss_detection(socket: &SockRef<'_>, loss_detection: LossDetection) -> io::Result<()> {
+    match loss_detection {
+        LossDetection::System => {
+            socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+            let keepalive = TcpKeepalive::new()
+                .with_time(KEEPALIVE_IDLE)
+                .with_interval(KEEPALIVE_INTERVAL)
+                .with_retries(KEEPALIVE_RETRIES);
+            socket.set_tcp_keepalive(&keepalive)
+        }
+        LossDetection::Deadline => {
+            socket.set_tcp_user_timeout(None)?;
+            socket.set_keepalive(false)
+        }
+    }
 }
 
 /// Wakes a thread that is blocked in [`wait`].
