fix(relay): a VM that refutes its death sends its usage once

Operators saw: after a VM had stood still for 4 s, the usage report of the window had up to 8 % more requests than began. Customers would be billed for requests that were never sent.

Cause: counts are sent with the VM's incarnation, and the holder adds the counts of all incarnations, as if each were a start of the process. A VM that refutes a suspicion raises its incarnation, and sends the same counts again.

Why it works: counts bear the incarnation of the first ones that were sent, for the life of the process. That is after the VM has met the others, so it is above that of an earlier start even if the clock was set back. The message and its meaning for earlier builds stay.

--- a/crates/coordination/src/usage.rs
+++ b/crates/coordination/src/usage.rs
@@ -124,7 +124,7 @@
 pub struct VmCounts {
     /// The VM that counted.
     pub vm: VmId,
-    /// Start of the VM.
+    /// Start of the VM: an incarnation that it had since. Later starts have greater ones.
     pub incarnation: u64,
     /// Time since which it counts, in milliseconds since the Unix epoch; 0 if there was nothing to
     /// count before.
--- a/crates/relay/src/peers/usage.rs
+++ b/crates/relay/src/peers/usage.rs
@@ -49,7 +49,7 @@
         };
         let counts = VmCounts {
             vm: own.clone(),
-            incarnation,
+            incarnation: ledger.start_id(incarnation),
             counts_since_ms: due.counts_since_ms,
             windows: due.windows,
         };
--- a/crates/relay/src/usage.rs
+++ b/crates/relay/src/usage.rs
@@ -67,6 +67,8 @@
 pub(crate) struct UsageLedger {
     rules: UsageRules,
     started_at: Instant,
+    /// Identifies this start of the VM, from the first counts on.
+    start_id: OnceLock<u64>,
     /// Whether no requests were served before this process started.
     is_first_start: bool,
     /// Fencing token while this VM holds the lease, [`NO_TOKEN`] otherwise.
@@ -117,6 +119,7 @@
         Self {
             rules,
             started_at: now,
+            start_id: OnceLock::new(),
             is_first_start,
             own_token: AtomicU64::new(NO_TOKEN),
             state: Mutex::new(state),
@@ -156,6 +159,12 @@
         true
     }
 
+    /// Returns what identifies this start of the VM: its incarnation among the members when the first counts
+    /// are sent. The VM raises its incarnation when others take it for dead, but goes on counting.
+    pub(crate) fn start_id(&self, incarnation: u64) -> u64 {
+        *self.start_id.get_or_init(|| incarnation)
+    }
+
     /// Returns the latest holder that this VM knows.
     pub(crate) fn holder(&self) -> Option<UsageHolder> {
         self.state().holder.clone()
