--- a/crates/adapters/tests/landed_bytes.rs
+++ b/crates/adapters/tests/landed_bytes.rs
@@ -17,12 +17,13 @@
 use landed_line::unread;
 
 /// Bytes written by each landing.
-const LANDED: [&str; 5] = [
+const LANDED: [&str; 6] = [
     include_str!("data/landed/4be04b687788008f6b425cb4a2b5989f1cb51a68.txt"),
     include_str!("data/landed/97079c5a73887963ceaa95edad37f162e2c525de.txt"),
     include_str!("data/landed/e8a1500247f570c552469fe481de393159042019.txt"),
     include_str!("data/landed/dc0c85727ecae1a6e94e3d4541a4258e8913f969.txt"),
     include_str!("data/landed/3428ec8c1c364e30e3e3d512abac72c3a8ad08cb.txt"),
+    include_str!("data/landed/8efad390dd97bfd773aa9b5a81cb6a92d4bf507b.txt"),
 ];
 
 #[test]
--- a/crates/coordination/tests/landed_bytes.rs
+++ b/crates/coordination/tests/landed_bytes.rs
@@ -41,6 +41,9 @@
 /// Bytes written by 3428ec8c1c364e30e3e3d512abac72c3a8ad08cb.
 const USAGE: &str = include_str!("data/landed/3428ec8c1c364e30e3e3d512abac72c3a8ad08cb.txt");
 
+/// Bytes written by 8efad390dd97bfd773aa9b5a81cb6a92d4bf507b.
+const COPIES: &str = include_str!("data/landed/8efad390dd97bfd773aa9b5a81cb6a92d4bf507b.txt");
+
 fn first_samples() -> Vec<Sample> {
     let all = [first::messages(), first::tables(), first::rows(), first::operator_messages()];
     all.into_iter().flatten().collect()
@@ -58,9 +61,13 @@
     builds_samples().into_iter().chain(usage::messages()).chain(usage::rows()).collect()
 }
 
+fn copies_samples() -> Vec<Sample> {
+    usage_samples().into_iter().chain(copies::messages()).chain(copies::rows()).collect()
+}
+
 /// Returns what this build writes. Its file is added by the landing after it.
 fn samples() -> Vec<Sample> {
-    usage_samples().into_iter().chain(copies::messages()).chain(copies::rows()).collect()
+    copies_samples()
 }
 
 /// Checks that a file has the bytes of exactly these samples, and that this build reads them.
@@ -99,6 +106,11 @@
     check(USAGE, &usage_samples());
 }
 
+#[test]
+fn reads_and_writes_bytes_of_8efad39() {
+    check(COPIES, &copies_samples());
+}
+
 #[test]
 fn each_message_has_a_sample() {
     let messages = first::messages().into_iter().chain(origins::messages());
