--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -11,8 +11,8 @@
 /// which Linux sends a lost packet again.
 pub const STANDSTILL_TIME: Duration = Duration::from_millis(400);
 
-/// Maximum number of connections beyond the limit, whose places are those of others that are about to
-/// be closed.
+/// Maximum number of connections beyond the limit, whose slots are those of others that are about to be
+/// closed.
 const MAX_EXCESS: usize = 32;
 
 /// Identifies a connection. Later connections have greater ones.
@@ -39,7 +39,7 @@
     is_evicted: bool,
 }
 
-/// A new connection that has a place.
+/// A new connection that has a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Admitted {
     /// The new connection.
@@ -62,7 +62,7 @@
         Self { limit, connections: BTreeMap::new(), last_id: 0 }
     }
 
-    /// Returns a place for a new connection, or `None` if there is none.
+    /// Returns a slot for a new connection, or `None` if there is none.
     ///
     /// If the limit is reached, the connection is closed that has stood still for the longest time;
     /// those that have brought a whole request before come last.
--- a/crates/policy/tests/connection_limit.rs
+++ b/crates/policy/tests/connection_limit.rs
@@ -1,4 +1,4 @@
-//! A new connection takes the place of one that brings no request.
+//! A new connection takes the slot of one that brings no request.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -13,7 +13,7 @@
 /// Returns a full table and its connections.
 fn full_table(now: Instant) -> (ConnectionTable, Vec<ConnectionId>) {
     let mut table = ConnectionTable::new(LIMIT);
-    let ids = (0..LIMIT).map(|_| table.admit(now).expect("a place").id).collect();
+    let ids = (0..LIMIT).map(|_| table.admit(now).expect("a slot").id).collect();
     (table, ids)
 }
 
@@ -21,7 +21,7 @@
     table.admit(now).and_then(|it| it.evicted)
 }
 
-/// Guards against a crowd that holds all places and shuts out ordinary callers, and against closing a
+/// Guards against a crowd that holds all slots and shuts out ordinary callers, and against closing a
 /// caller's connection before others that matter less.
 #[test]
 fn eviction_order() {
--- a/crates/relay/src/peers/tables.rs
+++ b/crates/relay/src/peers/tables.rs
@@ -4,8 +4,8 @@
 //! to its own table from one of the VMs that announced a later version; see
 //! [`transfer`](cranberryvalve_coordination::transfer).
 //!
-//! Builds without the capability `empty_customer_lists` send an empty list of customers for an absent
-//! one, and the other way round. This VM reads a table without customers from the store then.
+//! Builds without the capability `empty_customer_lists` take an empty list of customers for an absent one.
+//! A table without customers that such a VM sends is read from the store instead.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -107,9 +107,11 @@
         self.source_needed.notify_all();
     }
 
-    /// Returns whether a VM sent this version without being able to tell whether it requires keys.
+    /// Returns whether this VM has to read this version from the source, unless a VM sends it that is able
+    /// to tell whether it requires keys.
     fn is_ambiguous(&self, version: ConfigVersion) -> bool {
-        version <= self.lock().ambiguous_version
+        let state = self.lock();
+        state.needs_source() && version <= state.ambiguous_version
     }
 
     fn on_announced(
--- a/crates/relay/src/slots.rs
+++ b/crates/relay/src/slots.rs
@@ -1,6 +1,6 @@
-//! Places of callers' connections.
+//! Slots of callers' connections.
 //!
-//! Each connection has a slot. When all are taken, a new connection gets the slot of one that stands
+//! Each connection has one. When all are taken, a new connection gets the slot of one that stands
 //! still, whose thread is woken to close it; see
 //! [`connections`](cranberryvalve_policy::connections).
 
