test: test programs lease their ports from each other

Test programs that run at the same time hand out ports by their process id, and a port whose process is stopped for a moment looked free to another one. A port is now leased by a locked file, which the system releases with the process.

--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -1,9 +1,15 @@
 //! Loopback ports for servers under test.
 
+use std::collections::VecDeque;
+use std::env;
+use std::fs;
+use std::fs::File;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
@@ -18,12 +24,41 @@
 /// Offset of the next port from the first port of this process.
 static NEXT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
+/// Name of the folder, in the one for temporary files, of the files that are locked for ports in use.
+const LEASE_FOLDER: &str = "cranberryvalve-ports";
+
+/// Maximum number of leases that a process keeps, each with an open file: more than the processes have
+/// ports that run at the same time in a test.
+const MAX_LEASES: usize = 400;
+
+/// Leases of the ports that this process has handed out last.
+static LEASES: Mutex<VecDeque<PortLease>> = Mutex::new(VecDeque::new());
+
 /// Loopback address with port 0, for which the system picks a free port.
 pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Right of a process to hand out a port, which other test programs do not hand out meanwhile; ends
+/// when it is dropped.
+#[derive(Debug)]
+pub struct PortLease {
+    /// Locked as long as it is open.
+    _file: File,
+}
+
+impl PortLease {
+    /// Takes the lease of a port. Returns `None` if it is taken.
+    pub fn take(port: u16) -> Option<Self> {
+        let folder = env::temp_dir().join(LEASE_FOLDER);
+        fs::create_dir_all(&folder).ok()?;
+        let file = File::create(folder.join(port.to_string())).ok()?;
+        file.try_lock().ok().map(|()| Self { _file: file })
+    }
+}
+
 /// Returns a loopback address for another process.
 ///
-/// The port is currently free, and this process does not hand it out again soon.
+/// The port is currently free, and no test program hands it out again for a long time while this process
+/// runs, also if the process at the address stops for a while.
 ///
 /// # Panics
 ///
@@ -37,7 +72,11 @@
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         // Binding would be a stricter check, but a process that another thread is starting may
         // hold the bound socket for a moment and block the port for its owner.
+        let Some(lease) = PortLease::take(port) else { continue };
         if TcpStream::connect(address).is_err() {
+            let mut leases = LEASES.lock().unwrap_or_else(PoisonError::into_inner);
+            leases.push_front(lease);
+            leases.truncate(MAX_LEASES);
             return address;
         }
     }
