refactor(relay): the idle limit of unwatched connections follows from the keepalive

A connection whose loss the system does not notice is kept for as long as keepalive probes would take to notice it. That was a second literal of 3 s; it is computed from the probes' constants now.

--- a/crates/relay/src/connections.rs
+++ b/crates/relay/src/connections.rs
@@ -11,6 +11,7 @@
 
 use crate::response::ResponseHead;
 use crate::socket::Connection;
+use crate::socket::KEEPALIVE_TIMEOUT;
 use crate::socket::LossDetection;
 
 /// Idle timeout when the upstream does not announce one.
@@ -24,9 +25,6 @@
 /// sum of a time and this one stays within its type.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
-/// Maximum idle time of a connection whose loss the system does not notice: that after which it would.
-const MAX_UNWATCHED_TIME: Duration = Duration::from_secs(3);
-
 /// Maximum number of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -76,7 +74,8 @@
         }
         let max_idle_time = match connection.loss_detection() {
             LossDetection::System => MAX_IDLE_TIMEOUT,
-            LossDetection::Deadline => MAX_UNWATCHED_TIME,
+            // Nothing notices its loss while it is idle.
+            LossDetection::Deadline => KEEPALIVE_TIMEOUT,
         };
         let expires_at = Instant::now() + idle_timeout(head).min(max_idle_time);
         let mut idle = self.lock();
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -42,6 +42,10 @@
 /// Number of unanswered keepalive probes after which the connection is considered lost.
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Time after which keepalive probes show that the peer of an idle connection has vanished.
+pub(crate) const KEEPALIVE_TIMEOUT: Duration =
+    KEEPALIVE_IDLE.saturating_add(KEEPALIVE_INTERVAL.saturating_mul(KEEPALIVE_RETRIES));
+
 /// Value of `EINPROGRESS` on Linux.
 const EINPROGRESS: i32 = 115;
 
